--- /dev/null
+++ b/bluebellctl/main.go
@@ -0,0 +1,4 @@
+// Command bluebellctl belongs to the fleet.
+package main
+
+func main() {}
--- /dev/null
+++ b/bluebellstand/main.go
@@ -0,0 +1,4 @@
+// Command bluebellstand belongs to the fleet.
+package main
+
+func main() {}
