--- a/bluebellport/src/parts.go
+++ b/bluebellport/src/parts.go
@@ -5,7 +5,10 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -30,6 +33,26 @@
 	ErrPeer = errors.ConstError("peer unreachable")
 )
 
+// Parts is what every controller is built from.
+type Parts struct {
+	Board   *Board
+	Store   bbstore.Store
+	Bus     Bus
+	Log     logrus.FieldLogger
+	Metrics metrics.Registry
+	Opts    *Options
+	Now     func() time.Time
+}
+
+// Rumor is a part that spreads what it knows by gossip. Fill and Take must not
+// block.
+type Rumor interface {
+	// Fill adds what the part knows to an outgoing message.
+	Fill(g *bbwire.Gossip)
+	// Take reads what another instance knows.
+	Take(from bbunit.InstanceID, g *bbwire.Gossip)
+}
+
 // Bus carries envelopes between instances. Handlers run on the session's
 // goroutine and must not block.
 type Bus interface {
