--- /dev/null
+++ b/bluebellport/src/money_options.go
@@ -0,0 +1,103 @@
+package bbport
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"bluebellport.example/shared/bbledger"
+)
+
+// MoneyOptions set how budget shares are drawn. The preset gives every value;
+// the others override one each where they are set.
+type MoneyOptions struct {
+	Preset  string
+	Horizon time.Duration // 0: the preset's
+	Grant   time.Duration // 0: the preset's
+	Wait    time.Duration // 0: the preset's
+	Borrow  string        // preset, yes or no
+}
+
+// moneyPreset is a policy with the longest wait of a request for a share.
+type moneyPreset struct {
+	policy bbledger.Policy
+	wait   time.Duration
+}
+
+var moneyPresets = map[string]moneyPreset{
+	"fjarrgrav": {
+		policy: bbledger.Policy{Horizon: 10 * time.Second, Solo: 2 * time.Second, Grant: 2 * time.Second, Borrow: true},
+		wait:   400 * time.Millisecond,
+	},
+	"hraunberg": {
+		policy: bbledger.Policy{Horizon: 2 * time.Second, Solo: 500 * time.Millisecond, Grant: 500 * time.Millisecond},
+		wait:   400 * time.Millisecond,
+	},
+}
+
+// defaultPreset is the preset of options that name none.
+const defaultPreset = "fjarrgrav"
+
+func (o *MoneyOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("preset", "Budget policy: fjarrgrav (fewer false refusals) or hraunberg (smaller stuck shares).").Envar("BLUEBELLPORT_PRESET").Default(defaultPreset).StringVar(&o.Preset)
+	cmd.Flag("horizon", "How long a failure domain's draw of a budget should last; 0 takes the preset's.").Envar("BLUEBELLPORT_HORIZON").Default("0s").DurationVar(&o.Horizon)
+	cmd.Flag("grant-horizon", "How long an instance's slice of a draw should last; 0 takes the preset's.").Envar("BLUEBELLPORT_GRANT_HORIZON").Default("0s").DurationVar(&o.Grant)
+	cmd.Flag("share-wait", "Longest time that a request waits for a share; 0 takes the preset's.").Envar("BLUEBELLPORT_SHARE_WAIT").Default("0s").DurationVar(&o.Wait)
+	cmd.Flag("borrow", "Ask other failure domains before refusing: yes, no or preset.").Envar("BLUEBELLPORT_BORROW").Default("preset").StringVar(&o.Borrow)
+}
+
+func (o *MoneyOptions) check() []string {
+	var bad []string
+	if _, ok := moneyPresets[o.Preset]; !ok {
+		bad = append(bad, fmt.Sprintf("--preset: must be fjarrgrav or hraunberg, is %q", o.Preset))
+	}
+	for _, d := range []struct {
+		flag string
+		v    time.Duration
+	}{{"--horizon", o.Horizon}, {"--grant-horizon", o.Grant}, {"--share-wait", o.Wait}} {
+		if d.v < 0 {
+			bad = append(bad, fmt.Sprintf("%s: must not be below 0, is %s", d.flag, d.v))
+		}
+	}
+	switch o.Borrow {
+	case "", "preset", "yes", "no":
+	default:
+		bad = append(bad, fmt.Sprintf("--borrow: must be yes, no or preset, is %q", o.Borrow))
+	}
+	if p := o.policy(); p.Grant > p.Horizon {
+		bad = append(bad, fmt.Sprintf("--grant-horizon: must not be above the horizon %s, is %s", p.Horizon, p.Grant))
+	}
+	return bad
+}
+
+func (o *MoneyOptions) preset() moneyPreset {
+	if p, ok := moneyPresets[o.Preset]; ok {
+		return p
+	}
+	return moneyPresets[defaultPreset]
+}
+
+// policy returns the preset's policy with what is overridden.
+func (o *MoneyOptions) policy() bbledger.Policy {
+	p := o.preset().policy
+	if o.Horizon > 0 {
+		p.Horizon = o.Horizon
+		p.Solo = min(p.Solo, o.Horizon)
+	}
+	if o.Grant > 0 {
+		p.Grant = o.Grant
+	}
+	if o.Borrow == "yes" || o.Borrow == "no" {
+		p.Borrow = o.Borrow == "yes"
+	}
+	return p
+}
+
+// wait is how long a request waits for a share.
+func (o *MoneyOptions) wait() time.Duration {
+	if o.Wait > 0 {
+		return o.Wait
+	}
+	return o.preset().wait
+}
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -111,13 +111,6 @@
 
 func (o *PeerOptions) check() []string { return nil }
 
-// MoneyOptions set how budget shares are drawn.
-type MoneyOptions struct{}
-
-func (o *MoneyOptions) flags(_ *kingpin.CmdClause) {}
-
-func (o *MoneyOptions) check() []string { return nil }
-
 // RecordOptions set how claims and bills are kept.
 type RecordOptions struct{}
 
--- /dev/null
+++ b/bluebellport/src/waiter.go
@@ -0,0 +1,115 @@
+package bbport
+
+import (
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbledger"
+	"bluebellport.example/shared/bbunit"
+)
+
+// waiter is a request that waits for a share. The loop settles it or the
+// request gives up, whichever comes first.
+type waiter struct {
+	budgets []bbunit.BudgetID
+	most    bbunit.Tokens
+	done    chan struct{}
+
+	over atomic.Bool // settled or given up
+	pot  *bbledger.Pot
+	err  error
+
+	at     int // which budget is waited for; owned by the loop
+	joined *bbledger.Pot
+}
+
+// take ends the wait and returns what the loop found: ErrShare if nothing.
+func (w *waiter) take() (*bbledger.Pot, error) {
+	if !w.over.Swap(true) {
+		return nil, errors.Annotate(ErrShare, "no share in time")
+	}
+	<-w.done
+	return w.pot, w.err
+}
+
+// settle gives the request its pot or error; false when it has given up.
+func (w *waiter) settle(pot *bbledger.Pot, err error) bool {
+	if w.over.Swap(true) {
+		return false
+	}
+	w.pot, w.err = pot, err
+	close(w.done)
+	return true
+}
+
+func (t *Treasury) join(w *waiter) {
+	if w.over.Load() {
+		return
+	}
+	t.waiters = append(t.waiters, w)
+	t.attend(w, 0)
+}
+
+// attend makes the waiter wait for its budget of that place.
+func (t *Treasury) attend(w *waiter, at int) {
+	t.unattend(w)
+	w.at, w.joined = at, t.purse.Pot(w.budgets[at])
+	t.purse.Wait(w.joined, w.most)
+}
+
+func (t *Treasury) unattend(w *waiter) {
+	if w.joined != nil {
+		t.purse.Done(w.joined, w.most)
+		w.joined = nil
+	}
+}
+
+// leave forgets a waiter whose request went on.
+func (t *Treasury) leave(w *waiter) {
+	t.unattend(w)
+	for i, x := range t.waiters {
+		if x == w {
+			t.waiters = append(t.waiters[:i], t.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// serveWaiters reserves for the waiting requests, first come first served.
+func (t *Treasury) serveWaiters() {
+	now := t.p.Now()
+	kept := t.waiters[:0]
+	for _, w := range t.waiters {
+		if !t.serveWaiter(w) && !w.over.Load() {
+			kept = append(kept, w)
+			continue
+		}
+		t.unattend(w)
+	}
+	clear(t.waiters[len(kept):])
+	t.waiters = kept
+	for _, w := range t.waiters {
+		if t.purse.Exhausted(now, t.view, w.joined) && w.at+1 < len(w.budgets) {
+			t.attend(w, w.at+1)
+		}
+	}
+}
+
+// serveWaiter reports whether the waiter is settled.
+func (t *Treasury) serveWaiter(w *waiter) bool {
+	for _, b := range w.budgets {
+		pot := t.purse.Pot(b)
+		if pot.Reserve(w.most) {
+			if !w.settle(pot, nil) {
+				pot.End(w.most, 0)
+			}
+			return true
+		}
+	}
+	if w.at+1 == len(w.budgets) && t.purse.Exhausted(t.p.Now(), t.view, w.joined) {
+		w.settle(nil, errors.Annotatef(ErrBudget, "budget %s", w.joined.Budget))
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/shared/bbledger/close.go
@@ -0,0 +1,340 @@
+package bbledger
+
+import (
+	"sort"
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// job closes one holder: its witness is frozen, its grantees surrender, then the
+// page is settled by one write.
+type job struct {
+	holder  bbunit.HolderID
+	witness Peer
+	own     bool // a holder of this very instance: no witness is needed
+	frozen  bool
+	marks   []*bbwire.Slice
+	answers map[Peer][]*bbwire.Slice
+	since   time.Time // of the surrender
+	sent    time.Time
+}
+
+// finalKey names a grantee's account of a closed holder.
+type finalKey struct {
+	holder  bbunit.HolderID
+	grantee Peer
+}
+
+// retire gives the present holder id up for good. What it granted is closed by
+// a job; new draws use a new id.
+func (k *Keeper) retire() {
+	old := k.holder
+	if k.opened || k.maybe {
+		k.retired[old] = k.granted()
+		k.jobs[old] = &job{holder: old, own: true, frozen: true, marks: k.retired[old], since: k.now, answers: map[Peer][]*bbwire.Slice{}}
+	}
+	k.holder = NewHolder(k.peer, k.page, k.next())
+	k.opened, k.maybe = false, false
+	k.mark, k.move, k.witness = nil, nil, Peer{}
+	for _, a := range k.accounts {
+		a.open, a.drawn, a.seq, a.idle = false, 0, 0, 0
+		a.shares = map[Peer]*share{}
+	}
+	k.stale = true
+}
+
+// granted lists what the present holder has handed out.
+func (k *Keeper) granted() []*bbwire.Slice {
+	var out []*bbwire.Slice
+	for _, a := range k.ordered() {
+		for _, p := range a.peers() {
+			if a.share(p).granted > 0 {
+				out = append(out, a.slice(k.holder, p))
+			}
+		}
+	}
+	return out
+}
+
+// dead tells whether a holder on the page must be closed by this keeper: an old
+// one of its own, or one of its failure domain whose instance is gone.
+func (k *Keeper) dead(h *bbwire.Holder) bool {
+	id := bbunit.HolderID(h.Holder)
+	if id == k.holder {
+		return false
+	}
+	p := HolderPeer(id)
+	if p == k.peer {
+		return true
+	}
+	return h.Domain == string(k.self.Domain) && !alive(k.view, p) && k.home()
+}
+
+func (k *Keeper) hasDead() bool {
+	if k.cache == nil {
+		return false
+	}
+	for _, e := range k.cache.Entries {
+		for _, h := range e.Holders {
+			if k.dead(h) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (k *Keeper) hasStuck() bool {
+	if k.cache == nil {
+		return false
+	}
+	for _, e := range k.cache.Entries {
+		if len(e.Stuck) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// watchHolders starts and drives the jobs that close dead holders.
+func (k *Keeper) watchHolders() {
+	if k.cache != nil && !k.limbo {
+		for _, e := range k.cache.Entries {
+			for _, h := range e.Holders {
+				if k.dead(h) {
+					k.needJob(h)
+				}
+			}
+		}
+	}
+	for _, j := range k.orderedJobs() {
+		k.drive(j)
+	}
+}
+
+func (k *Keeper) needJob(h *bbwire.Holder) {
+	id := bbunit.HolderID(h.Holder)
+	w := ParsePeer(h.Witness)
+	j := k.jobs[id]
+	if j == nil {
+		own := HolderPeer(id) == k.peer
+		j = &job{holder: id, witness: w, own: own, frozen: own, marks: k.retired[id], since: k.now, sent: k.now.Add(closeAfter - resendAfter), answers: map[Peer][]*bbwire.Slice{}}
+		if own {
+			j.sent = time.Time{}
+		}
+		k.jobs[id] = j
+		return
+	}
+	if !j.own && j.witness != w {
+		j.witness, j.frozen, j.marks = w, false, nil
+	}
+}
+
+func (k *Keeper) orderedJobs() []*job {
+	out := make([]*job, 0, len(k.jobs))
+	for _, j := range k.jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].holder < out[j].holder })
+	return out
+}
+
+// drive sends a job's next messages, again when they are not answered.
+func (k *Keeper) drive(j *job) {
+	if !j.own && alive(k.view, HolderPeer(j.holder)) {
+		delete(k.jobs, j.holder) // it came back before it was closed
+		return
+	}
+	if k.now.Sub(j.sent) < resendAfter {
+		return
+	}
+	if !j.frozen {
+		if alive(k.view, j.witness) {
+			j.sent = k.now
+			k.send(j.witness.ID, &bbwire.Freeze{Holder: string(j.holder)})
+		}
+		return
+	}
+	j.sent = k.now
+	for _, g := range j.grantees() {
+		if j.answers[g] == nil && alive(k.view, g) {
+			k.send(g.ID, &bbwire.Surrender{Holder: string(j.holder)})
+		}
+	}
+}
+
+// grantees lists who may have a slice of the job's holder.
+func (j *job) grantees() []Peer {
+	seen := map[Peer]bool{}
+	var out []Peer
+	for _, m := range j.marks {
+		if p := ParsePeer(m.Grantee); !seen[p] {
+			seen[p] = true
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].String() < out[j].String() })
+	return out
+}
+
+// frozen takes the promise of a witness, if it is the one that the page names.
+func (k *Keeper) frozen(e Frozen) {
+	j := k.jobs[bbunit.HolderID(e.Msg.Holder)]
+	if j == nil || j.own || j.frozen || e.From != j.witness {
+		return
+	}
+	j.frozen, j.marks, j.since, j.sent = true, e.Msg.Slices, k.now, time.Time{}
+	k.drive(j)
+}
+
+// surrendered takes a grantee's account of a closed holder.
+func (k *Keeper) surrendered(e Surrendered) {
+	h := bbunit.HolderID(e.Msg.Holder)
+	slices := []*bbwire.Slice{}
+	for _, s := range e.Msg.Slices {
+		if s.Holder == e.Msg.Holder && s.Grantee == e.From.String() {
+			slices = append(slices, s)
+		}
+	}
+	if j := k.jobs[h]; j != nil && j.frozen {
+		j.answers[e.From] = slices
+	}
+	k.finals[finalKey{h, e.From}] = slices
+	if h == k.holder {
+		k.retire() // a closer has been here
+	}
+}
+
+// ready tells whether the job's write may be made: every grantee answered, or
+// those that can be reached had their time.
+func (k *Keeper) ready(j *job) bool {
+	if !j.frozen {
+		return false
+	}
+	if k.now.Sub(j.since) >= surrenderFor {
+		return true
+	}
+	for _, g := range j.grantees() {
+		if j.answers[g] == nil && alive(k.view, g) {
+			return false
+		}
+	}
+	return true
+}
+
+// editJobs settles the holders whose jobs are ready.
+func (k *Keeper) editJobs(p *bbwire.Page) bool {
+	changed := false
+	for _, j := range k.orderedJobs() {
+		if !k.ready(j) {
+			continue
+		}
+		for _, e := range p.Entries {
+			if h := findHolder(e, j.holder); h != nil && (j.own || ParsePeer(h.Witness) == j.witness) {
+				j.settle(e)
+				changed = true
+			}
+		}
+	}
+	return changed
+}
+
+// settle takes the holder off the entry: what its grantees spent is settled,
+// what they may still spend is stuck, and the rest is the budget's again.
+func (j *job) settle(e *bbwire.Entry) {
+	for _, m := range j.marks {
+		if m.Budget != e.Budget {
+			continue
+		}
+		g := ParsePeer(m.Grantee)
+		most := m.Granted - m.Returned
+		if slices, ok := j.answers[g]; ok {
+			s := pick(slices, e.Budget)
+			if s.Granted == s.Spent+s.Returned {
+				e.Settled += s.Spent
+				continue
+			}
+			most = s.Granted - s.Returned
+		}
+		if most > 0 {
+			e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(j.holder), Grantee: m.Grantee, Amount: most})
+		}
+	}
+	dropHolder(e, j.holder)
+}
+
+// pick returns the slice of a budget, or an empty one.
+func pick(slices []*bbwire.Slice, budget string) *bbwire.Slice {
+	for _, s := range slices {
+		if s.Budget == budget {
+			return s
+		}
+	}
+	return &bbwire.Slice{}
+}
+
+// pruneJobs drops the jobs whose holder the page names no more, and accounts
+// that nothing waits for.
+func (k *Keeper) pruneJobs() {
+	for id := range k.jobs {
+		if !names(k.cache, id) {
+			delete(k.jobs, id)
+		}
+	}
+	stuck := map[finalKey]bool{}
+	for _, e := range k.cache.Entries {
+		for _, s := range e.Stuck {
+			stuck[finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)}] = true
+		}
+	}
+	for key := range k.finals {
+		if !stuck[key] && k.jobs[key.holder] == nil {
+			delete(k.finals, key)
+		}
+	}
+}
+
+// watchStuck asks grantees of closed holders again for their final account.
+func (k *Keeper) watchStuck() {
+	if k.cache == nil || k.now.Sub(k.asked) < stuckEvery || !k.home() && !k.retiring {
+		return
+	}
+	k.asked = k.now
+	seen := map[finalKey]bool{}
+	for _, e := range k.cache.Entries {
+		for _, s := range e.Stuck {
+			key := finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)}
+			if !seen[key] && alive(k.view, key.grantee) {
+				seen[key] = true
+				k.send(key.grantee.ID, &bbwire.Surrender{Holder: s.Holder})
+			}
+		}
+	}
+}
+
+// editStuck settles stuck amounts whose grantee has given its final account, and
+// lowers those that shrank.
+func (k *Keeper) editStuck(p *bbwire.Page) bool {
+	changed := false
+	for _, e := range p.Entries {
+		for _, x := range append([]*bbwire.Stuck(nil), e.Stuck...) {
+			slices, ok := k.finals[finalKey{bbunit.HolderID(x.Holder), ParsePeer(x.Grantee)}]
+			if !ok {
+				continue
+			}
+			s := pick(slices, e.Budget)
+			switch {
+			case s.Granted == s.Spent+s.Returned:
+				e.Settled += s.Spent
+				dropStuck(e, x)
+				changed = true
+			case s.Granted-s.Returned < x.Amount:
+				x.Amount = s.Granted - s.Returned
+				changed = true
+			}
+		}
+	}
+	return changed
+}
--- /dev/null
+++ b/shared/bbledger/draw.go
@@ -0,0 +1,225 @@
+package bbledger
+
+import (
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// serve answers wants out of acknowledged marks and drops those that cannot be
+// met.
+func (k *Keeper) serve() {
+	kept := k.wants[:0]
+	for _, w := range k.wants {
+		if !k.serveOne(w) {
+			kept = append(kept, w)
+		}
+	}
+	k.wants = kept
+}
+
+// serveOne reports whether the want is done with.
+func (k *Keeper) serveOne(w *want) bool {
+	a := k.account(w.budget)
+	s := a.share(w.peer)
+	if free := s.acked - s.granted; free >= w.least {
+		give := min(free, w.amount)
+		s.granted += give
+		a.rate.add(give)
+		k.tell(w.peer, a)
+		return true
+	}
+	if a.headroom() >= w.least-(s.sent-s.granted) {
+		return false // the next mark will do
+	}
+	if k.empty(a, w) {
+		k.send(w.peer.ID, &bbwire.GrantTell{Empty: []string{string(w.budget)}})
+		return true
+	}
+	if k.down() {
+		k.send(w.peer.ID, &bbwire.GrantTell{})
+		return true
+	}
+	return false
+}
+
+// tell sends a grantee its slice of an account.
+func (k *Keeper) tell(p Peer, a *account) {
+	k.send(p.ID, &bbwire.GrantTell{Slices: []*bbwire.Slice{a.slice(k.holder, p)}})
+}
+
+// empty tells whether the budget has too little left for a want, by a page that
+// is fresh. An old page is read again.
+func (k *Keeper) empty(a *account, w *want) bool {
+	if k.cache == nil || k.limbo || k.busy {
+		return false
+	}
+	e := clonePage(&bbwire.Page{Entries: []*bbwire.Entry{entryOrNew(k.cache, a.budget)}}).Entries[0]
+	advance(e, k.state)
+	s := a.share(w.peer)
+	if Rest(e)+a.headroom()+s.sent-s.granted >= w.least {
+		return false
+	}
+	if k.now.Sub(k.read) > freshFor {
+		k.stale = !k.down()
+		return false
+	}
+	return true
+}
+
+func entryOrNew(p *bbwire.Page, b bbunit.BudgetID) *bbwire.Entry {
+	if e := findEntry(p, b); e != nil {
+		return e
+	}
+	return &bbwire.Entry{Budget: string(b)}
+}
+
+// horizon is how long a draw should last.
+func (k *Keeper) horizon() time.Duration {
+	if k.opened && k.witness == (Peer{}) {
+		return k.policy.Solo
+	}
+	return k.policy.Horizon
+}
+
+// edit changes a copy of the page to what the keeper needs now and reports
+// whether anything is worth a write.
+func (k *Keeper) edit(p *bbwire.Page) bool {
+	changed := false
+	for _, e := range p.Entries {
+		changed = advance(e, k.state) || changed
+	}
+	changed = k.editJobs(p) || changed
+	changed = k.editStuck(p) || changed
+	changed = k.editMove(p) || changed
+	if !k.retiring {
+		changed = k.editDraws(p, changed) || changed
+	}
+	return changed
+}
+
+// editDraws raises and lowers what the holder has drawn. Accounts that could
+// wait are taken along when something is written anyway.
+func (k *Keeper) editDraws(p *bbwire.Page, along bool) bool {
+	type plan struct {
+		a     *account
+		delta bbunit.Tokens
+	}
+	var plans []plan
+	for _, a := range k.ordered() {
+		e := entryOrNew(p, a.budget)
+		if findEntry(p, a.budget) == nil {
+			advance(e, k.state)
+		}
+		delta, urgent := k.delta(a, e)
+		if delta != 0 {
+			plans = append(plans, plan{a, delta})
+			along = along || urgent
+		}
+	}
+	if !along {
+		return false
+	}
+	for _, x := range plans {
+		k.editDraw(needEntry(p, x.a.budget), x.a, x.delta)
+	}
+	return len(plans) > 0
+}
+
+// editDraw changes the holder's place on one entry.
+func (k *Keeper) editDraw(e *bbwire.Entry, a *account, delta bbunit.Tokens) {
+	advance(e, k.state)
+	h := findHolder(e, k.holder)
+	if h == nil {
+		if delta < 0 {
+			return
+		}
+		h = &bbwire.Holder{Holder: string(k.holder), Instance: string(k.self.ID), Domain: string(k.self.Domain), Witness: k.firstWitness().String()}
+		e.Holders = append(e.Holders, h)
+	}
+	h.Drawn += int64(delta)
+	h.Seq++
+	h.Spent = int64(a.spent())
+}
+
+// delta is by how much the account's draw should change, and whether that is
+// worth a write of its own.
+func (k *Keeper) delta(a *account, e *bbwire.Entry) (bbunit.Tokens, bool) {
+	var amount, least bbunit.Tokens
+	for _, w := range k.wants {
+		if w.budget == a.budget {
+			s := a.share(w.peer)
+			amount = saturate(amount + max(0, w.amount-(s.sent-s.granted)))
+			least = saturate(least + max(0, w.least-(s.sent-s.granted)))
+		}
+	}
+	goal := a.rate.over(k.horizon())
+	head := a.headroom()
+	if head < least || head < goal/2 {
+		return k.raiseBy(a, e, amount+goal-head, least-head), head < least || head < goal/4
+	}
+	return k.lowerBy(a, head, goal, least)
+}
+
+// raiseBy is how much to draw: what is lacking, less when the budget runs out,
+// but what is wanted at least while the rest has it.
+func (k *Keeper) raiseBy(_ *account, e *bbwire.Entry, lack, least bbunit.Tokens) bbunit.Tokens {
+	rest := Rest(e)
+	fair := rest / bbunit.Tokens(2*max(1, len(domains(k.view))))
+	return max(0, min(rest, lack, max(fair, least)))
+}
+
+// lowerBy gives surplus back after it has stood for a while.
+func (k *Keeper) lowerBy(a *account, head, goal, least bbunit.Tokens) (bbunit.Tokens, bool) {
+	if head <= 2*goal+least || !a.open || k.limbo {
+		a.idle = 0
+		return 0, false
+	}
+	a.idle++
+	ticks := int(k.horizon() / tickEvery)
+	if a.idle < ticks {
+		return 0, false
+	}
+	a.idle = 0
+	return -(head - goal - least), true
+}
+
+// tickEvery is how often a keeper is told the time.
+const tickEvery = 50 * time.Millisecond
+
+// TickEvery is how often the owner of keepers, purse and witness should tell
+// them the time.
+const TickEvery = tickEvery
+
+// firstWitness picks the witness of a holder that is being opened, or keeps the
+// one that it has.
+func (k *Keeper) firstWitness() Peer {
+	switch {
+	case k.move != nil && k.move.ready:
+		return k.move.to
+	case k.opened:
+		return k.witness
+	}
+	return k.candidate()
+}
+
+// candidate is the peer of the failure domain that may be the next witness; the
+// zero peer when there is none.
+func (k *Keeper) candidate() Peer {
+	for _, m := range k.view.Rank(HomeKey(k.page), k.self.Domain, candidates) {
+		p := PeerOf(m)
+		if m.ID == k.self.ID || p == k.witness || k.now.Sub(k.suspect[p]) < suspectFor {
+			continue
+		}
+		return p
+	}
+	return Peer{}
+}
+
+const (
+	// candidates is how many instances are looked at for a witness.
+	candidates = 6
+	// suspectFor is how long a witness that was silent is not chosen again.
+	suspectFor = 10 * time.Second
+)
--- /dev/null
+++ b/shared/bbledger/ident.go
@@ -0,0 +1,74 @@
+package bbledger
+
+import (
+	"strconv"
+	"strings"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Peer is one life of an instance: the unit that is granted slices, that holds
+// and that witnesses.
+type Peer struct {
+	ID  bbunit.InstanceID
+	Inc bbunit.Incarnation
+}
+
+// PeerOf returns the peer that a member of the fleet is.
+func PeerOf(m bbmember.Member) Peer { return Peer{ID: m.ID, Inc: m.Inc} }
+
+// String is instance/incarnation, or "" for the zero peer.
+func (p Peer) String() string {
+	if p == (Peer{}) {
+		return ""
+	}
+	return string(p.ID) + "/" + strconv.FormatUint(uint64(p.Inc), 16)
+}
+
+// ParsePeer reads what String wrote; the zero peer when s is malformed.
+func ParsePeer(s string) Peer {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return Peer{}
+	}
+	inc, err := strconv.ParseUint(s[i+1:], 16, 64)
+	if err != nil {
+		return Peer{}
+	}
+	return Peer{ID: bbunit.InstanceID(s[:i]), Inc: bbunit.Incarnation(inc)}
+}
+
+// NewHolder names the nth holder of a peer on a page.
+func NewHolder(p Peer, page int, n uint64) bbunit.HolderID {
+	return bbunit.HolderID(p.String() + "/" + strconv.Itoa(page) + "-" + strconv.FormatUint(n, 10))
+}
+
+// HolderPeer returns the peer whose holder h is.
+func HolderPeer(h bbunit.HolderID) Peer {
+	i := strings.LastIndexByte(string(h), '/')
+	if i < 0 {
+		return Peer{}
+	}
+	return ParsePeer(string(h[:i]))
+}
+
+// HolderPage returns the page that h holds on, or -1.
+func HolderPage(h bbunit.HolderID) int {
+	s := string(h[strings.LastIndexByte(string(h), '/')+1:])
+	i := strings.IndexByte(s, '-')
+	if i < 0 {
+		return -1
+	}
+	n, err := strconv.Atoi(s[:i])
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// alive tells whether the very same life of the instance is in the view.
+func alive(v *bbmember.View, p Peer) bool {
+	m, ok := v.Find(p.ID)
+	return ok && m.Inc == p.Inc
+}
--- /dev/null
+++ b/shared/bbledger/keeper.go
@@ -0,0 +1,414 @@
+package bbledger
+
+import (
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Events of a Keeper.
+type (
+	// Ask is a grantee's report and wants.
+	Ask struct {
+		From Peer
+		Msg  *bbwire.GrantAsk
+	}
+	// Loaded ends a Load.
+	Loaded struct {
+		Page *bbwire.Page
+		Rev  bbstore.Revision
+		Err  error
+	}
+	// Saved ends a Save.
+	Saved struct {
+		Rev bbstore.Revision
+		Err error
+	}
+	// Acked is a witness's answer to a mark.
+	Acked struct {
+		From Peer
+		Msg  *bbwire.MarkAck
+	}
+	// Frozen is a witness's promise to take no more marks.
+	Frozen struct {
+		From Peer
+		Msg  *bbwire.FreezeTell
+	}
+	// Surrendered is a grantee's account of a closed holder.
+	Surrendered struct {
+		From Peer
+		Msg  *bbwire.SurrenderTell
+	}
+	// Tick tells the time and what is in force.
+	Tick struct {
+		View  *bbmember.View
+		State *bbticket.State
+	}
+	// Visit makes the keeper read its page again.
+	Visit struct{}
+	// Retire makes the keeper close its holder and draw no more.
+	Retire struct{}
+)
+
+// Actions of a Keeper beside Send.
+type (
+	// Load reads the page; answer with Loaded.
+	Load struct{}
+	// Save writes the page if it is at Prev; answer with Saved.
+	Save struct {
+		Page *bbwire.Page
+		Prev bbstore.Revision
+	}
+)
+
+// Keeper draws from one page for its failure domain and grants slices to
+// instances. Several keepers of a page, also of one failure domain, are safe
+// together: each hands out only what the page says that it has drawn.
+type Keeper struct {
+	page   int
+	self   bbmember.Member
+	peer   Peer
+	policy Policy
+	next   func() uint64
+
+	now   time.Time
+	out   []any
+	view  *bbmember.View
+	state *bbticket.State
+
+	holder   bbunit.HolderID
+	opened   bool // the page is known to name the holder
+	maybe    bool // a write that opens the holder may have landed
+	accounts map[bbunit.BudgetID]*account
+	wants    []*want
+
+	cache *bbwire.Page
+	rev   bbstore.Revision
+	read  time.Time
+	stale bool
+	limbo bool // a write at rev may still land
+	busy  bool // a Load or Save is out
+	save  *bbwire.Page
+	retry time.Time
+	pause time.Duration
+
+	witness Peer
+	seq     uint64
+	mark    *pendingMark
+	move    *move
+	suspect map[Peer]time.Time
+
+	jobs     map[bbunit.HolderID]*job
+	retired  map[bbunit.HolderID][]*bbwire.Slice
+	finals   map[finalKey][]*bbwire.Slice
+	asked    time.Time // when stuck grantees were last asked
+	away     time.Time // since when the keeper is not home
+	retiring bool
+}
+
+// want is a grantee's open want of one budget.
+type want struct {
+	peer   Peer
+	budget bbunit.BudgetID
+	amount bbunit.Tokens
+	least  bbunit.Tokens
+	at     time.Time
+}
+
+// NewKeeper returns a keeper of a page. next numbers holders: it must not give
+// a number twice in the life of the instance.
+func NewKeeper(page int, self bbmember.Member, policy Policy, next func() uint64) *Keeper {
+	k := &Keeper{
+		page: page, self: self, peer: PeerOf(self), policy: policy, next: next,
+		view:     &bbmember.View{Self: self, Members: []bbmember.Member{self}},
+		state:    &bbticket.State{},
+		accounts: map[bbunit.BudgetID]*account{},
+		suspect:  map[Peer]time.Time{},
+		jobs:     map[bbunit.HolderID]*job{},
+		retired:  map[bbunit.HolderID][]*bbwire.Slice{},
+		finals:   map[finalKey][]*bbwire.Slice{},
+	}
+	k.holder = NewHolder(k.peer, page, next())
+	return k
+}
+
+// Step takes one event and returns what to do: Load, Save and Send values. At
+// most one Load or Save is out at a time.
+func (k *Keeper) Step(now time.Time, ev any) []any {
+	k.now = now
+	switch e := ev.(type) {
+	case Tick:
+		k.tick(e)
+	case Ask:
+		k.ask(e)
+	case Loaded:
+		k.loaded(e)
+	case Saved:
+		k.saved(e)
+	case Acked:
+		k.acked(e)
+	case Frozen:
+		k.frozen(e)
+	case Surrendered:
+		k.surrendered(e)
+	case Visit:
+		k.stale = true
+	case Retire:
+		k.retiring = true
+		k.retire()
+	}
+	k.serve()
+	k.raise()
+	k.store()
+	out := k.out
+	k.out = nil
+	return out
+}
+
+// Page returns the number of the keeper's page.
+func (k *Keeper) Page() int { return k.page }
+
+// Holder returns the id that the keeper holds under now.
+func (k *Keeper) Holder() bbunit.HolderID { return k.holder }
+
+// Closed tells whether a retired keeper has nothing left on the page.
+func (k *Keeper) Closed() bool {
+	return k.retiring && !k.opened && !k.maybe && !k.busy && !k.limbo && len(k.jobs) == 0
+}
+
+// Idle tells whether a tick would change nothing.
+func (k *Keeper) Idle() bool {
+	return !k.opened && !k.maybe && !k.busy && !k.limbo && !k.stale && len(k.jobs) == 0 && len(k.wants) == 0 && !k.hasStuck() && !k.hasDead()
+}
+
+func (k *Keeper) send(to bbunit.InstanceID, body any) {
+	k.out = append(k.out, Send{To: to, Body: body})
+}
+
+func (k *Keeper) home() bool {
+	m, ok := k.view.Home(HomeKey(k.page), k.self.Domain)
+	return ok && m.ID == k.self.ID
+}
+
+func (k *Keeper) tick(t Tick) {
+	if t.View != nil {
+		k.view = t.View
+	}
+	if t.State != nil {
+		k.state = t.State
+	}
+	for _, a := range k.ordered() {
+		a.rate.tick(k.now)
+	}
+	k.expire()
+	k.watchHome()
+	k.watchWitness()
+	k.watchHolders()
+	k.watchStuck()
+}
+
+// watchHome retires a keeper that has not been home for a while, once the
+// service can be reached.
+func (k *Keeper) watchHome() {
+	if k.home() {
+		k.away = time.Time{}
+		return
+	}
+	if k.away.IsZero() {
+		k.away = k.now
+	}
+	if k.opened && k.pause == 0 && k.now.Sub(k.away) >= retireAfter {
+		k.retire()
+	}
+}
+
+// ask merges a grantee's report and queues its wants.
+func (k *Keeper) ask(e Ask) {
+	seen := map[bbunit.BudgetID]bbunit.Tokens{}
+	for _, s := range e.Msg.Slices {
+		if s.Holder != string(k.holder) || s.Grantee != e.From.String() {
+			continue
+		}
+		b := bbunit.BudgetID(s.Budget)
+		seen[b] = bbunit.Tokens(s.Granted)
+		if a := k.accounts[b]; a != nil {
+			a.report(e.From, s)
+		}
+	}
+	if k.retiring {
+		return
+	}
+	for _, w := range e.Msg.Wants {
+		b := bbunit.BudgetID(w.Budget)
+		if w.Least < 1 || w.Amount < w.Least || PageOf(b) != k.page {
+			continue
+		}
+		a := k.account(b)
+		if a.share(e.From).granted > seen[b] {
+			k.tell(e.From, a) // the last answer was lost
+			continue
+		}
+		k.queue(&want{peer: e.From, budget: b, amount: bbunit.Tokens(w.Amount), least: bbunit.Tokens(w.Least), at: k.now})
+	}
+}
+
+// queue replaces the grantee's older want of the budget.
+func (k *Keeper) queue(w *want) {
+	for i, x := range k.wants {
+		if x.peer == w.peer && x.budget == w.budget {
+			w.at = x.at
+			k.wants[i] = w
+			return
+		}
+	}
+	k.wants = append(k.wants, w)
+}
+
+// expire drops wants that could not be met in time.
+func (k *Keeper) expire() {
+	kept := k.wants[:0]
+	for _, w := range k.wants {
+		if k.now.Sub(w.at) < askFor {
+			kept = append(kept, w)
+		}
+	}
+	k.wants = kept
+}
+
+func (k *Keeper) account(b bbunit.BudgetID) *account {
+	a := k.accounts[b]
+	if a == nil {
+		a = &account{budget: b, shares: map[Peer]*share{}}
+		k.accounts[b] = a
+	}
+	return a
+}
+
+// ordered returns the accounts in the order of their budgets.
+func (k *Keeper) ordered() []*account {
+	out := make([]*account, 0, len(k.accounts))
+	for _, a := range k.accounts {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].budget < out[j].budget })
+	return out
+}
+
+// down tells whether the last call of the service failed.
+func (k *Keeper) down() bool { return k.pause > 0 }
+
+// backoff pauses the use of the service after a failed call.
+func (k *Keeper) backoff() {
+	k.pause = min(max(2*k.pause, backoffLeast), backoffMost)
+	k.retry = k.now.Add(k.pause)
+}
+
+// store starts the next call of the service, if one is needed.
+func (k *Keeper) store() {
+	if k.busy || k.now.Before(k.retry) {
+		return
+	}
+	if k.stale || k.cache == nil && (len(k.wants) > 0 || k.opened || k.maybe || len(k.jobs) > 0) {
+		k.stale, k.busy = false, true
+		k.out = append(k.out, Load{})
+		return
+	}
+	if k.cache == nil {
+		return
+	}
+	next := clonePage(k.cache)
+	if !k.edit(next) {
+		return
+	}
+	for _, a := range k.accounts {
+		a.usable(findHolder(findEntry(next, a.budget), k.holder))
+	}
+	k.busy, k.save = true, next
+	k.out = append(k.out, Save{Page: next, Prev: k.rev})
+}
+
+// loaded takes the page as it stands.
+func (k *Keeper) loaded(e Loaded) {
+	k.busy = false
+	if e.Err != nil {
+		k.stale = true
+		k.backoff()
+		return
+	}
+	k.pause = 0
+	landed := k.limbo && e.Rev == k.rev
+	k.cache, k.rev, k.read = e.Page, e.Rev, k.now
+	if landed {
+		return // nothing landed yet, and it still may
+	}
+	k.limbo = false
+	k.adopt()
+}
+
+// saved takes the outcome of a write.
+func (k *Keeper) saved(e Saved) {
+	next := k.save
+	k.busy, k.save = false, nil
+	switch {
+	case e.Err == nil:
+		k.pause = 0
+		k.cache, k.rev, k.read, k.limbo = next, e.Rev, k.now, false
+		k.adopt()
+	case errors.Is(e.Err, bbstore.ErrConflict):
+		k.pause = 0
+		k.stale = true
+	case errors.Is(e.Err, bbstore.ErrDown), errors.Is(e.Err, bbstore.ErrTooLarge):
+		k.backoff()
+		if !k.limbo {
+			k.adopt()
+		}
+	default:
+		k.limbo, k.stale = true, true
+		k.maybe = k.maybe || names(next, k.holder)
+		k.backoff()
+	}
+}
+
+// names tells whether any entry of the page names the holder.
+func names(p *bbwire.Page, h bbunit.HolderID) bool {
+	for _, e := range p.Entries {
+		if findHolder(e, h) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt takes over what the page says of the own holder. It is called only when
+// no write of this keeper can land any more.
+func (k *Keeper) adopt() {
+	found, lost := false, false
+	var witness Peer
+	for _, a := range k.ordered() {
+		h := findHolder(findEntry(k.cache, a.budget), k.holder)
+		if h == nil {
+			lost = lost || a.open
+			a.drawn = 0
+			continue
+		}
+		found, a.open = true, true
+		a.drawn, a.seq = bbunit.Tokens(h.Drawn), h.Seq
+		witness = ParsePeer(h.Witness)
+	}
+	if lost || k.maybe && !found {
+		k.retire()
+		return
+	}
+	k.maybe, k.opened = false, found
+	if found {
+		k.settleMove(witness)
+	}
+	k.pruneJobs()
+}
--- /dev/null
+++ b/shared/bbledger/ops.go
@@ -0,0 +1,220 @@
+package bbledger
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Sentinel errors of the operators' calls, tested with errors.Is.
+const (
+	// ErrBelowDrawn means that a budget cannot be lowered to an amount of
+	// which more is already drawn, settled or stuck.
+	ErrBelowDrawn = errors.ConstError("budget below what is drawn")
+	// ErrNoHolder means that the budget names no such holder.
+	ErrNoHolder = errors.ConstError("holder not found")
+	// ErrCapped means that another ticket is about to lower the budget.
+	ErrCapped = errors.ConstError("budget capped by another ticket")
+	// ErrBusy means that the page changed under every try.
+	ErrBusy = errors.ConstError("budget page busy")
+)
+
+// editTries bounds how often an operator's call tries again after a conflict.
+const editTries = 20
+
+// BudgetStatus is what a page says of one budget, in tokens.
+type BudgetStatus struct {
+	Budget  bbunit.BudgetID     `json:"budget"`
+	Paid    bbunit.Tokens       `json:"paid"`
+	Number  bbunit.TicketNumber `json:"number"`
+	Capped  bool                `json:"capped,omitempty"`
+	Cap     bbunit.Tokens       `json:"cap,omitempty"`
+	Settled bbunit.Tokens       `json:"settled"`
+	Drawn   bbunit.Tokens       `json:"drawn"`
+	Spent   bbunit.Tokens       `json:"spent"` // settled and reported by holders
+	Stuck   bbunit.Tokens       `json:"stuck"`
+	Rest    bbunit.Tokens       `json:"rest"`
+	Holders []HolderStatus      `json:"holders,omitempty"`
+	Stucks  []StuckStatus       `json:"stucks,omitempty"`
+}
+
+// HolderStatus is one holder's place on a budget.
+type HolderStatus struct {
+	Holder  bbunit.HolderID `json:"holder"`
+	Domain  bbunit.DomainID `json:"domain"`
+	Drawn   bbunit.Tokens   `json:"drawn"`
+	Spent   bbunit.Tokens   `json:"spent"` // as last reported
+	Witness string          `json:"witness"`
+}
+
+// StuckStatus is money with a grantee that has not accounted for it, why it is
+// counted as spent.
+type StuckStatus struct {
+	Holder  bbunit.HolderID `json:"holder"`
+	Grantee string          `json:"grantee"`
+	Amount  bbunit.Tokens   `json:"amount"`
+	Why     string          `json:"why"`
+}
+
+// StatusOf returns what an entry says.
+func StatusOf(e *bbwire.Entry) BudgetStatus {
+	s := BudgetStatus{
+		Budget: bbunit.BudgetID(e.Budget), Paid: bbunit.Tokens(e.Paid), Number: bbunit.TicketNumber(e.Number),
+		Settled: bbunit.Tokens(e.Settled), Spent: bbunit.Tokens(e.Settled), Rest: Rest(e),
+	}
+	if e.Capnumber > e.Number {
+		s.Capped, s.Cap = true, bbunit.Tokens(e.Cap)
+	}
+	for _, h := range e.Holders {
+		s.Drawn += bbunit.Tokens(h.Drawn)
+		s.Spent += bbunit.Tokens(h.Spent)
+		s.Holders = append(s.Holders, HolderStatus{
+			Holder: bbunit.HolderID(h.Holder), Domain: bbunit.DomainID(h.Domain),
+			Drawn: bbunit.Tokens(h.Drawn), Spent: bbunit.Tokens(h.Spent), Witness: h.Witness,
+		})
+	}
+	for _, x := range e.Stuck {
+		s.Stuck += bbunit.Tokens(x.Amount)
+		s.Stucks = append(s.Stucks, StuckStatus{
+			Holder: bbunit.HolderID(x.Holder), Grantee: x.Grantee, Amount: bbunit.Tokens(x.Amount),
+			Why: "granted to " + x.Grantee + ", which has not given its final account",
+		})
+	}
+	return s
+}
+
+// Show reads all budgets of all pages. It blocks on the key-value service.
+func Show(ctx context.Context, store bbstore.Store) ([]BudgetStatus, error) {
+	list, _, err := store.List(ctx, Prefix)
+	if err != nil {
+		return nil, errors.Annotate(err, "list budget pages")
+	}
+	var out []BudgetStatus
+	for _, x := range list {
+		p, err := Decode(x.Value)
+		if err != nil {
+			return nil, errors.Annotate(err, x.Key)
+		}
+		for _, e := range p.Entries {
+			out = append(out, StatusOf(e))
+		}
+	}
+	return out, nil
+}
+
+// Cap limits what may be drawn of a budget to paid until the ticket of that
+// number is in force, so that the ticket can lower it. ErrBelowDrawn with the
+// figure when more is taken; ErrCapped when a ticket of that number or a later
+// one, with another nonce, has capped it. Repeating it with the same nonce
+// changes nothing. It blocks on the key-value service.
+func Cap(ctx context.Context, store bbstore.Store, b bbunit.BudgetID, paid bbunit.Tokens, number bbunit.TicketNumber, nonce string) error {
+	if err := CheckAmount(paid); err != nil {
+		return err
+	}
+	return editEntry(ctx, store, b, func(e *bbwire.Entry) error {
+		if e.Capnumber >= uint64(number) && e.Capnonce != nonce && e.Capnumber > e.Number {
+			return errors.Annotatef(ErrCapped, "budget %s, ticket %d, nonce %s", b, e.Capnumber, e.Capnonce)
+		}
+		if t := Taken(e); t > paid {
+			return errors.Annotatef(ErrBelowDrawn, "budget %s: %d tokens are drawn, settled or stuck, %d asked for", b, t, paid)
+		}
+		if e.Capnumber > e.Number {
+			paid = min(paid, bbunit.Tokens(e.Cap)) // an accepted ticket may still need the older cap
+		}
+		e.Cap, e.Capnumber, e.Capnonce = int64(paid), uint64(number), nonce
+		return nil
+	})
+}
+
+// Uncap takes back the cap of that number and nonce, and none else. It blocks
+// on the key-value service.
+func Uncap(ctx context.Context, store bbstore.Store, b bbunit.BudgetID, number bbunit.TicketNumber, nonce string) error {
+	return editEntry(ctx, store, b, func(e *bbwire.Entry) error {
+		if e.Capnumber == uint64(number) && e.Capnonce == nonce {
+			e.Cap, e.Capnumber, e.Capnonce = 0, 0, ""
+		}
+		return nil
+	})
+}
+
+// Release gives back to a budget what a holder has drawn beyond its reported
+// spend, and all that is stuck under it. An operator calls it who knows that
+// the holder's instance and its grantees are gone for good: it is the only way
+// by which money comes back on a person's word. It returns the tokens given
+// back; ErrNoHolder. It blocks on the key-value service.
+func Release(ctx context.Context, store bbstore.Store, b bbunit.BudgetID, h bbunit.HolderID) (bbunit.Tokens, error) {
+	var back bbunit.Tokens
+	err := editEntry(ctx, store, b, func(e *bbwire.Entry) error {
+		n, err := ReleaseEntry(e, h)
+		if errors.Is(err, ErrNoHolder) && back > 0 {
+			return nil // an earlier try of this call landed
+		}
+		back = n
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	return back, nil
+}
+
+// ReleaseEntry is Release on an entry.
+func ReleaseEntry(e *bbwire.Entry, h bbunit.HolderID) (bbunit.Tokens, error) {
+	before, found := Taken(e), false
+	if x := findHolder(e, h); x != nil {
+		found = true
+		e.Settled += x.Spent
+		dropHolder(e, h)
+	}
+	for _, s := range append([]*bbwire.Stuck(nil), e.Stuck...) {
+		if s.Holder == string(h) {
+			found = true
+			dropStuck(e, s)
+		}
+	}
+	if !found {
+		return 0, errors.Annotatef(ErrNoHolder, "budget %s, holder %s", e.Budget, h)
+	}
+	return before - Taken(e), nil
+}
+
+// editEntry changes one entry by compare-and-swap until it stands. A lost
+// answer is resolved by doing it again on the page as read, so fn must be such
+// that a repeat changes nothing.
+func editEntry(ctx context.Context, store bbstore.Store, b bbunit.BudgetID, fn func(*bbwire.Entry) error) error {
+	key := PageKey(PageOf(b))
+	for range editTries {
+		x, err := store.Get(ctx, key)
+		if err != nil {
+			return errors.Annotate(err, key)
+		}
+		p, err := Decode(x.Value)
+		if err != nil {
+			return errors.Annotate(err, key)
+		}
+		before := clonePage(p)
+		if err := fn(needEntry(p, b)); err != nil {
+			return err
+		}
+		if proto.Equal(before, p) {
+			return nil
+		}
+		value, err := Encode(p)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		_, err = store.CAS(ctx, key, value, x.Rev, 0)
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, bbstore.ErrConflict) && !errors.Is(err, bbstore.ErrUnknown) {
+			return errors.Annotate(err, key)
+		}
+	}
+	return errors.Annotatef(ErrBusy, "%s", key)
+}
--- /dev/null
+++ b/shared/bbledger/page.go
@@ -0,0 +1,178 @@
+package bbledger
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+const (
+	// Pages is how many pages the budgets are spread over. It never changes
+	// for the life of a fleet.
+	Pages = 256
+	// Prefix is the key prefix of all pages.
+	Prefix = "/bb/page/"
+	// MostPaid is the largest amount that a budget may hold, in tokens. Sums
+	// over a page stay far from overflow.
+	MostPaid = bbunit.Tokens(1) << 50
+)
+
+// Sentinel errors of pages, tested with errors.Is.
+const (
+	// ErrPage means that a page's value could not be read.
+	ErrPage = errors.ConstError("budget page malformed")
+	// ErrAmount means that an amount is negative or above MostPaid.
+	ErrAmount = errors.ConstError("amount out of range")
+)
+
+// PageOf returns the page that the budget is on.
+func PageOf(b bbunit.BudgetID) int {
+	return int(xxhash.Sum64String(string(b)) % Pages)
+}
+
+// PageKey returns the key of a page in the key-value service.
+func PageKey(n int) string { return fmt.Sprintf("%s%04d", Prefix, n) }
+
+// HomeKey returns the name under which keepers of a page are ranked.
+func HomeKey(n int) string { return fmt.Sprintf("page/%04d", n) }
+
+// Decode reads a page's value; nil gives an empty page. ErrPage.
+func Decode(value []byte) (*bbwire.Page, error) {
+	p := &bbwire.Page{}
+	if err := proto.Unmarshal(value, p); err != nil {
+		return nil, errors.WithType(err, ErrPage)
+	}
+	return p, nil
+}
+
+// Encode returns the value of a page.
+func Encode(p *bbwire.Page) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(p)
+}
+
+// CheckAmount returns ErrAmount unless 0 <= n <= MostPaid.
+func CheckAmount(n bbunit.Tokens) error {
+	if n < 0 || n > MostPaid {
+		return errors.Annotatef(ErrAmount, "%d tokens", n)
+	}
+	return nil
+}
+
+// Effective is how much of the budget may be taken: paid, or the cap of a
+// ticket that is about to lower it.
+func Effective(e *bbwire.Entry) bbunit.Tokens {
+	if e.Capnumber > e.Number && e.Cap < e.Paid {
+		return bbunit.Tokens(e.Cap)
+	}
+	return bbunit.Tokens(e.Paid)
+}
+
+// Taken is all that counts against the budget: settled, stuck and drawn.
+func Taken(e *bbwire.Entry) bbunit.Tokens {
+	n := e.Settled
+	for _, s := range e.Stuck {
+		n += s.Amount
+	}
+	for _, h := range e.Holders {
+		n += h.Drawn
+	}
+	return bbunit.Tokens(n)
+}
+
+// Rest is what may still be drawn of the budget, never below 0.
+func Rest(e *bbwire.Entry) bbunit.Tokens {
+	return max(0, Effective(e)-Taken(e))
+}
+
+// findEntry returns the budget's entry, or nil.
+func findEntry(p *bbwire.Page, b bbunit.BudgetID) *bbwire.Entry {
+	i := sort.Search(len(p.Entries), func(i int) bool { return p.Entries[i].Budget >= string(b) })
+	if i < len(p.Entries) && p.Entries[i].Budget == string(b) {
+		return p.Entries[i]
+	}
+	return nil
+}
+
+// needEntry returns the budget's entry and adds it in order when absent.
+func needEntry(p *bbwire.Page, b bbunit.BudgetID) *bbwire.Entry {
+	if e := findEntry(p, b); e != nil {
+		return e
+	}
+	e := &bbwire.Entry{Budget: string(b)}
+	p.Entries = append(p.Entries, e)
+	sort.Slice(p.Entries, func(i, j int) bool { return p.Entries[i].Budget < p.Entries[j].Budget })
+	return e
+}
+
+// findHolder returns the holder's place on the entry, or nil.
+func findHolder(e *bbwire.Entry, h bbunit.HolderID) *bbwire.Holder {
+	if e == nil {
+		return nil
+	}
+	for _, x := range e.Holders {
+		if x.Holder == string(h) {
+			return x
+		}
+	}
+	return nil
+}
+
+// dropHolder takes the holder's place off the entry.
+func dropHolder(e *bbwire.Entry, h bbunit.HolderID) {
+	for i, x := range e.Holders {
+		if x.Holder == string(h) {
+			e.Holders = append(e.Holders[:i:i], e.Holders[i+1:]...)
+			return
+		}
+	}
+}
+
+// findStuck returns the stuck amount of a holder with a grantee, or nil.
+func findStuck(e *bbwire.Entry, h bbunit.HolderID, g Peer) *bbwire.Stuck {
+	for _, s := range e.Stuck {
+		if s.Holder == string(h) && s.Grantee == g.String() {
+			return s
+		}
+	}
+	return nil
+}
+
+// dropStuck takes a stuck amount off the entry.
+func dropStuck(e *bbwire.Entry, x *bbwire.Stuck) {
+	for i, s := range e.Stuck {
+		if s == x {
+			e.Stuck = append(e.Stuck[:i:i], e.Stuck[i+1:]...)
+			return
+		}
+	}
+}
+
+// advance puts a ticket's paid amount on the entry, only forward by number, and
+// drops a cap whose ticket came to nothing. It reports whether the entry changed.
+func advance(e *bbwire.Entry, st *bbticket.State) bool {
+	changed := false
+	if o, ok := st.Budgets[bbunit.BudgetID(e.Budget)]; ok && uint64(o.Number) > e.Number {
+		paid := o.Object.Paid
+		if o.Object.Gone || CheckAmount(paid) != nil {
+			paid = 0
+		}
+		e.Paid, e.Number = int64(paid), uint64(o.Number)
+		changed = true
+	}
+	// With every ticket up to the cap's in force, the cap is either carried out
+	// or its ticket was never accepted.
+	if e.Capnumber > 0 && uint64(st.Number) >= e.Capnumber {
+		e.Cap, e.Capnumber, e.Capnonce = 0, 0, ""
+		changed = true
+	}
+	return changed
+}
+
+func clonePage(p *bbwire.Page) *bbwire.Page { return proto.Clone(p).(*bbwire.Page) }
--- /dev/null
+++ b/shared/bbledger/purse.go
@@ -0,0 +1,299 @@
+package bbledger
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Purse is all the money of one instance. Pot may be called by any goroutine;
+// the other methods belong to one goroutine.
+type Purse struct {
+	self   Peer
+	domain bbunit.DomainID
+	policy Policy
+
+	mu   sync.Mutex // writers of pots
+	pots atomic.Pointer[map[bbunit.BudgetID]*Pot]
+
+	closed   map[bbunit.HolderID]bool
+	reported time.Time
+	draining bool
+}
+
+// Send is a message to another instance, or to the own one.
+type Send struct {
+	To   bbunit.InstanceID
+	Body any // one of the messages of bbwire
+}
+
+// NewPurse returns an empty purse.
+func NewPurse(self bbmember.Member, policy Policy) *Purse {
+	p := &Purse{self: PeerOf(self), domain: self.Domain, policy: policy, closed: map[bbunit.HolderID]bool{}}
+	p.pots.Store(&map[bbunit.BudgetID]*Pot{})
+	return p
+}
+
+// Pot returns the pot of a budget; it takes a lock only the first time.
+func (p *Purse) Pot(b bbunit.BudgetID) *Pot {
+	if pot, ok := (*p.pots.Load())[b]; ok {
+		return pot
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := *p.pots.Load()
+	if pot, ok := old[b]; ok {
+		return pot
+	}
+	next := make(map[bbunit.BudgetID]*Pot, len(old)+1)
+	for k, v := range old {
+		next[k] = v
+	}
+	pot := &Pot{Budget: b}
+	next[b] = pot
+	p.pots.Store(&next)
+	return pot
+}
+
+// Pots returns all pots in the order of their budgets.
+func (p *Purse) Pots() []*Pot {
+	m := *p.pots.Load()
+	out := make([]*Pot, 0, len(m))
+	for _, pot := range m {
+		out = append(out, pot)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Budget < out[j].Budget })
+	return out
+}
+
+// Wait counts in a request that waits for n tokens of the pot, Done counts it
+// out.
+func (p *Purse) Wait(pot *Pot, n bbunit.Tokens) { pot.asking.join(n) }
+
+// Done counts out a request that Wait counted in.
+func (p *Purse) Done(pot *Pot, n bbunit.Tokens) { pot.asking.leave(n) }
+
+// Exhausted tells whether every keeper that the policy lets the pot ask has
+// said, not long ago, that the budget has nothing left.
+func (p *Purse) Exhausted(now time.Time, v *bbmember.View, pot *Pot) bool {
+	turns := p.turns(v, PageOf(pot.Budget))
+	for _, m := range turns {
+		t, ok := pot.asking.empty[m.Domain]
+		if !ok || now.Sub(t) > emptyFor {
+			return false
+		}
+	}
+	return len(turns) > 0
+}
+
+// turns lists the keepers that may be asked, the own failure domain's first.
+func (p *Purse) turns(v *bbmember.View, page int) []bbmember.Member {
+	var out []bbmember.Member
+	if m, ok := v.Home(HomeKey(page), p.domain); ok {
+		out = append(out, m)
+	}
+	if !p.policy.Borrow {
+		return out
+	}
+	for _, d := range domains(v) {
+		if m, ok := v.Home(HomeKey(page), d); ok && d != p.domain {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// domains lists the failure domains that have an instance that stays.
+func domains(v *bbmember.View) []bbunit.DomainID {
+	seen := map[bbunit.DomainID]bool{}
+	var out []bbunit.DomainID
+	for _, m := range v.Members {
+		if !m.Leaving && !seen[m.Domain] {
+			seen[m.Domain] = true
+			out = append(out, m.Domain)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Asks flushes the pots and returns what to send now: wants of pots that run
+// short, and every so often what was spent.
+func (p *Purse) Asks(now time.Time, v *bbmember.View) []Send {
+	b := asks{self: p.self, to: map[bbunit.InstanceID]*bbwire.GrantAsk{}}
+	report := now.Sub(p.reported) >= reportEvery || p.draining
+	if report {
+		p.reported = now
+	}
+	for _, pot := range p.Pots() {
+		pot.flush()
+		pot.tick(now, p.policy.Grant)
+		if p.draining {
+			pot.surrenderSurplus(pot.Free())
+		}
+		if report {
+			b.report(pot)
+		}
+		if !p.draining {
+			p.want(now, v, pot, &b)
+		}
+	}
+	return b.sends()
+}
+
+// want adds what the pot needs of the keeper whose turn it is.
+func (p *Purse) want(now time.Time, v *bbmember.View, pot *Pot, b *asks) {
+	a := &pot.asking
+	short := a.waiting > 0 && pot.Free() < a.least
+	if !short && !pot.Low() || now.Sub(a.sent) < askEvery {
+		return
+	}
+	turns := p.turns(v, PageOf(pot.Budget))
+	if len(turns) == 0 {
+		return
+	}
+	if !short {
+		a.turn = 0
+	}
+	m := turns[a.turn%len(turns)]
+	if t, ok := a.empty[m.Domain]; ok && now.Sub(t) <= emptyFor {
+		if !short {
+			return
+		}
+		a.turn++
+		m = turns[a.turn%len(turns)]
+	}
+	goal := pot.rate.over(p.policy.Grant)
+	amount := saturate(2*a.waiting) + goal - pot.Free()
+	least := bbunit.Tokens(1)
+	if short {
+		least = a.least - pot.Free()
+	}
+	a.sent = now
+	b.want(m, pot, max(amount, least), least, m.Domain != p.domain)
+	a.turn++
+}
+
+// Told takes the answer of a keeper of that failure domain. It returns what
+// tells a keeper that goes on granting under a closed holder.
+func (p *Purse) Told(now time.Time, domain bbunit.DomainID, t *bbwire.GrantTell) []Send {
+	var out []Send
+	for _, s := range t.Slices {
+		h := bbunit.HolderID(s.Holder)
+		if s.Grantee != p.self.String() {
+			continue
+		}
+		if p.closed[h] {
+			out = append(out, Send{To: HolderPeer(h).ID, Body: p.Surrender(h)})
+			continue
+		}
+		pot := p.Pot(bbunit.BudgetID(s.Budget))
+		if pot.grant(h, bbunit.Tokens(s.Granted)) {
+			pot.asking.reset()
+			delete(pot.asking.empty, domain)
+		}
+	}
+	for _, e := range t.Empty {
+		pot := p.Pot(bbunit.BudgetID(e))
+		if pot.asking.empty == nil {
+			pot.asking.empty = map[bbunit.DomainID]time.Time{}
+		}
+		pot.asking.empty[domain] = now
+		pot.asking.sent = time.Time{}
+	}
+	return out
+}
+
+// Surrender stops the use of what a holder granted, for good, and accounts for
+// it. What open requests still have reserved is neither spent nor returned.
+func (p *Purse) Surrender(h bbunit.HolderID) *bbwire.SurrenderTell {
+	p.closed[h] = true
+	tell := &bbwire.SurrenderTell{Holder: string(h)}
+	for _, pot := range p.Pots() {
+		s := pot.find(h)
+		if s == nil {
+			continue
+		}
+		s.closed = true
+		pot.flush()
+		tell.Slices = append(tell.Slices, pot.wire(s, p.self))
+	}
+	return tell
+}
+
+// Drain makes the purse return all that is free from now on.
+func (p *Purse) Drain() { p.draining = true }
+
+// Drained tells whether no slice has anything left.
+func (p *Purse) Drained() bool {
+	for _, pot := range p.Pots() {
+		for _, s := range pot.slices {
+			if s.rest() > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Slices returns all slices of the purse, for operators.
+func (p *Purse) Slices() []*bbwire.Slice {
+	var out []*bbwire.Slice
+	for _, pot := range p.Pots() {
+		for _, s := range pot.slices {
+			out = append(out, pot.wire(s, p.self))
+		}
+	}
+	return out
+}
+
+// asks gathers one message for each instance that is written to.
+type asks struct {
+	self Peer
+	to   map[bbunit.InstanceID]*bbwire.GrantAsk
+}
+
+func (b *asks) need(to bbunit.InstanceID) *bbwire.GrantAsk {
+	if b.to[to] == nil {
+		b.to[to] = &bbwire.GrantAsk{}
+	}
+	return b.to[to]
+}
+
+// report adds the slices that changed, each to the instance that holds it.
+func (b *asks) report(pot *Pot) {
+	for _, s := range pot.slices {
+		if s.changed {
+			s.changed = false
+			m := b.need(HolderPeer(s.holder).ID)
+			m.Slices = append(m.Slices, pot.wire(s, b.self))
+		}
+	}
+}
+
+// want adds a want, with all slices of that budget that the keeper holds.
+func (b *asks) want(to bbmember.Member, pot *Pot, amount, least bbunit.Tokens, borrow bool) {
+	m := b.need(to.ID)
+	for _, s := range pot.slices {
+		if HolderPeer(s.holder) == PeerOf(to) {
+			m.Slices = append(m.Slices, pot.wire(s, b.self))
+		}
+	}
+	m.Wants = append(m.Wants, &bbwire.Want{
+		Budget: string(pot.Budget), Amount: int64(amount), Least: int64(least), Borrow: borrow,
+	})
+}
+
+func (b *asks) sends() []Send {
+	out := make([]Send, 0, len(b.to))
+	for to, m := range b.to {
+		out = append(out, Send{To: to, Body: m})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].To < out[j].To })
+	return out
+}
--- /dev/null
+++ b/shared/bbledger/status.go
@@ -0,0 +1,70 @@
+package bbledger
+
+import (
+	"sort"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// KeeperStatus is what a keeper holds, for operators.
+type KeeperStatus struct {
+	Page    int               `json:"page"`
+	Holder  bbunit.HolderID   `json:"holder"`
+	Witness string            `json:"witness"` // "" without one
+	Budgets []BudgetStatus    `json:"budgets"` // as the page was last read
+	Closing []bbunit.HolderID `json:"closing,omitempty"`
+	// Lost are the holders that cannot be closed because their witness is gone
+	// too; only an operator can release them.
+	Lost []bbunit.HolderID `json:"lost,omitempty"`
+}
+
+// Status returns what the keeper holds.
+func (k *Keeper) Status() KeeperStatus {
+	s := KeeperStatus{Page: k.page, Holder: k.holder, Witness: k.witness.String()}
+	if k.cache != nil {
+		for _, e := range k.cache.Entries {
+			s.Budgets = append(s.Budgets, StatusOf(e))
+		}
+	}
+	for _, j := range k.orderedJobs() {
+		if !j.frozen && !alive(k.view, j.witness) {
+			s.Lost = append(s.Lost, j.holder)
+			continue
+		}
+		s.Closing = append(s.Closing, j.holder)
+	}
+	return s
+}
+
+// PageAsk is the part of an ask that concerns one page.
+type PageAsk struct {
+	Page int
+	Ask  *bbwire.GrantAsk
+}
+
+// SplitAsk deals an ask out by pages, in their order.
+func SplitAsk(m *bbwire.GrantAsk) []PageAsk {
+	byPage := map[int]*bbwire.GrantAsk{}
+	need := func(budget string) *bbwire.GrantAsk {
+		n := PageOf(bbunit.BudgetID(budget))
+		if byPage[n] == nil {
+			byPage[n] = &bbwire.GrantAsk{}
+		}
+		return byPage[n]
+	}
+	for _, s := range m.Slices {
+		a := need(s.Budget)
+		a.Slices = append(a.Slices, s)
+	}
+	for _, w := range m.Wants {
+		a := need(w.Budget)
+		a.Wants = append(a.Wants, w)
+	}
+	out := make([]PageAsk, 0, len(byPage))
+	for n, a := range byPage {
+		out = append(out, PageAsk{Page: n, Ask: a})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Page < out[j].Page })
+	return out
+}
--- /dev/null
+++ b/shared/bbledger/witness.go
@@ -0,0 +1,90 @@
+package bbledger
+
+import (
+	"sort"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Witness remembers, for holders of other instances, the most that each of
+// their grantees may have. Once frozen, a holder's marks never rise again. The
+// zero value is ready.
+type Witness struct {
+	holders map[bbunit.HolderID]*testimony
+}
+
+type testimony struct {
+	known  bool
+	frozen bool
+	marks  map[sliceKey]*bbwire.Slice
+}
+
+type sliceKey struct {
+	budget  string
+	grantee string
+}
+
+func (w *Witness) need(h bbunit.HolderID) *testimony {
+	if w.holders == nil {
+		w.holders = map[bbunit.HolderID]*testimony{}
+	}
+	t := w.holders[h]
+	if t == nil {
+		t = &testimony{marks: map[sliceKey]*bbwire.Slice{}}
+		w.holders[h] = t
+	}
+	return t
+}
+
+// Mark raises the marks of a holder and acknowledges them, unless it is frozen.
+func (w *Witness) Mark(m *bbwire.Mark) *bbwire.MarkAck {
+	t := w.need(bbunit.HolderID(m.Holder))
+	ack := &bbwire.MarkAck{Holder: m.Holder, Seq: m.Seq, Frozen: t.frozen}
+	if t.frozen {
+		return ack
+	}
+	t.known = true
+	for _, s := range m.Slices {
+		k := sliceKey{s.Budget, s.Grantee}
+		old := t.marks[k]
+		if old == nil {
+			old = &bbwire.Slice{Budget: s.Budget, Holder: m.Holder, Grantee: s.Grantee}
+			t.marks[k] = old
+		}
+		merge(old, s)
+	}
+	return ack
+}
+
+// Freeze promises that no mark of the holder is taken any more, also when the
+// holder was never heard of, and returns the last ones.
+func (w *Witness) Freeze(f *bbwire.Freeze) *bbwire.FreezeTell {
+	t := w.need(bbunit.HolderID(f.Holder))
+	t.frozen = true
+	tell := &bbwire.FreezeTell{Holder: f.Holder, Known: t.known}
+	for _, s := range t.marks {
+		tell.Slices = append(tell.Slices, s)
+	}
+	sortSlices(tell.Slices)
+	return tell
+}
+
+// merge raises each amount of old to that of s.
+func merge(old, s *bbwire.Slice) {
+	old.Granted = max(old.Granted, s.Granted)
+	old.Spent = max(old.Spent, s.Spent)
+	old.Returned = max(old.Returned, s.Returned)
+}
+
+func sortSlices(s []*bbwire.Slice) {
+	sort.Slice(s, func(i, j int) bool {
+		if s[i].Budget != s[j].Budget {
+			return s[i].Budget < s[j].Budget
+		}
+		if s[i].Holder != s[j].Holder {
+			return s[i].Holder < s[j].Holder
+		}
+		return s[i].Grantee < s[j].Grantee
+	})
+}
