--- /dev/null
+++ b/shared/bbticket/parse.go
@@ -0,0 +1,204 @@
+package bbticket
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"regexp"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// ErrInvalid marks a ticket that cannot be put in force; the error names every
+// fault that was found.
+const ErrInvalid = errors.ConstError("invalid ticket")
+
+// MaxPaid is the most tokens that a budget may hold.
+const MaxPaid bbunit.Tokens = 1 << 53
+
+// MaxPrice is the most tokens that a call or a token may cost.
+const MaxPrice bbunit.Tokens = 1 << 32
+
+// MaxID is the longest id, in bytes.
+const MaxID = 128
+
+var (
+	idForm  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	keyForm = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+)
+
+// Parse reads a ticket from YAML. Unknown and repeated fields are errors with
+// line and column; the error is ErrInvalid. References to other objects are
+// checked by Check.
+func Parse(src []byte) (Ticket, error) {
+	var t Ticket
+	d := yaml.NewDecoder(bytes.NewReader(src), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := d.Decode(&t); err != nil {
+		return Ticket{}, errors.WithType(errors.New(yaml.FormatError(err, false, true)), ErrInvalid)
+	}
+	return t, nil
+}
+
+// faults collects what is wrong with a ticket.
+type faults []string
+
+func (f *faults) addf(format string, args ...any) { *f = append(*f, fmt.Sprintf(format, args...)) }
+
+// Check tells whether the ticket may follow the state. The error is ErrInvalid
+// and names every fault, one a line.
+func (s *State) Check(t Ticket) error {
+	if s == nil {
+		s = &State{}
+	}
+	var f faults
+	if t.Number == 0 {
+		f.addf("number: must be above 0")
+	}
+	if len(t.Accounts)+len(t.Budgets)+len(t.Services)+len(t.Targets) == 0 {
+		f.addf("ticket %d: touches nothing", t.Number)
+	}
+	next := s.Apply(t)
+	f.accounts(t.Accounts, next)
+	f.budgets(t.Budgets, next)
+	f.services(t.Services, next)
+	f.targets(t.Targets, next)
+	f.orphans(next)
+	if len(f) == 0 {
+		return nil
+	}
+	return errors.WithType(errors.New(strings.Join(f, "\n")), ErrInvalid)
+}
+
+func (f *faults) accounts(list []Account, next *State) {
+	seen := map[string]bool{}
+	owner := map[string]bbunit.AccountID{}
+	for id, a := range next.Accounts {
+		if a.Number < next.Number && !a.Object.Gone {
+			for _, k := range a.Object.Keys {
+				owner[k] = id
+			}
+		}
+	}
+	for i, a := range list {
+		at := fmt.Sprintf("accounts[%d] %q", i, a.ID)
+		f.id(at, string(a.ID), seen)
+		f.limit(at, a.Limit)
+		for _, k := range a.Keys {
+			if !keyForm.MatchString(k) {
+				f.addf("%s: key must be sha256: and 64 hex digits", at)
+			}
+			if other, ok := owner[k]; ok {
+				f.addf("%s: key is also that of account %q", at, other)
+			}
+			owner[k] = a.ID
+		}
+		if len(a.Keys) == 0 && !a.Gone {
+			f.addf("%s: has no keys", at)
+		}
+	}
+}
+
+func (f *faults) budgets(list []Budget, next *State) {
+	seen := map[string]bool{}
+	for i, b := range list {
+		at := fmt.Sprintf("budgets[%d] %q", i, b.ID)
+		f.id(at, string(b.ID), seen)
+		f.amount(at+": paid", b.Paid, MaxPaid)
+		if !b.Gone {
+			found(f, at, "account", next.Accounts, b.Account)
+		}
+	}
+}
+
+func (f *faults) services(list []Service, next *State) {
+	seen := map[string]bool{}
+	for i, v := range list {
+		at := fmt.Sprintf("services[%d] %q", i, v.ID)
+		f.id(at, string(v.ID), seen)
+		f.limit(at, v.Limit)
+		f.amount(at+": price.call", v.Price.Call, MaxPrice)
+		f.amount(at+": price.input", v.Price.Input, MaxPrice)
+		f.amount(at+": price.output", v.Price.Output, MaxPrice)
+		f.amount(at+": output", v.Output, MaxPrice)
+		for _, m := range v.Idempotent {
+			if m == "" || strings.ToUpper(m) != m {
+				f.addf("%s: idempotent: not an HTTP method: %q", at, m)
+			}
+		}
+		for _, a := range v.Accounts {
+			if !v.Gone {
+				found(f, at, "account", next.Accounts, a)
+			}
+		}
+	}
+}
+
+func (f *faults) targets(list []Target, next *State) {
+	seen := map[string]bool{}
+	for i, t := range list {
+		at := fmt.Sprintf("targets[%d] %q", i, t.ID)
+		f.id(at, string(t.ID), seen)
+		if t.Gone {
+			continue
+		}
+		found(f, at, "service", next.Services, t.Service)
+		if _, port, err := net.SplitHostPort(t.Address); err != nil || port == "" {
+			f.addf("%s: address: not host:port: %q", at, t.Address)
+		}
+		if t.Domain == "" {
+			f.addf("%s: domain: must not be empty", at)
+		}
+		if t.Slots < 0 {
+			f.addf("%s: slots: must not be negative, is %d", at, t.Slots)
+		}
+	}
+}
+
+// orphans finds objects in force whose owner the ticket takes away.
+func (f *faults) orphans(next *State) {
+	for id, b := range next.Budgets {
+		if a, ok := next.Accounts[b.Object.Account]; ok && a.Object.Gone && !b.Object.Gone {
+			f.addf("account %q: gone, but budget %q is not", b.Object.Account, id)
+		}
+	}
+	for id, t := range next.Targets {
+		if v, ok := next.Services[t.Object.Service]; ok && v.Object.Gone && !t.Object.Gone {
+			f.addf("service %q: gone, but target %q is not", t.Object.Service, id)
+		}
+	}
+}
+
+func (f *faults) id(at, id string, seen map[string]bool) {
+	switch {
+	case !idForm.MatchString(id):
+		f.addf("%s: id: letters, digits, '.', '_' and '-' only", at)
+	case len(id) > MaxID:
+		f.addf("%s: id: longer than %d bytes", at, MaxID)
+	case seen[id]:
+		f.addf("%s: id: stands twice", at)
+	}
+	seen[id] = true
+}
+
+func (f *faults) amount(at string, v, most bbunit.Tokens) {
+	if v < 0 || v > most {
+		f.addf("%s: must be from 0 to %d, is %d", at, most, v)
+	}
+}
+
+func (f *faults) limit(at string, l Limit) {
+	if l.Rate < 0 || l.Burst < 0 || l.Open < 0 {
+		f.addf("%s: limit: must not be negative", at)
+	}
+}
+
+// found adds a fault when the object referred to is not in force.
+func found[K ~string, T any](f *faults, at, what string, in map[K]Numbered[T], id K) {
+	if _, ok := in[id]; !ok {
+		f.addf("%s: %s: unknown: %q", at, what, id)
+	}
+}
