Choose targets by least expected work with a circuit each

Cause: the path of a request needs a target to send to. Change: bbroute holds the choice (two drawn at random, the own failure domain first, a bounded share to others, prefix affinity, slow start), the circuit of each target and the word that a target is leaving. Router reads the board's state without a lock; one caller rebuilds the table after a ticket while the others go on with the old one. Tests: go test -race ./bluebellport/src ./shared/bbroute passed.

--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -126,11 +127,49 @@
 func (o *RecordOptions) check() []string { return nil }
 
 // RouteOptions set how targets are chosen, limited and retried.
-type RouteOptions struct{}
+type RouteOptions struct {
+	CircuitFails   int
+	CircuitOpen    time.Duration
+	CircuitLongest time.Duration
+	CircuitProbe   time.Duration
+	SlowStart      time.Duration
+	Spill          time.Duration
+}
+
+func (o *RouteOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("circuit-fails", "Failures in a row that open a target's circuit.").Envar("BLUEBELLPORT_CIRCUIT_FAILS").Default("3").IntVar(&o.CircuitFails)
+	cmd.Flag("circuit-open", "How long a circuit stays open at first; each failed probe doubles it.").Envar("BLUEBELLPORT_CIRCUIT_OPEN").Default("1s").DurationVar(&o.CircuitOpen)
+	cmd.Flag("circuit-longest", "Longest time that a circuit stays open.").Envar("BLUEBELLPORT_CIRCUIT_LONGEST").Default("30s").DurationVar(&o.CircuitLongest)
+	cmd.Flag("circuit-probe", "How long the probe of a half-open circuit may take before another follows.").Envar("BLUEBELLPORT_CIRCUIT_PROBE").Default("10s").DurationVar(&o.CircuitProbe)
+	cmd.Flag("slow-start", "How long a new target takes to get its full share.").Envar("BLUEBELLPORT_SLOW_START").Default("10s").DurationVar(&o.SlowStart)
+	cmd.Flag("spill", "Expected wait above which requests go to another failure domain.").Envar("BLUEBELLPORT_SPILL").Default("250ms").DurationVar(&o.Spill)
+}
 
-func (o *RouteOptions) flags(_ *kingpin.CmdClause) {}
+func (o *RouteOptions) check() []string {
+	var bad []string
+	if o.CircuitFails < 1 {
+		bad = append(bad, fmt.Sprintf("--circuit-fails: must be at least 1, is %d", o.CircuitFails))
+	}
+	bad = append(bad, badDuration("--circuit-open", o.CircuitOpen)...)
+	bad = append(bad, badDuration("--circuit-longest", o.CircuitLongest)...)
+	bad = append(bad, badDuration("--circuit-probe", o.CircuitProbe)...)
+	bad = append(bad, badDuration("--slow-start", o.SlowStart)...)
+	return append(bad, badDuration("--spill", o.Spill)...)
+}
 
-func (o *RouteOptions) check() []string { return nil }
+// choice returns the rule by which targets are chosen.
+func (o *RouteOptions) choice() bbroute.ChoiceRule {
+	return bbroute.ChoiceRule{
+		Circuit: bbroute.CircuitRule{
+			Fails:   o.CircuitFails,
+			Open:    o.CircuitOpen,
+			Longest: o.CircuitLongest,
+			Probe:   o.CircuitProbe,
+		},
+		SlowStart: o.SlowStart,
+		Spill:     o.Spill,
+	}
+}
 
 // badAddress returns a line when the flag's value is not host:port.
 func badAddress(flag, v string, needed bool) []string {
--- /dev/null
+++ b/bluebellport/src/router_test.go
@@ -0,0 +1,162 @@
+package bbport
+
+import (
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// routerRig is a router over a state that the test sets.
+type routerRig struct {
+	r   *Router
+	p   Parts
+	now time.Time
+}
+
+// newRouterRig returns a router in failure domain d1 with default settings.
+func newRouterRig(t testing.TB, targets ...bbticket.Target) *routerRig {
+	t.Helper()
+	rig := &routerRig{now: time.Unix(1000, 0)}
+	opts := &Options{}
+	app := kingpin.New("test", "")
+	opts.Route.flags(app.Command("serve", ""))
+	if _, err := app.Parse([]string{"serve"}); err != nil {
+		t.Fatal(err)
+	}
+	opts.Self = SelfOptions{Instance: "i1", Domain: "d1"}
+	rig.p = Parts{
+		Board:   NewBoard(bbmember.Member{ID: "i1", Domain: "d1"}),
+		Log:     logrus.New(),
+		Metrics: metrics.NewRegistry(),
+		Opts:    opts,
+		Now:     func() time.Time { return rig.now },
+	}
+	rig.declare(1, targets...)
+	r, stop := NewRouter(rig.p)
+	t.Cleanup(stop)
+	rig.r = r
+	return rig
+}
+
+// declare puts service s1 with the targets in force.
+func (rig *routerRig) declare(n bbunit.TicketNumber, targets ...bbticket.Target) {
+	s := &bbticket.State{
+		Number:   n,
+		Services: map[bbunit.ServiceID]bbticket.Numbered[bbticket.Service]{"s1": {Number: n, Object: bbticket.Service{ID: "s1"}}},
+		Targets:  map[bbunit.TargetID]bbticket.Numbered[bbticket.Target]{},
+	}
+	for _, t := range targets {
+		t.Service = "s1"
+		s.Targets[t.ID] = bbticket.Numbered[bbticket.Target]{Number: n, Object: t}
+	}
+	rig.p.Board.State.Store(s)
+}
+
+// pick picks n times with all attempts left open, and counts the targets.
+func (rig *routerRig) pick(n int) map[bbunit.TargetID]int {
+	got := map[bbunit.TargetID]int{}
+	for range n {
+		if a, err := rig.r.Pick(Ask{Service: "s1"}, nil); err == nil {
+			got[a.Target.ID]++
+		}
+	}
+	return got
+}
+
+func TestPickSpreadsByOwnWork(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1", Slots: 8}, bbticket.Target{ID: "b", Domain: "d1", Slots: 8})
+	got := rig.pick(10)
+	is.Equal(got["a"], 5)
+	is.Equal(got["b"], 5)
+}
+
+func TestPickLeavesOut(t *testing.T) {
+	boom := errors.New("boom")
+	for _, c := range []struct {
+		name  string
+		decl  bbticket.Target
+		ends  []AttemptEnd // of attempts at a
+		tried []bbunit.TargetID
+	}{
+		{name: "a leaving target", decl: bbticket.Target{Leaving: true}},
+		{name: "a target that refused as leaving", ends: []AttemptEnd{{Err: ErrLeaving}}},
+		{name: "an open circuit", ends: []AttemptEnd{{Err: boom}, {Err: boom}, {Err: boom}}},
+		{name: "a tried target", tried: []bbunit.TargetID{"a"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			c.decl.ID, c.decl.Domain, c.decl.Slots = "a", "d1", 8
+			rig := newRouterRig(t, c.decl, bbticket.Target{ID: "b", Domain: "d1", Slots: 8})
+			for _, end := range c.ends {
+				a, err := rig.r.Pick(Ask{Service: "s1"}, []bbunit.TargetID{"b"})
+				is.NoErr(err)
+				a.Done(end)
+			}
+			for range 20 {
+				a, err := rig.r.Pick(Ask{Service: "s1"}, c.tried)
+				is.NoErr(err)
+				is.Equal(a.Target.ID, bbunit.TargetID("b"))
+			}
+		})
+	}
+}
+
+func TestPickHasNoTarget(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t)
+	_, err := rig.r.Pick(Ask{Service: "s1"}, nil)
+	is.True(errors.Is(err, ErrNoTarget))
+	_, err = rig.r.Pick(Ask{Service: "none"}, nil)
+	is.True(errors.Is(err, ErrNoTarget))
+	_, err = rig.r.Admit(Ask{Service: "none"})
+	var refusal *Refusal
+	is.True(errors.As(err, &refusal))
+}
+
+func TestDoneCountsOnce(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"})
+	a, err := rig.r.Pick(Ask{Service: "s1"}, nil)
+	is.NoErr(err)
+	known, ok := rig.r.current().Target("a")
+	is.True(ok)
+	is.Equal(known.InFlight(), 1)
+	a.Done(AttemptEnd{})
+	a.Done(AttemptEnd{})
+	is.Equal(known.InFlight(), 0)
+}
+
+func TestOpenCircuitLetsOneProbeThrough(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"})
+	for range 3 {
+		a, err := rig.r.Pick(Ask{Service: "s1"}, nil)
+		is.NoErr(err)
+		a.Done(AttemptEnd{Err: errors.New("boom")})
+	}
+	is.Equal(rig.pick(3)["a"], 0)
+	rig.now = rig.now.Add(rig.p.Opts.Route.CircuitOpen)
+	is.Equal(rig.pick(3)["a"], 1) // a single probe
+}
+
+func TestNewTicketEndsAnOlderLeavingWord(t *testing.T) {
+	is := is.New(t)
+	a := bbticket.Target{ID: "a", Domain: "d1"}
+	rig := newRouterRig(t, a)
+	at, err := rig.r.Pick(Ask{Service: "s1"}, nil)
+	is.NoErr(err)
+	at.Done(AttemptEnd{Err: ErrLeaving})
+	is.Equal(rig.pick(1)["a"], 0)
+	rig.declare(2, a)
+	is.Equal(rig.pick(1)["a"], 1)
+}
--- /dev/null
+++ b/shared/bbroute/ask.go
@@ -0,0 +1,59 @@
+// Package bbroute decides which target runs a request, whether it may run now,
+// and what follows when an attempt fails. It keeps no clock, goroutine or
+// random source: the caller passes in the time and the random bits. What the
+// path of a request touches is atomic and takes no lock.
+package bbroute
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// Ask is what a request asks of the router.
+type Ask struct {
+	Service  bbunit.ServiceID
+	Account  bbunit.AccountID
+	Priority bbunit.Priority
+	// Deadline is when the answer is of no more use; zero means none.
+	Deadline time.Time
+	// Prefix holds hashes of the leading messages, the shortest prefix first.
+	Prefix []uint64
+	// Print is a hash of the body that does not depend on the account; 0 means
+	// none.
+	Print uint64
+	// Output is how many tokens the answer is expected to have; 0 means unknown.
+	Output bbunit.Tokens
+	// Repeat tells that the request may run more than once.
+	Repeat bool
+	// Cancel, when not nil, ends a wait for a place once it is closed.
+	Cancel <-chan struct{}
+}
+
+// gauge is a float64 that is read and written without a lock.
+type gauge struct{ bits atomic.Uint64 }
+
+func (g *gauge) load() float64   { return math.Float64frombits(g.bits.Load()) }
+func (g *gauge) store(v float64) { g.bits.Store(math.Float64bits(v)) }
+
+// average moves the gauge towards v by the part w; the first value is taken
+// whole.
+func (g *gauge) average(v, w float64) {
+	old := g.bits.Load()
+	was := math.Float64frombits(old)
+	next := was + w*(v-was)
+	if was == 0 {
+		next = v
+	}
+	g.bits.CompareAndSwap(old, math.Float64bits(next))
+}
+
+// mix scrambles the bits of x (splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/shared/bbroute/circuit.go
@@ -0,0 +1,68 @@
+package bbroute
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// CircuitRule sets when a circuit opens and how long it stays open.
+type CircuitRule struct {
+	// Fails is how many failures in a row open the circuit.
+	Fails int
+	// Open is how long it stays open at first; each failed probe doubles it up
+	// to Longest.
+	Open, Longest time.Duration
+	// Probe is how long a probe may take before another is let through.
+	Probe time.Duration
+}
+
+// Circuit keeps requests from a target that fails. It is closed at first, opens
+// after failures in a row, and lets one probe through when its time is over.
+// The zero value is closed. Its methods may be called at once and take no lock.
+type Circuit struct {
+	fails atomic.Int64 // in a row
+	until atomic.Int64 // open until, unix nanoseconds; 0 is closed
+}
+
+// Usable tells whether Enter may let a request through.
+func (c *Circuit) Usable(now time.Time) bool {
+	until := c.until.Load()
+	return until == 0 || now.UnixNano() >= until
+}
+
+// Enter lets a request through. While the circuit is half-open only one caller
+// gets true, and the next one once that probe's time is over.
+func (c *Circuit) Enter(now time.Time, rule *CircuitRule) bool {
+	until := c.until.Load()
+	if until == 0 {
+		return true
+	}
+	n := now.UnixNano()
+	return n >= until && c.until.CompareAndSwap(until, n+int64(rule.Probe))
+}
+
+// Closed tells that the circuit is not open or half-open.
+func (c *Circuit) Closed() bool { return c.until.Load() == 0 }
+
+// Success closes the circuit and reports whether it was open.
+func (c *Circuit) Success() bool {
+	if c.fails.Load() != 0 {
+		c.fails.Store(0)
+	}
+	return c.until.Load() != 0 && c.until.Swap(0) != 0
+}
+
+// Failure counts a failure that is the target's own, and reports whether the
+// circuit is open after it.
+func (c *Circuit) Failure(now time.Time, rule *CircuitRule) bool {
+	fails := c.fails.Add(1)
+	if fails < int64(rule.Fails) {
+		return false
+	}
+	open := rule.Open
+	for i := int64(rule.Fails); i < fails && open < rule.Longest; i++ {
+		open *= 2
+	}
+	c.until.Store(now.Add(min(open, rule.Longest)).UnixNano())
+	return true
+}
--- /dev/null
+++ b/shared/bbroute/target.go
@@ -0,0 +1,99 @@
+package bbroute
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Report is what a target told of its load.
+type Report struct {
+	Running, Waiting, Slots int
+	// At is when the target was asked.
+	At      time.Time
+	Leaving bool
+	// own is how many requests of this instance the report contains.
+	own int
+}
+
+// Target is what one instance knows of a target while it runs. It outlives the
+// tickets that declare it anew.
+type Target struct {
+	ID      bbunit.TargetID
+	Circuit Circuit
+
+	hash  uint64
+	since atomic.Int64 // start of the slow start, unix nanoseconds
+	count atomic.Int64 // requests of this instance in flight
+	work  atomic.Int64 // their expected work, in thousandths of a mean request
+	// suspects are requests in flight that have been in a target's crash.
+	suspects atomic.Int64
+	busy     atomic.Int64 // refuses for lack of room until, unix nanoseconds
+
+	report atomic.Pointer[Report]
+	window gauge // requests that this instance may have in flight
+	pace   gauge // mean seconds from sending to the end of an answer
+
+	leave leaveState
+}
+
+// NewTarget returns a target without load, first seen at now.
+func NewTarget(id bbunit.TargetID, now time.Time) *Target {
+	t := &Target{ID: id, hash: xxhash.Sum64String(string(id))}
+	t.since.Store(now.UnixNano())
+	return t
+}
+
+// InFlight returns how many requests of this instance the target runs.
+func (t *Target) InFlight() int { return int(t.count.Load()) }
+
+// Begin counts a request of that much work, in thousandths of a mean request.
+func (t *Target) Begin(work int64, suspect bool) {
+	t.count.Add(1)
+	t.work.Add(work)
+	if suspect {
+		t.suspects.Add(1)
+	}
+}
+
+// End takes away what Begin counted.
+func (t *Target) End(work int64, suspect bool) {
+	t.count.Add(-1)
+	t.work.Add(-work)
+	if suspect {
+		t.suspects.Add(-1)
+	}
+}
+
+// Took notes the time that a whole answer took.
+func (t *Target) Took(total time.Duration) {
+	if total > 0 {
+		t.pace.average(total.Seconds(), paceWeight)
+	}
+}
+
+// Busy notes that the target refused a request for lack of room.
+func (t *Target) Busy(until time.Time) { t.busy.Store(until.UnixNano()) }
+
+// Place is a target as a ticket declares it, with what is known of it.
+type Place struct {
+	Decl  bbticket.Target
+	Known *Target
+}
+
+// Slots returns how many requests the target runs at once, 0 when unknown.
+func (p *Place) Slots() int {
+	if r := p.Known.report.Load(); r != nil && r.Slots > 0 {
+		return r.Slots
+	}
+	return p.Decl.Slots
+}
+
+// Usable tells whether the target may get a new request.
+func (p *Place) Usable(now time.Time) bool {
+	return !p.Decl.Leaving && !p.Known.Leaving() && p.Known.Circuit.Usable(now)
+}
