Add an in-memory key-value store with switchable faults

Cause: every part needs a Store to test against, with the outages, lost answers and late writes that the platform's service shows. Change: Mem keeps keys, leases and an event history; its faults, rates and counts are set while it runs.

--- /dev/null
+++ b/shared/bbstore/mem.go
@@ -0,0 +1,261 @@
+package bbstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// memHistory is how many events a Mem keeps for watches that start late.
+const memHistory = 10000
+
+// Mem is a Store in memory with leases, watches and faults that can be switched
+// while it runs. The zero value is an empty store without faults.
+type Mem struct {
+	mu      sync.Mutex
+	rev     Revision
+	keys    map[string]memValue
+	leases  map[LeaseID]*memLease
+	last    LeaseID
+	history []Event
+	dropped Revision // revision of the newest event that is no longer kept
+	changed chan struct{}
+	broken  chan struct{} // closed to break the open watches
+	muted   chan struct{} // closed to silence the open watches
+	gate    memGate
+}
+
+type memValue struct {
+	value []byte
+	rev   Revision
+	lease LeaseID
+}
+
+type memLease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewMem returns an empty store without faults.
+func NewMem() *Mem { return &Mem{} }
+
+// Get returns the entry, with Rev 0 and no error when the key is absent.
+func (m *Mem) Get(ctx context.Context, key string) (Entry, error) {
+	if err := m.read(ctx); err != nil {
+		return Entry{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry(key), nil
+}
+
+// List returns the entries under the prefix in key order.
+func (m *Mem) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
+	if err := m.read(ctx); err != nil {
+		return nil, 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Entry
+	for k := range m.keys {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, m.entry(k))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, m.rev, nil
+}
+
+// CAS writes value if the key is at revision prev; a nil value deletes.
+func (m *Mem) CAS(ctx context.Context, key string, value []byte, prev Revision, lease LeaseID) (Revision, error) {
+	if len(value) > MaxValue {
+		return 0, errors.Annotatef(ErrTooLarge, "%s: %d bytes", key, len(value))
+	}
+	if value != nil {
+		value = append([]byte{}, value...)
+	}
+	return m.write(ctx, func() (Revision, error) { return m.swap(key, value, prev, lease) })
+}
+
+func (m *Mem) swap(key string, value []byte, prev Revision, lease LeaseID) (Revision, error) {
+	if m.keys[key].rev != prev {
+		return 0, errors.Annotatef(ErrConflict, "%s at %d, not %d", key, m.keys[key].rev, prev)
+	}
+	if lease != 0 && m.leases[lease] == nil {
+		return 0, ErrLease
+	}
+	if value == nil && prev == 0 {
+		return m.rev, nil
+	}
+	m.set(key, value, lease)
+	return m.rev, nil
+}
+
+// set writes or deletes the key at a new revision and wakes the watches.
+func (m *Mem) set(key string, value []byte, lease LeaseID) {
+	m.rev++
+	if value == nil {
+		delete(m.keys, key)
+	} else {
+		if m.keys == nil {
+			m.keys = map[string]memValue{}
+		}
+		m.keys[key] = memValue{value: value, rev: m.rev, lease: lease}
+	}
+	m.history = append(m.history, Event{Entry{Key: key, Value: value, Rev: m.rev}})
+	if len(m.history) > memHistory {
+		m.dropped = m.history[0].Rev
+		m.history = m.history[1:]
+	}
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+func (m *Mem) entry(key string) Entry {
+	v, ok := m.keys[key]
+	if !ok {
+		return Entry{Key: key}
+	}
+	return Entry{Key: key, Value: append([]byte{}, v.value...), Rev: v.rev}
+}
+
+// Grant makes a lease; keys written under it go when it lapses.
+func (m *Mem) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	id, err := m.write(ctx, func() (Revision, error) {
+		if m.leases == nil {
+			m.leases = map[LeaseID]*memLease{}
+		}
+		m.last++
+		id := m.last
+		m.leases[id] = &memLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { m.Lapse(id) })}
+		return Revision(id), nil
+	})
+	return LeaseID(id), err
+}
+
+// Renew extends a lease to its full time; ErrLease when it has lapsed.
+func (m *Mem) Renew(ctx context.Context, id LeaseID) error {
+	_, err := m.write(ctx, func() (Revision, error) {
+		l := m.leases[id]
+		if l == nil || !l.timer.Stop() {
+			return 0, ErrLease
+		}
+		l.timer.Reset(l.ttl)
+		return 0, nil
+	})
+	return err
+}
+
+// Revoke ends a lease and deletes its keys.
+func (m *Mem) Revoke(ctx context.Context, id LeaseID) error {
+	_, err := m.write(ctx, func() (Revision, error) {
+		if m.leases[id] == nil {
+			return 0, ErrLease
+		}
+		m.lapse(id)
+		return 0, nil
+	})
+	return err
+}
+
+// Lapse ends a lease as if its time had run out. It does not block.
+func (m *Mem) Lapse(id LeaseID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lapse(id)
+}
+
+func (m *Mem) lapse(id LeaseID) {
+	l := m.leases[id]
+	if l == nil {
+		return
+	}
+	l.timer.Stop()
+	delete(m.leases, id)
+	var gone []string
+	for k, v := range m.keys {
+		if v.lease == id {
+			gone = append(gone, k)
+		}
+	}
+	sort.Strings(gone)
+	for _, k := range gone {
+		m.set(k, nil, 0)
+	}
+}
+
+// Watch calls fn for each change under prefix after revision from.
+func (m *Mem) Watch(ctx context.Context, prefix string, from Revision, fn func(Event) error) error {
+	broken, muted, err := m.openWatch(ctx)
+	if err != nil {
+		return err
+	}
+	defer m.closeWatch()
+	for {
+		events, changed, err := m.since(prefix, from)
+		if err != nil {
+			return err
+		}
+		for _, e := range events {
+			select {
+			case <-muted:
+				<-ctx.Done()
+				return ctx.Err()
+			case <-broken:
+				return ErrDown
+			case <-ctx.Done():
+				return ctx.Err()
+			default:
+			}
+			if err := fn(e); err != nil {
+				return err
+			}
+			from = e.Rev
+		}
+		select {
+		case <-changed:
+		case <-broken:
+			return ErrDown
+		case <-muted:
+			<-ctx.Done()
+			return ctx.Err()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// since returns the kept events under prefix after a revision, and a channel
+// that is closed at the next write.
+func (m *Mem) since(prefix string, from Revision) ([]Event, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from < m.dropped {
+		return nil, nil, errors.Annotatef(ErrCompacted, "%d", from)
+	}
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	first := sort.Search(len(m.history), func(i int) bool { return m.history[i].Rev > from })
+	var out []Event
+	for _, e := range m.history[first:] {
+		if strings.HasPrefix(e.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, m.changed, nil
+}
+
+// Compact forgets the events up to now, so that older watches must list again.
+func (m *Mem) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropped = m.rev
+	m.history = nil
+}
