Reach the key-value service by the etcd v3 JSON gateway

Cause: instances need the platform's service over its published protocol, and must know for each error whether a write may have taken effect. Ruled out: taking every 503 as "nothing written": a gateway also sends it when a proposal timed out, so a text that tells of a time-out or a broken connection leaves a write unknown. Change: Client (fasthttp, one connection for each watch, which counts as broken after a silence) and Server, which answers the same protocol from a Mem; the contract runs over both. Shown by: go test -race -count=5 ./shared/bbstore passes. Each guard removed in turn: read deadline of a watch -> TestClientSilentWatch fails; lost answer of a write as ErrUnknown -> TestClientErrors, TestClientCancelled and the contract fail; time-out text of a 503 -> TestClientErrors fails; compare in Mem -> the contract fails; cancelled context -> TestClientCancelled fails.

--- /dev/null
+++ b/shared/bbstore/client.go
@@ -0,0 +1,249 @@
+package bbstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	defaultIdle    = 15 * time.Second
+	defaultConns   = 64
+)
+
+// errDial means that no connection could be made, so nothing was sent.
+const errDial = errors.ConstError("dial failed")
+
+// ClientOptions set how a Client reaches the service. The zero value works.
+type ClientOptions struct {
+	// Timeout bounds every call but a watch, beside the caller's context.
+	Timeout time.Duration
+	// Idle is the longest silence on a watch before its connection counts as
+	// broken. The service's progress notices must come more often.
+	Idle time.Duration
+	// Conns is the most connections open at once, watches not counted.
+	Conns int
+}
+
+// Client is a Store that speaks the JSON gateway of etcd v3 over HTTP.
+type Client struct {
+	addr string
+	opts ClientOptions
+	http *fasthttp.HostClient
+	wg   conc.WaitGroup
+}
+
+// NewClient returns a client of the service at addr (host:port), and a function
+// that closes its connections and waits for its calls. It opens nothing yet.
+func NewClient(addr string, opts ClientOptions) (*Client, func()) {
+	if opts.Timeout <= 0 {
+		opts.Timeout = defaultTimeout
+	}
+	if opts.Idle <= 0 {
+		opts.Idle = defaultIdle
+	}
+	if opts.Conns <= 0 {
+		opts.Conns = defaultConns
+	}
+	c := &Client{addr: addr, opts: opts}
+	c.http = &fasthttp.HostClient{
+		Addr:                          addr,
+		Name:                          "bbstore",
+		MaxConns:                      opts.Conns,
+		MaxConnWaitTimeout:            opts.Timeout,
+		MaxResponseBodySize:           1 << 30,
+		DisableHeaderNamesNormalizing: true,
+		DialTimeout:                   dial,
+	}
+	return c, func() {
+		c.http.CloseIdleConnections()
+		c.wg.Wait()
+	}
+}
+
+func dial(addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > defaultTimeout {
+		timeout = defaultTimeout
+	}
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errDial, err)
+	}
+	return conn, nil
+}
+
+// Get returns the entry, with Rev 0 and no error when the key is absent.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var a gwRangeAnswer
+	if err := c.read(ctx, &gwRange{Key: []byte(key)}, &a); err != nil {
+		return Entry{}, err
+	}
+	if len(a.Kvs) == 0 {
+		return Entry{Key: key}, nil
+	}
+	return a.Kvs[0].entry(), nil
+}
+
+// List returns the entries under the prefix in key order.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
+	var a gwRangeAnswer
+	if err := c.read(ctx, &gwRange{Key: rangeKey(prefix), RangeEnd: rangeEnd(prefix)}, &a); err != nil {
+		return nil, 0, err
+	}
+	var out []Entry
+	for i := range a.Kvs {
+		out = append(out, a.Kvs[i].entry())
+	}
+	return out, Revision(a.Header.Revision), nil
+}
+
+func (k *gwKeyValue) entry() Entry {
+	e := Entry{Key: string(k.Key), Value: k.Value, Rev: Revision(k.ModRevision)}
+	if e.Value == nil {
+		e.Value = []byte{}
+	}
+	return e
+}
+
+// CAS writes value if the key is at revision prev; a nil value deletes.
+func (c *Client) CAS(ctx context.Context, key string, value []byte, prev Revision, lease LeaseID) (Revision, error) {
+	if len(value) > MaxValue {
+		return 0, errors.Annotatef(ErrTooLarge, "%s: %d bytes", key, len(value))
+	}
+	op := gwOp{Put: &gwPut{Key: []byte(key), Value: value, Lease: int64(lease)}}
+	if value == nil {
+		op = gwOp{Delete: &gwRange{Key: []byte(key)}}
+	}
+	txn := gwTxn{
+		Compare: []gwCompare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: int64(prev)}},
+		Success: []gwOp{op},
+	}
+	var a gwTxnAnswer
+	if err := c.write(ctx, pathTxn, &txn, &a); err != nil {
+		return 0, err
+	}
+	if !a.Succeeded {
+		return 0, errors.Annotatef(ErrConflict, "%s not at %d", key, prev)
+	}
+	return Revision(a.Header.Revision), nil
+}
+
+// Grant makes a lease of ttl, rounded up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var a gwLease
+	err := c.write(ctx, pathGrant, &gwLease{TTL: seconds}, &a)
+	return LeaseID(a.ID), err
+}
+
+// Renew extends a lease to its full time; ErrLease when it has lapsed.
+func (c *Client) Renew(ctx context.Context, id LeaseID) error {
+	var a gwLeaseResult
+	if err := c.write(ctx, pathKeepAlive, &gwLease{ID: int64(id)}, &a); err != nil {
+		return err
+	}
+	if a.Result.TTL <= 0 {
+		return ErrLease
+	}
+	return nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (c *Client) Revoke(ctx context.Context, id LeaseID) error {
+	return c.write(ctx, pathRevoke, &gwLease{ID: int64(id)}, &gwLease{})
+}
+
+// read asks once more when a connection kept open was closed meanwhile.
+func (c *Client) read(ctx context.Context, in *gwRange, out *gwRangeAnswer) error {
+	err := c.call(ctx, pathRange, in, out)
+	if errors.Is(err, fasthttp.ErrConnectionClosed) {
+		err = c.call(ctx, pathRange, in, out)
+	}
+	if err == nil || errors.Is(err, ErrDown) || errors.Is(err, ErrLease) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrDown, err)
+}
+
+func (c *Client) write(ctx context.Context, path string, in, out any) error {
+	err := c.call(ctx, path, in, out)
+	if err == nil || errors.Is(err, ErrDown) || errors.Is(err, ErrLease) || errors.Is(err, ErrTooLarge) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrUnknown, err)
+}
+
+// call sends one request. It returns ErrDown only when nothing was written.
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", ErrDown, ctx.Err())
+	}
+	deadline := time.Now().Add(c.opts.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	c.wg.Go(func() { done <- c.post(path, body, deadline, out) })
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Client) post(path string, body []byte, deadline time.Time, out any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.prepare(req, path, body)
+	err := c.http.DoDeadline(req, resp, deadline)
+	switch {
+	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrNoFreeConns):
+		return fmt.Errorf("%w: %w", ErrDown, err)
+	case err != nil:
+		return err
+	case resp.StatusCode() != http.StatusOK:
+		return statusError(resp.StatusCode(), resp.Body())
+	}
+	return json.Unmarshal(resp.Body(), out)
+}
+
+func (c *Client) prepare(req *fasthttp.Request, path string, body []byte) {
+	req.Header.SetMethod(http.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetRequestURI("http://" + c.addr + path)
+	req.SetBody(body)
+}
+
+// statusError maps an answer that is not 200. A 503 that tells of a time-out or
+// of a broken connection behind the gateway leaves the outcome of a write open.
+func statusError(status int, body []byte) error {
+	var e gwError
+	_ = json.Unmarshal(body, &e)
+	text := fmt.Sprintf("status %d: %s", status, e.Message)
+	switch {
+	case status == http.StatusTooManyRequests:
+		return fmt.Errorf("%w: %w: %s", ErrDown, ErrRate, text)
+	case status == http.StatusServiceUnavailable && !strings.Contains(e.Message, "timed out") && !strings.Contains(e.Message, "connection"):
+		return errors.Annotate(ErrDown, text)
+	case e.Code == codeNotFound:
+		return errors.Annotate(ErrLease, text)
+	case e.Code == codeInvalid && strings.Contains(e.Message, "too large"):
+		return errors.Annotate(ErrTooLarge, text)
+	}
+	return errors.New(text)
+}
--- /dev/null
+++ b/shared/bbstore/client_watch.go
@@ -0,0 +1,118 @@
+package bbstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Watch calls fn for each change under prefix after revision from. It has a
+// connection of its own, which counts as broken after a silence of Idle.
+func (c *Client) Watch(ctx context.Context, prefix string, from Revision, fn func(Event) error) error {
+	body, err := json.Marshal(&gwWatch{Create: gwWatchCreate{
+		Key:            rangeKey(prefix),
+		RangeEnd:       rangeEnd(prefix),
+		StartRevision:  int64(from) + 1,
+		ProgressNotify: true,
+	}})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	c.prepare(req, pathWatch, body)
+	if err := c.watchClient(ctx).Do(req, resp); err != nil {
+		return watchError(ctx, err)
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if resp.StatusCode() != http.StatusOK {
+		text, _ := io.ReadAll(resp.BodyStream())
+		return watchError(ctx, statusError(resp.StatusCode(), text))
+	}
+	return watchLines(ctx, json.NewDecoder(resp.BodyStream()), fn)
+}
+
+// watchClient makes the one connection of a watch, which ends with ctx.
+func (c *Client) watchClient(ctx context.Context) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                          c.addr,
+		Name:                          "bbstore",
+		MaxConns:                      1,
+		StreamResponseBody:            true,
+		DisableHeaderNamesNormalizing: true,
+		DialTimeout: func(addr string, timeout time.Duration) (net.Conn, error) {
+			conn, err := dial(addr, timeout)
+			if err != nil {
+				return nil, err
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			return &idleConn{Conn: conn, idle: c.opts.Idle}, nil
+		},
+	}
+}
+
+// idleConn fails a read that gets nothing for the time idle.
+type idleConn struct {
+	net.Conn
+	idle time.Duration
+}
+
+// Read reads from the connection. It blocks for idle at most.
+func (i *idleConn) Read(b []byte) (int, error) {
+	if err := i.SetReadDeadline(time.Now().Add(i.idle)); err != nil {
+		return 0, err
+	}
+	return i.Conn.Read(b)
+}
+
+func watchLines(ctx context.Context, d *json.Decoder, fn func(Event) error) error {
+	for {
+		var l gwWatchLine
+		if err := d.Decode(&l); err != nil {
+			return watchError(ctx, err)
+		}
+		r := &l.Result
+		switch {
+		case l.Error != nil:
+			return watchError(ctx, errors.New(l.Error.Message))
+		case r.Canceled && r.CompactRevision > 0:
+			return errors.Annotatef(ErrCompacted, "%d", r.CompactRevision)
+		case r.Canceled:
+			return watchError(ctx, errors.New("watch cancelled"))
+		}
+		for i := range r.Events {
+			if err := fn(r.Events[i].event()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (e *gwEvent) event() Event {
+	out := e.Kv.entry()
+	if e.Type == eventDelete {
+		out.Value = nil
+	}
+	return Event{out}
+}
+
+// watchError returns the context's error when that is why the watch broke.
+func watchError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, ErrDown) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", ErrDown, err)
+}
--- a/shared/bbstore/mem.go
+++ b/shared/bbstore/mem.go
@@ -192,6 +192,12 @@
 
 // Watch calls fn for each change under prefix after revision from.
 func (m *Mem) Watch(ctx context.Context, prefix string, from Revision, fn func(Event) error) error {
+	return m.watch(ctx, prefix, from, 0, func(e *Event) error { return fn(*e) })
+}
+
+// watch calls fn with nil whenever the time progress has passed without an
+// event; 0 never does.
+func (m *Mem) watch(ctx context.Context, prefix string, from Revision, progress time.Duration, fn func(*Event) error) error {
 	broken, muted, err := m.openWatch(ctx)
 	if err != nil {
 		return err
@@ -202,32 +208,48 @@
 		if err != nil {
 			return err
 		}
-		for _, e := range events {
-			select {
-			case <-muted:
-				<-ctx.Done()
-				return ctx.Err()
-			case <-broken:
-				return ErrDown
-			case <-ctx.Done():
-				return ctx.Err()
-			default:
+		for i := range events {
+			if err := ended(ctx, broken, muted); err != nil {
+				return err
 			}
-			if err := fn(e); err != nil {
+			if err := fn(&events[i]); err != nil {
 				return err
 			}
-			from = e.Rev
+			from = events[i].Rev
+		}
+		var tick <-chan time.Time
+		if progress > 0 {
+			tick = time.After(progress)
 		}
 		select {
 		case <-changed:
+		case <-tick:
+			err = fn(nil)
 		case <-broken:
-			return ErrDown
 		case <-muted:
-			<-ctx.Done()
-			return ctx.Err()
 		case <-ctx.Done():
-			return ctx.Err()
 		}
+		if err == nil {
+			err = ended(ctx, broken, muted)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// ended returns why a watch ends, or nil; a silenced one waits for its context.
+func ended(ctx context.Context, broken, muted <-chan struct{}) error {
+	select {
+	case <-muted:
+		<-ctx.Done()
+		return ctx.Err()
+	case <-broken:
+		return ErrDown
+	case <-ctx.Done():
+		return ctx.Err()
+	default:
+		return nil
 	}
 }
 
--- /dev/null
+++ b/shared/bbstore/server.go
@@ -0,0 +1,208 @@
+package bbstore
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Server answers the JSON gateway of etcd v3 from a Mem, faults included. It
+// stands in for the platform's service in tests and demonstrations.
+type Server struct {
+	mem      *Mem
+	progress time.Duration
+	ctx      context.Context
+}
+
+// NewServer returns a server of m that sends a notice on a silent watch each
+// time progress (0: never) has passed, and a function that ends its watches.
+func NewServer(m *Mem, progress time.Duration) (*Server, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{mem: m, progress: progress, ctx: ctx}, cancel
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case pathRange:
+		handle(ctx, s.list)
+	case pathTxn:
+		handle(ctx, s.txn)
+	case pathGrant:
+		handle(ctx, s.grant)
+	case pathKeepAlive:
+		handle(ctx, s.keepAlive)
+	case pathRevoke:
+		handle(ctx, s.revoke)
+	case pathWatch:
+		s.watch(ctx)
+	default:
+		ctx.Error("not found", http.StatusNotFound)
+	}
+}
+
+func handle[In, Out any](ctx *fasthttp.RequestCtx, fn func(context.Context, *In) (*Out, error)) {
+	in := new(In)
+	if err := json.Unmarshal(ctx.PostBody(), in); err != nil {
+		writeError(ctx, http.StatusBadRequest, codeInvalid, err.Error())
+		return
+	}
+	out, err := fn(context.Background(), in)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	writeJSON(ctx, out)
+}
+
+// fail answers with what the gateway sends for err; for a lost answer it closes
+// the connection.
+func fail(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, ErrUnknown):
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+	case errors.Is(err, ErrRate):
+		writeError(ctx, http.StatusTooManyRequests, codeExhausted, "etcdserver: too many requests")
+	case errors.Is(err, ErrDown):
+		writeError(ctx, http.StatusServiceUnavailable, codeUnavailable, "etcdserver: no leader")
+	case errors.Is(err, ErrLease):
+		writeError(ctx, http.StatusNotFound, codeNotFound, "etcdserver: requested lease not found")
+	case errors.Is(err, ErrTooLarge):
+		writeError(ctx, http.StatusBadRequest, codeInvalid, "etcdserver: request is too large")
+	default:
+		writeError(ctx, http.StatusBadRequest, codeInvalid, err.Error())
+	}
+}
+
+func writeError(ctx *fasthttp.RequestCtx, status, code int, message string) {
+	writeJSON(ctx, &gwError{Message: message, Code: code})
+	ctx.SetStatusCode(status)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), http.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+func (s *Server) list(ctx context.Context, in *gwRange) (*gwRangeAnswer, error) {
+	if len(in.RangeEnd) == 0 {
+		e, err := s.mem.Get(ctx, string(in.Key))
+		if err != nil || e.Rev == 0 {
+			return &gwRangeAnswer{}, err
+		}
+		return &gwRangeAnswer{Kvs: []gwKeyValue{keyValue(e)}, Count: 1}, nil
+	}
+	l, rev, err := s.mem.List(ctx, prefixOf(in.Key))
+	if err != nil {
+		return nil, err
+	}
+	out := &gwRangeAnswer{Header: gwHeader{Revision: int64(rev)}, Count: int64(len(l))}
+	for _, e := range l {
+		out.Kvs = append(out.Kvs, keyValue(e))
+	}
+	return out, nil
+}
+
+// prefixOf takes a range's first key for its prefix: no other range is served.
+func prefixOf(key []byte) string {
+	if len(key) == 1 && key[0] == 0 {
+		return ""
+	}
+	return string(key)
+}
+
+func keyValue(e Entry) gwKeyValue {
+	return gwKeyValue{Key: []byte(e.Key), Value: e.Value, ModRevision: int64(e.Rev)}
+}
+
+func (s *Server) txn(ctx context.Context, in *gwTxn) (*gwTxnAnswer, error) {
+	if len(in.Compare) != 1 || len(in.Success) != 1 || in.Compare[0].Target != "MOD" {
+		return nil, errors.New("only one compare of MOD with one operation is served")
+	}
+	prev, op := Revision(in.Compare[0].ModRevision), in.Success[0]
+	var value []byte
+	var lease LeaseID
+	if op.Put != nil {
+		value, lease = append([]byte{}, op.Put.Value...), LeaseID(op.Put.Lease)
+	}
+	rev, err := s.mem.CAS(ctx, string(in.Compare[0].Key), value, prev, lease)
+	if errors.Is(err, ErrConflict) {
+		return &gwTxnAnswer{}, nil
+	}
+	return &gwTxnAnswer{Header: gwHeader{Revision: int64(rev)}, Succeeded: true}, err
+}
+
+func (s *Server) grant(ctx context.Context, in *gwLease) (*gwLease, error) {
+	id, err := s.mem.Grant(ctx, time.Duration(in.TTL)*time.Second)
+	return &gwLease{ID: int64(id), TTL: in.TTL}, err
+}
+
+func (s *Server) keepAlive(ctx context.Context, in *gwLease) (*gwLeaseResult, error) {
+	err := s.mem.Renew(ctx, LeaseID(in.ID))
+	if errors.Is(err, ErrLease) {
+		return &gwLeaseResult{Result: gwLease{ID: in.ID}}, nil
+	}
+	return &gwLeaseResult{Result: gwLease{ID: in.ID, TTL: 1}}, err
+}
+
+func (s *Server) revoke(ctx context.Context, in *gwLease) (*gwLease, error) {
+	return &gwLease{}, s.mem.Revoke(ctx, LeaseID(in.ID))
+}
+
+// watch streams one JSON line for each event until the caller goes, the service
+// goes down or the server stops.
+func (s *Server) watch(rc *fasthttp.RequestCtx) {
+	in := new(gwWatch)
+	if err := json.Unmarshal(rc.PostBody(), in); err != nil {
+		writeError(rc, http.StatusBadRequest, codeInvalid, err.Error())
+		return
+	}
+	if s.mem.Faults().Down {
+		fail(rc, ErrDown)
+		return
+	}
+	rc.SetContentType("application/json")
+	rc.SetBodyStreamWriter(func(w *bufio.Writer) { s.stream(s.ctx, w, &in.Create) })
+}
+
+func (s *Server) stream(ctx context.Context, w *bufio.Writer, in *gwWatchCreate) {
+	send := func(a gwWatchAnswer) error {
+		b, err := json.Marshal(&gwWatchLine{Result: a})
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(append(b, '\n')); err != nil {
+			return err
+		}
+		return w.Flush()
+	}
+	if send(gwWatchAnswer{Created: true}) != nil {
+		return
+	}
+	from := Revision(in.StartRevision) - 1
+	err := s.mem.watch(ctx, prefixOf(in.Key), from, s.progress, func(e *Event) error {
+		if e == nil {
+			return send(gwWatchAnswer{})
+		}
+		ev := gwEvent{Type: eventPut, Kv: keyValue(e.Entry)}
+		if e.Value == nil {
+			ev.Type = eventDelete
+		}
+		return send(gwWatchAnswer{Header: gwHeader{Revision: int64(e.Rev)}, Events: []gwEvent{ev}})
+	})
+	if errors.Is(err, ErrCompacted) {
+		_ = send(gwWatchAnswer{Canceled: true, CompactRevision: int64(from) + 1})
+	}
+}
--- a/shared/bbstore/store_test.go
+++ b/shared/bbstore/store_test.go
@@ -18,6 +18,7 @@
 func storeMakers() []storeMaker {
 	return []storeMaker{
 		{"Mem", func(*testing.T) (Store, *Mem) { m := NewMem(); return m, m }},
+		{"Client", newServedClient},
 	}
 }
 
