--- a/bluebellctl/main.go
+++ b/bluebellctl/main.go
@@ -1,4 +1,13 @@
-// Command bluebellctl belongs to the fleet.
+// Command bluebellctl is the operators' side of the fleet: change tickets,
+// budgets, bills and status.
 package main
 
-func main() {}
+import (
+	"os"
+
+	bbctl "bluebellport.example/bluebellctl/src"
+)
+
+func main() {
+	os.Exit(bbctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/bluebellctl/src/status.go
@@ -0,0 +1,81 @@
+package bbctl
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// instance is what one instance tells of itself.
+type instance struct {
+	Admin    string              `json:"admin"`
+	Instance bbunit.InstanceID   `json:"instance"`
+	Domain   bbunit.DomainID     `json:"domain"`
+	Version  string              `json:"version"`
+	Number   bbunit.TicketNumber `json:"number"`
+	Ready    bool                `json:"ready"`
+	Draining bool                `json:"draining"`
+	Open     int64               `json:"open"`
+	Members  []bbunit.InstanceID `json:"members"`
+	Parts    json.RawMessage     `json:"parts,omitempty"`
+	Error    string              `json:"error,omitempty"`
+}
+
+// statusCommands declares the commands on running instances.
+func statusCommands(app *kingpin.Application, commands map[string]command) {
+	s := app.Command("status", "Show what each instance has in force.")
+	commands[s.FullCommand()] = showStatus
+}
+
+func showStatus(_ context.Context, e *env) error {
+	if len(e.opts.Admins) == 0 {
+		return errors.WithType(errors.New("status needs --admin"), errUsage)
+	}
+	list := make([]instance, len(e.opts.Admins))
+	var cells [][]any
+	failed := false
+	for i, a := range e.opts.Admins {
+		list[i] = askStatus(a, e.opts.Timeout)
+		s := &list[i]
+		state := "ready"
+		switch {
+		case s.Error != "":
+			state, failed = s.Error, true
+		case s.Draining:
+			state = "draining"
+		case !s.Ready:
+			state = "not ready"
+		}
+		cells = append(cells, []any{a, s.Instance, s.Domain, s.Number, state, s.Open, len(s.Members), s.Version})
+	}
+	if err := e.show(list, []string{"ADMIN", "INSTANCE", "DOMAIN", "TICKET", "STATE", "OPEN", "SEES", "VERSION"}, cells); err != nil {
+		return err
+	}
+	if failed {
+		return errors.New("an instance did not answer")
+	}
+	return nil
+}
+
+// askStatus asks one instance; what goes wrong stands in Error.
+func askStatus(admin string, timeout time.Duration) instance {
+	s := instance{Admin: admin}
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+admin+"/status", timeout)
+	switch {
+	case err != nil:
+		s.Error = err.Error()
+	case code != fasthttp.StatusOK:
+		s.Error = fasthttp.StatusMessage(code)
+	default:
+		if err := json.Unmarshal(body, &s); err != nil {
+			s.Error = err.Error()
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/bluebellctl/src/table.go
@@ -0,0 +1,29 @@
+package bbctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+)
+
+// show prints v as JSON for programs, or the rows as a table for people.
+func (e *env) show(v any, heads []string, rows [][]any) error {
+	if e.opts.Output == formatJSON {
+		enc := json.NewEncoder(e.out)
+		enc.SetIndent("", "  ")
+		return errors.Trace(enc.Encode(v))
+	}
+	w := tabwriter.NewWriter(e.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(heads, "\t"))
+	for _, r := range rows {
+		cells := make([]string, len(r))
+		for i, c := range r {
+			cells[i] = fmt.Sprint(c)
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return errors.Trace(w.Flush())
+}
--- /dev/null
+++ b/bluebellctl/src/ticket.go
@@ -0,0 +1,170 @@
+package bbctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// ticketCommands declares the commands on change tickets.
+func ticketCommands(app *kingpin.Application, commands map[string]command) {
+	t := app.Command("ticket", "Check, apply and read change tickets.")
+	var file string
+	var number uint64
+	check := t.Command("check", "Tell whether a ticket could be applied now; nothing is written.")
+	check.Arg("file", "Ticket in YAML; - reads standard input.").Required().StringVar(&file)
+	commands[check.FullCommand()] = func(ctx context.Context, e *env) error { return checkTicket(ctx, e, file) }
+	apply := t.Command("apply", "Put a ticket in force.")
+	apply.Arg("file", "Ticket in YAML; - reads standard input.").Required().StringVar(&file)
+	commands[apply.FullCommand()] = func(ctx context.Context, e *env) error { return applyTicket(ctx, e, file) }
+	list := t.Command("list", "List the tickets that the log still holds.")
+	commands[list.FullCommand()] = listTickets
+	show := t.Command("show", "Print a ticket of the log, or all that is in force.")
+	show.Arg("number", "Number of the ticket; none prints what is in force.").Uint64Var(&number)
+	commands[show.FullCommand()] = func(ctx context.Context, e *env) error {
+		return showTicket(ctx, e, bbunit.TicketNumber(number))
+	}
+	diff := t.Command("diff", "Show how a ticket's objects differ from what is in force.")
+	diff.Arg("file", "Ticket in YAML; - reads standard input.").Required().StringVar(&file)
+	commands[diff.FullCommand()] = func(ctx context.Context, e *env) error { return diffTicket(ctx, e, file) }
+}
+
+// readTicket reads and parses a ticket.
+func readTicket(file string) (bbticket.Ticket, error) {
+	var src []byte
+	var err error
+	if file == "-" {
+		src, err = io.ReadAll(os.Stdin)
+	} else {
+		src, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return bbticket.Ticket{}, errors.WithType(err, errUsage)
+	}
+	t, err := bbticket.Parse(src)
+	return t, errors.Annotatef(err, "%s", file)
+}
+
+func checkTicket(ctx context.Context, e *env, file string) error {
+	t, err := readTicket(file)
+	if err != nil {
+		return err
+	}
+	s, err := bbticket.NewLog(e.store).Load(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if t.Number != s.Number+1 {
+		return &bbticket.NumberError{Asked: t.Number, Head: s.Number}
+	}
+	if err := s.Check(t); err != nil {
+		return errors.Annotatef(err, "%s", file)
+	}
+	fmt.Fprintf(e.info, "ticket %d can be applied\n", t.Number)
+	return nil
+}
+
+func applyTicket(ctx context.Context, e *env, file string) error {
+	t, err := readTicket(file)
+	if err != nil {
+		return err
+	}
+	nonce := uuid.NewString()
+	if err := acceptTicket(ctx, e, t, nonce); err != nil {
+		return errors.Annotatef(err, "%s", file)
+	}
+	fmt.Fprintf(e.info, "ticket %d is accepted\n", t.Number)
+	return nil
+}
+
+func acceptTicket(ctx context.Context, e *env, t bbticket.Ticket, nonce string) error {
+	return bbticket.NewLog(e.store).Accept(ctx, t, nonce, time.Now().UTC())
+}
+
+// ticketRow is one line of the list of tickets.
+type ticketRow struct {
+	Number  bbunit.TicketNumber `json:"number"`
+	At      time.Time           `json:"at"`
+	Objects int                 `json:"objects"`
+	Note    string              `json:"note"`
+}
+
+func listTickets(ctx context.Context, e *env) error {
+	h, _, err := bbticket.NewLog(e.store).Head(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	rows := []ticketRow{}
+	var cells [][]any
+	for _, a := range h.Tail {
+		t := a.Ticket
+		r := ticketRow{t.Number, a.At, len(t.Accounts) + len(t.Budgets) + len(t.Services) + len(t.Targets), t.Note}
+		rows = append(rows, r)
+		cells = append(cells, []any{r.Number, r.At.Format(time.RFC3339), r.Objects, r.Note})
+	}
+	return e.show(rows, []string{"NUMBER", "AT", "OBJECTS", "NOTE"}, cells)
+}
+
+func showTicket(ctx context.Context, e *env, n bbunit.TicketNumber) error {
+	l := bbticket.NewLog(e.store)
+	if n == 0 {
+		s, err := l.Load(ctx)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		return e.print(s.Ticket())
+	}
+	h, _, err := l.Head(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, a := range h.Tail {
+		if a.Ticket.Number == n {
+			return e.print(a.Ticket)
+		}
+	}
+	if n <= h.Folded {
+		return errors.WithType(errors.Errorf("ticket %d: no longer in the log, which starts at %d", n, h.Folded+1), errUsage)
+	}
+	return errors.WithType(errors.Errorf("ticket %d: not in the log, which ends at %d", n, h.Number), errUsage)
+}
+
+// print writes a ticket as YAML, or as JSON for programs.
+func (e *env) print(t bbticket.Ticket) error {
+	if e.opts.Output == formatJSON {
+		return e.show(t, nil, nil)
+	}
+	b, err := yaml.Marshal(t)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = e.out.Write(b)
+	return errors.Trace(err)
+}
+
+func diffTicket(ctx context.Context, e *env, file string) error {
+	t, err := readTicket(file)
+	if err != nil {
+		return err
+	}
+	s, err := bbticket.NewLog(e.store).Load(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	rows := s.Diff(t)
+	var cells [][]any
+	for _, r := range rows {
+		cells = append(cells, []any{r.Change, r.Object, r.Field, r.Was, r.Becomes})
+	}
+	return e.show(rows, []string{"CHANGE", "OBJECT", "FIELD", "IN FORCE", "TICKET"}, cells)
+}
