--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -112,18 +113,105 @@
 func (o *PeerOptions) check() []string { return nil }
 
 // RecordOptions set how claims and bills are kept.
-type RecordOptions struct{}
+type RecordOptions struct {
+	Retention    time.Duration
+	ClaimPeriod  time.Duration
+	BillPeriod   time.Duration
+	ClaimTimeout time.Duration
+	Takeover     time.Duration
+	Queue        int     // records
+	Writes       float64 // a second
+	AnswerKeep   time.Duration
+	AnswerGrace  time.Duration
+	AnswerMost   int64 // bytes
+	AnswerTotal  int64 // bytes
+}
 
-func (o *RecordOptions) flags(_ *kingpin.CmdClause) {}
+func (o *RecordOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("record-retention", "How long request ids are remembered.").Envar("BLUEBELLPORT_RECORD_RETENTION").Default("24h").DurationVar(&o.Retention)
+	cmd.Flag("claim-period", "Longest wait of a claim for others to share its write.").Envar("BLUEBELLPORT_CLAIM_PERIOD").Default("50ms").DurationVar(&o.ClaimPeriod)
+	cmd.Flag("bill-period", "Longest wait of a bill for others to share its write.").Envar("BLUEBELLPORT_BILL_PERIOD").Default("200ms").DurationVar(&o.BillPeriod)
+	cmd.Flag("claim-timeout", "Longest wait for a claim to be written before the request is refused.").Envar("BLUEBELLPORT_CLAIM_TIMEOUT").Default("2s").DurationVar(&o.ClaimTimeout)
+	cmd.Flag("record-takeover", "How long an instance is missing before its peers submit its records.").Envar("BLUEBELLPORT_RECORD_TAKEOVER").Default("5s").DurationVar(&o.Takeover)
+	cmd.Flag("record-queue", "Unacknowledged bills above which new work is refused.").Envar("BLUEBELLPORT_RECORD_QUEUE").Default("100000").IntVar(&o.Queue)
+	cmd.Flag("record-writes", "Most writes of bills a second to the key-value service.").Envar("BLUEBELLPORT_RECORD_WRITES").Default("20").Float64Var(&o.Writes)
+	cmd.Flag("answer-keep", "How long an answer is kept for repeated requests.").Envar("BLUEBELLPORT_ANSWER_KEEP").Default("10m").DurationVar(&o.AnswerKeep)
+	cmd.Flag("answer-grace", "How long a request goes on when all its callers have left.").Envar("BLUEBELLPORT_ANSWER_GRACE").Default("2s").DurationVar(&o.AnswerGrace)
+	cmd.Flag("answer-max", "Bytes of one answer that are buffered for repeated requests.").Envar("BLUEBELLPORT_ANSWER_MAX").Default("1048576").Int64Var(&o.AnswerMost)
+	cmd.Flag("answer-total", "Bytes of all kept answers.").Envar("BLUEBELLPORT_ANSWER_TOTAL").Default("67108864").Int64Var(&o.AnswerTotal)
+}
 
-func (o *RecordOptions) check() []string { return nil }
+func (o *RecordOptions) check() []string {
+	bad := badDuration("--claim-period", o.ClaimPeriod)
+	bad = append(bad, badDuration("--bill-period", o.BillPeriod)...)
+	bad = append(bad, badDuration("--record-takeover", o.Takeover)...)
+	bad = append(bad, badDuration("--answer-keep", o.AnswerKeep)...)
+	bad = append(bad, badDuration("--answer-grace", o.AnswerGrace)...)
+	if o.Retention < retentionLeast {
+		bad = append(bad, fmt.Sprintf("--record-retention: must be at least %s, is %s", retentionLeast, o.Retention))
+	}
+	if o.ClaimTimeout <= o.ClaimPeriod {
+		bad = append(bad, fmt.Sprintf("--claim-timeout: must be above --claim-period (%s), is %s", o.ClaimPeriod, o.ClaimTimeout))
+	}
+	if o.Queue <= 0 {
+		bad = append(bad, fmt.Sprintf("--record-queue: must be above 0, is %d", o.Queue))
+	}
+	if !(o.Writes > 0) {
+		bad = append(bad, fmt.Sprintf("--record-writes: must be above 0, is %g", o.Writes))
+	}
+	if o.AnswerMost <= 0 {
+		bad = append(bad, fmt.Sprintf("--answer-max: must be above 0, is %d", o.AnswerMost))
+	}
+	if o.AnswerTotal < o.AnswerMost {
+		bad = append(bad, fmt.Sprintf("--answer-total: must be at least --answer-max (%d), is %d", o.AnswerMost, o.AnswerTotal))
+	}
+	return bad
+}
 
 // RouteOptions set how targets are chosen, limited and retried.
-type RouteOptions struct{}
+type RouteOptions struct {
+	CircuitFails   int
+	CircuitOpen    time.Duration
+	CircuitLongest time.Duration
+	CircuitProbe   time.Duration
+	SlowStart      time.Duration
+	Spill          time.Duration
+}
 
-func (o *RouteOptions) flags(_ *kingpin.CmdClause) {}
+func (o *RouteOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("circuit-fails", "Failures in a row that open a target's circuit.").Envar("BLUEBELLPORT_CIRCUIT_FAILS").Default("3").IntVar(&o.CircuitFails)
+	cmd.Flag("circuit-open", "How long a circuit stays open at first; each failed probe doubles it.").Envar("BLUEBELLPORT_CIRCUIT_OPEN").Default("1s").DurationVar(&o.CircuitOpen)
+	cmd.Flag("circuit-longest", "Longest time that a circuit stays open.").Envar("BLUEBELLPORT_CIRCUIT_LONGEST").Default("30s").DurationVar(&o.CircuitLongest)
+	cmd.Flag("circuit-probe", "How long the probe of a half-open circuit may take before another follows.").Envar("BLUEBELLPORT_CIRCUIT_PROBE").Default("10s").DurationVar(&o.CircuitProbe)
+	cmd.Flag("slow-start", "How long a new target takes to get its full share.").Envar("BLUEBELLPORT_SLOW_START").Default("10s").DurationVar(&o.SlowStart)
+	cmd.Flag("spill", "Expected wait above which requests go to another failure domain.").Envar("BLUEBELLPORT_SPILL").Default("250ms").DurationVar(&o.Spill)
+}
 
-func (o *RouteOptions) check() []string { return nil }
+func (o *RouteOptions) check() []string {
+	var bad []string
+	if o.CircuitFails < 1 {
+		bad = append(bad, fmt.Sprintf("--circuit-fails: must be at least 1, is %d", o.CircuitFails))
+	}
+	bad = append(bad, badDuration("--circuit-open", o.CircuitOpen)...)
+	bad = append(bad, badDuration("--circuit-longest", o.CircuitLongest)...)
+	bad = append(bad, badDuration("--circuit-probe", o.CircuitProbe)...)
+	bad = append(bad, badDuration("--slow-start", o.SlowStart)...)
+	return append(bad, badDuration("--spill", o.Spill)...)
+}
+
+// choice returns the rule by which targets are chosen.
+func (o *RouteOptions) choice() bbroute.ChoiceRule {
+	return bbroute.ChoiceRule{
+		Circuit: bbroute.CircuitRule{
+			Fails:   o.CircuitFails,
+			Open:    o.CircuitOpen,
+			Longest: o.CircuitLongest,
+			Probe:   o.CircuitProbe,
+		},
+		SlowStart: o.SlowStart,
+		Spill:     o.Spill,
+	}
+}
 
 // badAddress returns a line when the flag's value is not host:port.
 func badAddress(flag, v string, needed bool) []string {
