Pair envelopes with their answers and join buses in memory

Cause: money, records and followers talk over one Bus; their tests need it before the wire exists. Change: a dispatcher that pairs answers by sequence and by the instance asked, drops and counts what it can't place, and contains a handler's panic; LoopBus (test file) with cut and dropped links; the contract test every Bus must pass. Run: go test -race ./bluebellport/src passes.

--- /dev/null
+++ b/bluebellport/src/bus.go
@@ -0,0 +1,142 @@
+package bbport
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Sentinel errors of received envelopes; each is logged, counted and dropped.
+const (
+	errNoBody    = errors.ConstError("envelope without a known body")
+	errNoHandler = errors.ConstError("no handler for the body")
+	errNoWaiter  = errors.ConstError("answer that nobody waits for")
+	errPanic     = errors.ConstError("handler panicked")
+)
+
+// envelopeHandler answers one kind of body; nil sends no answer.
+type envelopeHandler func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope
+
+// dispatcher pairs answers with questions and hands the rest to the handler of
+// its body's type. The zero value works.
+type dispatcher struct {
+	seq      atomic.Uint64
+	waiters  sync.Map // seq -> *waiter
+	handlers sync.Map // reflect.Type -> envelopeHandler
+}
+
+// waiter is a question under way; only the instance asked may answer it.
+type waiter struct {
+	to bbunit.InstanceID
+	ch chan *bbwire.Envelope // nil: the peer was lost
+}
+
+func (d *dispatcher) handle(sample *bbwire.Envelope, fn envelopeHandler) {
+	d.handlers.Store(reflect.TypeOf(sample.GetBody()), fn)
+}
+
+// call numbers e, sends it and waits for its answer up to the deadline of ctx.
+func (d *dispatcher) call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope, send func() error) (*bbwire.Envelope, error) {
+	w := &waiter{to: to, ch: make(chan *bbwire.Envelope, 1)}
+	e.Seq = d.seq.Add(1)
+	d.waiters.Store(e.Seq, w)
+	defer d.waiters.Delete(e.Seq)
+	if err := send(); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-w.ch:
+		if r == nil {
+			return nil, errors.Annotatef(ErrPeer, "session with %s lost", to)
+		}
+		if r.Error != "" {
+			return nil, errors.Errorf("%s: %s", to, r.Error)
+		}
+		return r, nil
+	case <-ctx.Done():
+		return nil, errors.Annotatef(ErrPeer, "no answer from %s: %v", to, ctx.Err())
+	}
+}
+
+// lost ends all questions to an instance whose session broke.
+func (d *dispatcher) lost(to bbunit.InstanceID) {
+	d.waiters.Range(func(k, v any) bool {
+		if w := v.(*waiter); w.to == to {
+			d.waiters.Delete(k)
+			w.answer(nil)
+		}
+		return true
+	})
+}
+
+// answer hands r over unless another answer came first.
+func (w *waiter) answer(r *bbwire.Envelope) {
+	select {
+	case w.ch <- r:
+	default:
+	}
+}
+
+// deliver takes one received envelope; reply sends an answer back. An error
+// means that the envelope was dropped.
+func (d *dispatcher) deliver(from bbunit.InstanceID, e *bbwire.Envelope, reply func(*bbwire.Envelope)) error {
+	if e.Reply {
+		return d.answered(from, e)
+	}
+	if e.GetBody() == nil {
+		return errNoBody
+	}
+	fn, ok := d.handlers.Load(reflect.TypeOf(e.GetBody()))
+	if !ok {
+		answer(e, &bbwire.Envelope{Error: errNoHandler.Error()}, reply)
+		return errNoHandler
+	}
+	var r *bbwire.Envelope
+	if p := panics.Try(func() { r = fn.(envelopeHandler)(from, e) }); p != nil {
+		answer(e, &bbwire.Envelope{Error: errPanic.Error()}, reply)
+		return errors.Annotatef(errPanic, "%v", p.Value)
+	}
+	if r != nil {
+		answer(e, r, reply)
+	}
+	return nil
+}
+
+func (d *dispatcher) answered(from bbunit.InstanceID, e *bbwire.Envelope) error {
+	v, ok := d.waiters.Load(e.Seq)
+	if !ok || v.(*waiter).to != from {
+		return errNoWaiter
+	}
+	d.waiters.Delete(e.Seq)
+	v.(*waiter).answer(e)
+	return nil
+}
+
+// answer sends r back when the question asked for an answer.
+func answer(question, r *bbwire.Envelope, reply func(*bbwire.Envelope)) {
+	if question.Seq == 0 {
+		return
+	}
+	r.Seq, r.Reply = question.Seq, true
+	reply(r)
+}
+
+// dropper logs and counts what is dropped.
+type dropper struct {
+	log   logrus.FieldLogger
+	count metrics.Counter
+}
+
+func (d *dropper) drop(peer bbunit.InstanceID, err error) {
+	d.count.Inc(1)
+	d.log.WithField("peer", peer).WithError(err).Warn("peer message dropped")
+}
--- /dev/null
+++ b/bluebellport/src/bus_loop_test.go
@@ -0,0 +1,117 @@
+package bbport
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// LoopBus joins buses in memory, with links that tests cut, and frames that
+// tests drop.
+type LoopBus struct {
+	mu    sync.Mutex
+	nodes map[bbunit.InstanceID]*loopNode
+	cuts  map[[2]bbunit.InstanceID]bool
+	drop  func(from, to bbunit.InstanceID, e *bbwire.Envelope) bool
+}
+
+// NewLoopBus returns a network without members.
+func NewLoopBus() *LoopBus {
+	return &LoopBus{nodes: map[bbunit.InstanceID]*loopNode{}, cuts: map[[2]bbunit.InstanceID]bool{}}
+}
+
+// loopNode is one member's Bus. Its handlers run one at a time, in order.
+type loopNode struct {
+	dispatcher
+	id  bbunit.InstanceID
+	inc bbunit.Incarnation
+	net *LoopBus
+	in  chan *bbwire.Envelope
+}
+
+// Join adds a member until the test ends or Leave; a second Join of an id
+// replaces the first.
+func (l *LoopBus) Join(t testing.TB, id bbunit.InstanceID, inc bbunit.Incarnation) Bus {
+	n := &loopNode{id: id, inc: inc, net: l, in: make(chan *bbwire.Envelope, 1024)}
+	l.mu.Lock()
+	l.nodes[id] = n
+	l.mu.Unlock()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { n.run(stop) })
+	t.Cleanup(func() {
+		close(stop)
+		wg.Wait()
+	})
+	return n
+}
+
+// Leave takes a member off the network.
+func (l *LoopBus) Leave(id bbunit.InstanceID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.nodes, id)
+}
+
+// Cut cuts or mends the link between two members, both ways.
+func (l *LoopBus) Cut(a, b bbunit.InstanceID, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts[[2]bbunit.InstanceID{a, b}], l.cuts[[2]bbunit.InstanceID{b, a}] = cut, cut
+}
+
+// Drop sets which frames are lost in silence; nil loses none.
+func (l *LoopBus) Drop(fn func(from, to bbunit.InstanceID, e *bbwire.Envelope) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drop = fn
+}
+
+func (n *loopNode) run(stop chan struct{}) {
+	for {
+		select {
+		case e := <-n.in:
+			from := bbunit.InstanceID(e.From)
+			_ = n.deliver(from, e, func(r *bbwire.Envelope) { _ = n.Send(from, r) })
+		case <-stop:
+			return
+		}
+	}
+}
+
+// Send delivers a copy of e; ErrPeer when the link is cut or the member gone.
+func (n *loopNode) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
+	c := proto.Clone(e).(*bbwire.Envelope)
+	c.From, c.Inc = string(n.id), uint64(n.inc)
+	n.net.mu.Lock()
+	peer, drop := n.net.nodes[to], n.net.drop
+	cut := n.net.cuts[[2]bbunit.InstanceID{n.id, to}]
+	n.net.mu.Unlock()
+	if peer == nil || cut {
+		return ErrPeer
+	}
+	if drop != nil && drop(n.id, to, c) {
+		return nil
+	}
+	select {
+	case peer.in <- c:
+		return nil
+	default:
+		return ErrPeer
+	}
+}
+
+// Call sends e and waits for the answer.
+func (n *loopNode) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+	return n.call(ctx, to, e, func() error { return n.Send(to, e) })
+}
+
+// Handle sets the handler of one kind of body.
+func (n *loopNode) Handle(sample *bbwire.Envelope, fn func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope) {
+	n.handle(sample, fn)
+}
--- /dev/null
+++ b/bluebellport/src/bus_test.go
@@ -0,0 +1,121 @@
+package bbport
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// busPair is two joined buses, a and b, under the contract's test.
+type busPair struct {
+	a, b Bus
+	// sever breaks the link for good; nil when the pair can't.
+	sever func()
+}
+
+func askEnvelope(n uint64) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Ticketask{Ticketask: &bbwire.TicketAsk{After: n}}}
+}
+
+func tellEnvelope(s string) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Tickettell{Tickettell: &bbwire.TicketTell{State: []byte(s)}}}
+}
+
+func TestLoopBusContract(t *testing.T) {
+	busContract(t, func(t *testing.T) busPair {
+		l := NewLoopBus()
+		return busPair{
+			a: l.Join(t, "a", 1), b: l.Join(t, "b", 2),
+			sever: func() { l.Cut("a", "b", true) },
+		}
+	})
+}
+
+// busContract holds for every Bus.
+func busContract(t *testing.T, pair func(t *testing.T) busPair) {
+	answerAll := func(_ bbunit.InstanceID, _ *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("ok") }
+	t.Run("answer", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		from := make(chan bbunit.InstanceID, 1)
+		p.b.Handle(askEnvelope(0), func(id bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+			from <- id
+			return tellEnvelope(string(rune('0' + e.GetTicketask().After)))
+		})
+		r, err := call(p.a, "b", askEnvelope(7), time.Second)
+		is.NoErr(err)
+		is.Equal(string(r.GetTickettell().State), "7")
+		is.Equal(<-from, bbunit.InstanceID("a"))
+		is.Equal(r.Inc, uint64(2)) // the answer tells the peer's incarnation
+	})
+	t.Run("crossed answers reach their own caller", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		p.b.Handle(askEnvelope(0), func(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+			return tellEnvelope(string(rune('a' + e.GetTicketask().After)))
+		})
+		errs := make(chan bool, 20)
+		for i := range uint64(20) {
+			go func() {
+				r, err := call(p.a, "b", askEnvelope(i), time.Second)
+				errs <- err == nil && string(r.GetTickettell().State) == string(rune('a'+i))
+			}()
+		}
+		for range 20 {
+			is.True(<-errs)
+		}
+	})
+	t.Run("no handler fails the call at once", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		was := time.Now()
+		_, err := call(p.a, "b", askEnvelope(1), 5*time.Second)
+		is.True(err != nil)
+		is.True(time.Since(was) < 4*time.Second)
+	})
+	t.Run("a handler that panics harms nothing else", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		p.b.Handle(tellEnvelope(""), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { panic("x") })
+		p.b.Handle(askEnvelope(0), answerAll)
+		_, err := call(p.a, "b", tellEnvelope(""), time.Second)
+		is.True(err != nil)
+		_, err = call(p.a, "b", askEnvelope(1), time.Second)
+		is.NoErr(err)
+	})
+	t.Run("silent handler ends at the deadline", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		p.b.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return nil })
+		_, err := call(p.a, "b", askEnvelope(1), 100*time.Millisecond)
+		is.True(errors.Is(err, ErrPeer))
+	})
+	t.Run("unknown instance", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		_, err := call(p.a, "nobody", askEnvelope(1), 200*time.Millisecond)
+		is.True(errors.Is(err, ErrPeer))
+	})
+	t.Run("severed link", func(t *testing.T) {
+		is := is.New(t)
+		p := pair(t)
+		p.b.Handle(askEnvelope(0), answerAll)
+		_, err := call(p.a, "b", askEnvelope(1), time.Second)
+		is.NoErr(err)
+		p.sever()
+		_, err = call(p.a, "b", askEnvelope(1), 300*time.Millisecond)
+		is.True(errors.Is(err, ErrPeer))
+	})
+}
+
+func call(b Bus, to bbunit.InstanceID, e *bbwire.Envelope, d time.Duration) (*bbwire.Envelope, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return b.Call(ctx, to, e)
+}
