--- a/bluebellport/src/bus.go
+++ b/bluebellport/src/bus.go
@@ -44,13 +44,14 @@
 	d.handlers.Store(reflect.TypeOf(sample.GetBody()), fn)
 }
 
-// call numbers e, sends it and waits for its answer up to the deadline of ctx.
-func (d *dispatcher) call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope, send func() error) (*bbwire.Envelope, error) {
+// call sends a numbered copy of e and waits for its answer up to the deadline
+// of ctx.
+func (d *dispatcher) call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope, send func(*bbwire.Envelope) error) (*bbwire.Envelope, error) {
 	w := &waiter{to: to, ch: make(chan *bbwire.Envelope, 1)}
-	e.Seq = d.seq.Add(1)
-	d.waiters.Store(e.Seq, w)
-	defer d.waiters.Delete(e.Seq)
-	if err := send(); err != nil {
+	q := &bbwire.Envelope{Seq: d.seq.Add(1), Body: e.Body}
+	d.waiters.Store(q.Seq, w)
+	defer d.waiters.Delete(q.Seq)
+	if err := send(q); err != nil {
 		return nil, err
 	}
 	select {
--- a/bluebellport/src/bus_loop_test.go
+++ b/bluebellport/src/bus_loop_test.go
@@ -108,7 +108,7 @@
 
 // Call sends e and waits for the answer.
 func (n *loopNode) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
-	return n.call(ctx, to, e, func() error { return n.Send(to, e) })
+	return n.call(ctx, to, e, func(q *bbwire.Envelope) error { return n.Send(to, q) })
 }
 
 // Handle sets the handler of one kind of body.
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -105,11 +106,55 @@
 }
 
 // PeerOptions set how instances reach each other.
-type PeerOptions struct{}
+type PeerOptions struct {
+	Listen    string
+	Advertise string // empty: the address listened on
+	Period    time.Duration
+	Suspicion time.Duration
+	Cert      string // files in PEM; all three or none
+	Key       string
+	CA        string
+}
+
+func (o *PeerOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("peer", "Address for other instances.").Envar("BLUEBELLPORT_PEER").Default("127.0.0.1:8082").StringVar(&o.Listen)
+	cmd.Flag("peer-advertise", "Address that other instances connect to; empty is the one of --peer.").Envar("BLUEBELLPORT_PEER_ADVERTISE").StringVar(&o.Advertise)
+	cmd.Flag("gossip-period", "Time between two rounds of gossip.").Envar("BLUEBELLPORT_GOSSIP_PERIOD").Default("1s").DurationVar(&o.Period)
+	cmd.Flag("suspicion", "Silence after which an instance is taken out of the view.").Envar("BLUEBELLPORT_SUSPICION").Default("5s").DurationVar(&o.Suspicion)
+	cmd.Flag("peer-cert", "Certificate shown to other instances, a PEM file; turns mutual TLS on.").Envar("BLUEBELLPORT_PEER_CERT").StringVar(&o.Cert)
+	cmd.Flag("peer-key", "Private key of --peer-cert, a PEM file.").Envar("BLUEBELLPORT_PEER_KEY").StringVar(&o.Key)
+	cmd.Flag("peer-ca", "Certificates that other instances' must be signed by, a PEM file.").Envar("BLUEBELLPORT_PEER_CA").StringVar(&o.CA)
+}
 
-func (o *PeerOptions) flags(_ *kingpin.CmdClause) {}
+func (o *PeerOptions) check() []string {
+	bad := badAddress("--peer", o.Listen, true)
+	bad = append(bad, badAdvertise(o.Advertised())...)
+	bad = append(bad, badDuration("--gossip-period", o.Period)...)
+	if o.Suspicion < 3*o.Period {
+		bad = append(bad, fmt.Sprintf("--suspicion: must be at least 3 times --gossip-period, is %s", o.Suspicion))
+	}
+	if _, err := o.tlsConfig(); err != nil {
+		bad = append(bad, err.Error())
+	}
+	return bad
+}
 
-func (o *PeerOptions) check() []string { return nil }
+// Advertised returns the address that other instances connect to.
+func (o *PeerOptions) Advertised() string {
+	if o.Advertise != "" {
+		return o.Advertise
+	}
+	return o.Listen
+}
+
+// badAdvertise returns a line when others could not connect to the address.
+func badAdvertise(v string) []string {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || a.Addr().IsUnspecified() {
+		return []string{fmt.Sprintf("--peer-advertise: not an IP number and port that others can reach: %q", v)}
+	}
+	return nil
+}
 
 // MoneyOptions set how budget shares are drawn.
 type MoneyOptions struct{}
--- /dev/null
+++ b/bluebellport/src/peer.go
@@ -0,0 +1,369 @@
+package bbport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Peers is the Bus over TCP: one yamux session for a pair of instances, opened
+// on demand and kept while used. Envelopes that are malformed, oversized or
+// unknown are logged, counted and dropped.
+type Peers struct {
+	dispatcher
+	dropper
+	parts   Parts
+	tls     *tls.Config // nil: off
+	ln      net.Listener
+	links   sync.Map // bbunit.InstanceID -> *link
+	streams sync.Map // kind -> func(from, net.Conn)
+
+	mu     sync.Mutex // guards the making and forgetting of links
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     conc.WaitGroup
+
+	full, unsent      metrics.Counter
+	bytesIn, bytesOut metrics.Counter
+	members           *membership
+}
+
+// NewPeers listens for other instances and keeps Board.View. The clean-up
+// function tells the peers that this instance leaves, closes all sessions and
+// waits for what it started.
+func NewPeers(p Parts) (*Peers, func(), error) {
+	cfg, err := p.Opts.Peer.tlsConfig()
+	if err != nil {
+		return nil, nil, err
+	}
+	ln, err := net.Listen("tcp", p.Opts.Peer.Listen)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "--peer")
+	}
+	ps := &Peers{parts: p, tls: cfg, ln: ln}
+	ps.dropper = dropper{log: p.Log, count: metrics.GetOrRegisterCounter("peer.dropped", p.Metrics)}
+	ps.full = metrics.GetOrRegisterCounter("peer.queue.full", p.Metrics)
+	ps.unsent = metrics.GetOrRegisterCounter("peer.unsent", p.Metrics)
+	ps.bytesIn = metrics.GetOrRegisterCounter("peer.bytes.in", p.Metrics)
+	ps.bytesOut = metrics.GetOrRegisterCounter("peer.bytes.out", p.Metrics)
+	ps.ctx, ps.cancel = context.WithCancel(context.Background())
+	ps.members = newMembership(ps, p)
+	ps.wg.Go(ps.accept)
+	ps.wg.Go(ps.members.run)
+	return ps, ps.close, nil
+}
+
+func (p *Peers) close() {
+	p.members.leave()
+	p.mu.Lock()
+	p.cancel()
+	p.mu.Unlock()
+	_ = p.ln.Close()
+	p.wg.Wait()
+}
+
+// Address returns the address listened on.
+func (p *Peers) Address() string { return p.ln.Addr().String() }
+
+func (p *Peers) self() bbmember.Member { return p.parts.Board.View.Load().Self }
+
+// Send queues e for the instance; it does not block, and e must not change
+// after. ErrPeer when the instance is unknown or out of reach, or when too much
+// is queued.
+func (p *Peers) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
+	l, err := p.link(to)
+	if err != nil {
+		return err
+	}
+	return l.push(e)
+}
+
+// Call sends e and waits for its answer up to the deadline of ctx; ErrPeer when
+// none came, and then it is not known whether e arrived.
+func (p *Peers) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+	return p.call(ctx, to, e, func(q *bbwire.Envelope) error { return p.Send(to, q) })
+}
+
+// Handle sets the handler of one kind of body.
+func (p *Peers) Handle(sample *bbwire.Envelope, fn func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope) {
+	p.handle(sample, fn)
+}
+
+// OpenStream opens a stream of that kind to the instance; the caller closes it.
+// It blocks up to the deadline of ctx while a session is opened; ErrPeer when
+// none could be, and then nothing was sent.
+func (p *Peers) OpenStream(ctx context.Context, to bbunit.InstanceID, kind string) (net.Conn, error) {
+	l, err := p.link(to)
+	if err != nil {
+		return nil, err
+	}
+	s, err := l.session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	st, err := openKind(s.mux, kind)
+	if err != nil {
+		return nil, errors.Annotatef(ErrPeer, "stream to %s: %v", to, err)
+	}
+	s.touch()
+	return st, nil
+}
+
+// HandleStream sets the function that serves streams of that kind, each on a
+// goroutine of its own; the stream is closed when it returns.
+func (p *Peers) HandleStream(kind string, fn func(from bbunit.InstanceID, conn net.Conn)) {
+	p.streams.Store(kind, fn)
+}
+
+// link returns the link to an instance, and makes one when its address is
+// known.
+func (p *Peers) link(to bbunit.InstanceID) (*link, error) {
+	if l, ok := p.links.Load(to); ok {
+		return l.(*link), nil
+	}
+	if _, ok := p.members.address(to); !ok && to != p.self().ID {
+		return nil, errors.Annotatef(ErrPeer, "%s is not known", to)
+	}
+	return p.makeLink(to)
+}
+
+func (p *Peers) makeLink(to bbunit.InstanceID) (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return nil, errors.Annotate(ErrPeer, "closed")
+	}
+	v, stood := p.links.LoadOrStore(to, newLink(p, to))
+	l := v.(*link)
+	if stood {
+		return l, nil
+	}
+	if to == p.self().ID {
+		p.wg.Go(func() { p.loop(l) })
+		return l, nil
+	}
+	p.wg.Go(func() { l.run(p.ctx) })
+	return l, nil
+}
+
+// forget drops an idle link, unless something was queued meanwhile.
+func (p *Peers) forget(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(l.queue) > 0 || l.current() != nil {
+		return false
+	}
+	p.links.Delete(l.id)
+	return true
+}
+
+// loop delivers what this instance sends to itself.
+func (p *Peers) loop(l *link) {
+	for {
+		select {
+		case e := <-l.queue:
+			self := p.self()
+			e = &bbwire.Envelope{From: string(self.ID), Inc: uint64(self.Inc), Seq: e.Seq, Reply: e.Reply, Error: e.Error, Body: e.Body}
+			p.take(self.ID, e)
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// take hands a received envelope to its handler or waiter.
+func (p *Peers) take(from bbunit.InstanceID, e *bbwire.Envelope) {
+	err := p.deliver(from, e, func(r *bbwire.Envelope) { _ = p.Send(from, r) })
+	if err != nil && !errors.Is(err, errNoWaiter) {
+		p.drop(from, err)
+	}
+}
+
+// connect opens a session with an instance and checks that it is the one meant.
+func (p *Peers) connect(ctx context.Context, to bbunit.InstanceID) (*session, error) {
+	address, ok := p.members.address(to)
+	if !ok {
+		return nil, errors.Errorf("address not known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.tls != nil {
+		conn = tls.Client(conn, p.tls)
+	}
+	s, err := p.open(ctx, conn, true)
+	if err != nil {
+		return nil, err
+	}
+	if s.peer() != to {
+		s.close()
+		return nil, errors.Errorf("%s answers at %s", s.peer(), address)
+	}
+	return s, p.start(s)
+}
+
+// accept takes connections until the listener is closed.
+func (p *Peers) accept() {
+	for {
+		conn, err := p.ln.Accept()
+		if p.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			p.drop("", err)
+			time.Sleep(dialPause)
+			continue
+		}
+		p.wg.Go(func() { p.accepted(conn) })
+	}
+}
+
+func (p *Peers) accepted(conn net.Conn) {
+	remote := conn.RemoteAddr().String()
+	if p.tls != nil {
+		conn = tls.Server(conn, p.tls)
+	}
+	s, err := p.open(p.ctx, conn, false)
+	if err == nil {
+		err = p.start(s)
+	}
+	if err != nil {
+		p.drop("", errors.Annotatef(err, "connection from %s", remote))
+	}
+}
+
+// open shakes hands on a connection, which it closes when that fails.
+func (p *Peers) open(ctx context.Context, conn net.Conn, dialed bool) (*session, error) {
+	if c, ok := conn.(*tls.Conn); ok {
+		hctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := c.HandshakeContext(hctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+	}
+	counted := &countedConn{Conn: conn, in: p.bytesIn, out: p.bytesOut}
+	return newSession(ctx, counted, dialed, p.hello(), muxLog{p.log})
+}
+
+// hello says who this instance is.
+func (p *Peers) hello() *bbwire.Hello {
+	m := p.self()
+	return &bbwire.Hello{
+		Instance: string(m.ID), Inc: uint64(m.Inc), Domain: string(m.Domain), Address: m.Address,
+		Number: uint64(p.parts.Board.State.Load().Number),
+	}
+}
+
+// start serves a new session on goroutines of its own.
+func (p *Peers) start(s *session) error {
+	if s.peer() == p.self().ID {
+		s.close()
+		return errors.Annotatef(errHello, "%s is this instance", s.peer())
+	}
+	l, err := p.makeLink(s.peer())
+	if err != nil {
+		s.close()
+		return err
+	}
+	l.add(s)
+	p.members.greeted(s.hello)
+	p.wg.Go(func() { p.serve(l, s) })
+	p.wg.Go(func() { p.acceptStreams(s) })
+	return nil
+}
+
+// serve reads envelopes until the session ends.
+func (p *Peers) serve(l *link, s *session) {
+	stop := context.AfterFunc(p.ctx, s.close)
+	defer stop()
+	s.read(
+		func(e *bbwire.Envelope) { p.take(l.id, e) },
+		func(err error) { p.drop(l.id, err) },
+	)
+	l.remove(s)
+	if l.current() == nil {
+		p.lost(l.id)
+	}
+}
+
+// acceptStreams serves the streams that the peer opens.
+func (p *Peers) acceptStreams(s *session) {
+	for {
+		st, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		if s.mux.NumStreams() > maxStreams {
+			p.drop(s.peer(), errors.New("too many streams"))
+			_ = st.Close()
+			continue
+		}
+		p.wg.Go(func() { p.serveStream(s, st) })
+	}
+}
+
+func (p *Peers) serveStream(s *session, st *yamux.Stream) {
+	defer func() { _ = st.Close() }()
+	_ = st.SetReadDeadline(time.Now().Add(dialTimeout))
+	kind, err := readKind(st)
+	if err != nil {
+		p.drop(s.peer(), errors.Annotate(err, "stream header"))
+		return
+	}
+	_ = st.SetReadDeadline(time.Time{})
+	fn, ok := p.streams.Load(kind)
+	if !ok {
+		p.drop(s.peer(), errors.Annotatef(errKind, "%.40q", kind))
+		return
+	}
+	s.touch()
+	if r := panics.Try(func() { fn.(func(bbunit.InstanceID, net.Conn))(s.peer(), st) }); r != nil {
+		p.drop(s.peer(), errors.Annotatef(errPanic, "stream %s: %v", kind, r.Value))
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in, out metrics.Counter
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Inc(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Inc(int64(n))
+	return n, err
+}
+
+// muxLog turns yamux's log lines into debug entries.
+type muxLog struct{ log logrus.FieldLogger }
+
+// Write logs one line.
+func (l muxLog) Write(b []byte) (int, error) {
+	l.log.WithField("lib", "yamux").Debug(string(b))
+	return len(b), nil
+}
--- /dev/null
+++ b/bluebellport/src/peer_link.go
@@ -0,0 +1,188 @@
+package bbport
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// link is the way to one peer: a bounded queue, emptied by one goroutine, and
+// the sessions that stand. Two instances that connect to each other at once
+// have two sessions for a while; the one not preferred goes idle and is closed.
+type link struct {
+	peers  *Peers
+	id     bbunit.InstanceID
+	queue  chan *bbwire.Envelope
+	dial   chan struct{} // held by the one who connects
+	failed atomic.Int64  // last failed attempt, in ns since the epoch
+
+	mu       sync.Mutex
+	sessions []*session
+}
+
+func newLink(p *Peers, id bbunit.InstanceID) *link {
+	return &link{peers: p, id: id, queue: make(chan *bbwire.Envelope, linkQueue), dial: make(chan struct{}, 1)}
+}
+
+// push queues e; ErrPeer when the queue is full or the peer out of reach.
+func (l *link) push(e *bbwire.Envelope) error {
+	if l.paused() && l.current() == nil {
+		return errors.Annotatef(ErrPeer, "no session with %s", l.id)
+	}
+	select {
+	case l.queue <- e:
+		return nil
+	default:
+		l.peers.full.Inc(1)
+		return errors.Annotatef(ErrPeer, "queue to %s is full", l.id)
+	}
+}
+
+func (l *link) paused() bool {
+	return time.Since(time.Unix(0, l.failed.Load())) < dialPause
+}
+
+// run sends what is queued until the link has been idle or ctx ends.
+func (l *link) run(ctx context.Context) {
+	tick := time.NewTicker(linkIdle / 4)
+	defer tick.Stop()
+	defer l.closeAll()
+	for {
+		select {
+		case e := <-l.queue:
+			l.send(ctx, e)
+		case <-tick.C:
+			if l.closeIdle() && l.peers.forget(l) {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send writes e, over a fresh session when the one at hand turns out broken.
+func (l *link) send(ctx context.Context, e *bbwire.Envelope) {
+	for range 2 {
+		s, err := l.session(ctx)
+		if err == nil && s.write(e) == nil {
+			return
+		}
+		if err != nil {
+			break
+		}
+	}
+	l.peers.unsent.Inc(1)
+	if e.Seq != 0 && !e.Reply {
+		l.peers.lost(l.id)
+	}
+}
+
+// session returns a live session and opens one when there is none. It blocks
+// up to the deadline of ctx and to dialTimeout.
+func (l *link) session(ctx context.Context) (*session, error) {
+	if s := l.current(); s != nil {
+		return s, nil
+	}
+	select {
+	case l.dial <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errors.Annotate(ErrPeer, ctx.Err().Error())
+	}
+	defer func() { <-l.dial }()
+	if s := l.current(); s != nil {
+		return s, nil
+	}
+	if l.paused() {
+		return nil, errors.Annotatef(ErrPeer, "%s was out of reach just now", l.id)
+	}
+	s, err := l.peers.connect(ctx, l.id)
+	if err != nil {
+		l.failed.Store(time.Now().UnixNano())
+		return nil, errors.Annotatef(ErrPeer, "connect to %s: %v", l.id, err)
+	}
+	return s, nil
+}
+
+// add takes a new session in; the older ones are in doubt until a probe shows
+// that they still carry traffic.
+func (l *link) add(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, o := range l.sessions {
+		if !o.closed() && !o.doubt.Swap(true) {
+			l.peers.wg.Go(func() {
+				if o.probe() {
+					o.doubt.Store(false)
+				}
+			})
+		}
+	}
+	l.sessions = append(l.sessions, s)
+}
+
+// remove drops a session that ended.
+func (l *link) remove(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, o := range l.sessions {
+		if o == s {
+			l.sessions = append(l.sessions[:i], l.sessions[i+1:]...)
+			return
+		}
+	}
+}
+
+// current returns the preferred live session, or nil.
+func (l *link) current() *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *session
+	for _, s := range l.sessions {
+		if !s.closed() && (best == nil || l.prefer(s, best)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// prefer tells whether the later session b goes before a. Both ends choose the
+// same one: that which the instance with the lower id opened.
+func (l *link) prefer(b, a *session) bool {
+	switch {
+	case a.hello.Inc != b.hello.Inc:
+		return true
+	case a.doubt.Load() != b.doubt.Load():
+		return a.doubt.Load()
+	case a.dialed != b.dialed:
+		return b.dialed == (l.peers.self().ID < l.id)
+	}
+	return true
+}
+
+// closeIdle closes sessions without traffic; it returns whether none is left.
+func (l *link) closeIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.sessions {
+		if s.idle(linkIdle) {
+			l.peers.wg.Go(s.close)
+		}
+	}
+	return len(l.sessions) == 0
+}
+
+func (l *link) closeAll() {
+	l.mu.Lock()
+	sessions := append([]*session(nil), l.sessions...)
+	l.mu.Unlock()
+	for _, s := range sessions {
+		s.close()
+	}
+}
--- /dev/null
+++ b/bluebellport/src/session.go
@@ -0,0 +1,246 @@
+package bbport
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// envelopeStream is the kind of the stream that carries envelopes.
+const envelopeStream = "envelope"
+
+const (
+	errHello   = errors.ConstError("bad hello")
+	errFraming = errors.ConstError("framing lost")
+	errKind    = errors.ConstError("unknown kind of stream")
+)
+
+// session is one connection to a peer: a yamux session with one long-lived
+// envelope stream each way, and short streams of other kinds.
+type session struct {
+	hello  *bbwire.Hello // what the peer said of itself
+	mux    *yamux.Session
+	dialed bool
+	made   time.Time
+
+	mu  sync.Mutex // guards writes to out
+	out *yamux.Stream
+	in  *yamux.Stream
+
+	doubt atomic.Bool  // a probe is under way
+	used  atomic.Int64 // last traffic, in ns since the epoch
+}
+
+// muxConfig returns the settings of a yamux session.
+func muxConfig(log io.Writer) *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = keepAliveTimeout
+	cfg.StreamOpenTimeout = keepAliveTimeout + keepAlive
+	cfg.LogOutput = log
+	return cfg
+}
+
+// newSession exchanges Hello over conn. It blocks up to dialTimeout and closes
+// conn when it fails.
+func newSession(ctx context.Context, conn net.Conn, dialed bool, self *bbwire.Hello, log io.Writer) (*session, error) {
+	mux, err := startMux(conn, dialed, log)
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	s := &session{mux: mux, dialed: dialed, made: time.Now()}
+	s.touch()
+	if err := s.greet(ctx, self); err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func startMux(conn net.Conn, dialed bool, log io.Writer) (*yamux.Session, error) {
+	if dialed {
+		return yamux.Client(conn, muxConfig(log))
+	}
+	return yamux.Server(conn, muxConfig(log))
+}
+
+// greet opens the outgoing envelope stream with this instance's Hello and
+// accepts the peer's.
+func (s *session) greet(ctx context.Context, self *bbwire.Hello) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	out, err := openKind(s.mux, envelopeStream)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.out = out
+	if err := s.write(&bbwire.Envelope{Body: &bbwire.Envelope_Hello{Hello: self}}); err != nil {
+		return errors.Trace(err)
+	}
+	in, err := s.mux.AcceptStreamWithContext(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.in = in
+	_ = in.SetReadDeadline(time.Now().Add(dialTimeout))
+	kind, err := readKind(in)
+	if err != nil || kind != envelopeStream {
+		return errors.Annotatef(errHello, "first stream is %q", kind)
+	}
+	return s.readHello(in)
+}
+
+func (s *session) readHello(in *yamux.Stream) error {
+	e := &bbwire.Envelope{}
+	if err := envelopeReader().UnmarshalFrom(byteReader{in}, e); err != nil {
+		return errors.Annotate(errHello, err.Error())
+	}
+	_ = in.SetReadDeadline(time.Time{})
+	s.hello = e.GetHello()
+	return checkHello(s.hello)
+}
+
+// checkHello refuses a Hello that does not name the peer.
+func checkHello(h *bbwire.Hello) error {
+	switch {
+	case h.GetInstance() == "" || len(h.GetInstance()) > maxName:
+		return errors.Annotatef(errHello, "instance %.40q", h.GetInstance())
+	case h.GetDomain() == "" || len(h.GetDomain()) > maxName:
+		return errors.Annotatef(errHello, "failure domain %.40q", h.GetDomain())
+	case h.GetInc() == 0:
+		return errors.Annotate(errHello, "no incarnation")
+	}
+	return nil
+}
+
+func (s *session) peer() bbunit.InstanceID { return bbunit.InstanceID(s.hello.Instance) }
+
+func (s *session) touch() { s.used.Store(time.Now().UnixNano()) }
+
+// idle tells whether nothing went either way, and no stream was open, for d.
+func (s *session) idle(d time.Duration) bool {
+	return time.Since(time.Unix(0, s.used.Load())) > d && s.mux.NumStreams() <= 2
+}
+
+func (s *session) closed() bool { return s.mux.IsClosed() }
+
+func (s *session) close() { _ = s.mux.Close() }
+
+// write sends one envelope; it blocks up to keepAliveTimeout. A write that was
+// cut short loses the framing, so that the session is closed.
+func (s *session) write(e *bbwire.Envelope) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.out.SetWriteDeadline(time.Now().Add(keepAliveTimeout))
+	if _, err := protodelim.MarshalTo(s.out, e); err != nil {
+		s.close()
+		return errors.Trace(err)
+	}
+	s.touch()
+	return nil
+}
+
+// probe checks that the peer still answers; it closes the session if not.
+func (s *session) probe() bool {
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err == nil {
+			return true
+		}
+	case <-time.After(probeTimeout):
+	}
+	s.close()
+	return false
+}
+
+// read hands each envelope to fn until the session ends; bad gets what is
+// dropped.
+func (s *session) read(fn func(*bbwire.Envelope), bad func(error)) {
+	defer s.close()
+	r, opts := bufio.NewReader(s.in), envelopeReader()
+	for malformed := 0; ; {
+		e := &bbwire.Envelope{}
+		err := opts.UnmarshalFrom(r, e)
+		var large *protodelim.SizeTooLargeError
+		switch {
+		case err == nil:
+			malformed = 0
+			s.touch()
+			e.From, e.Inc = s.hello.Instance, s.hello.Inc
+			fn(e)
+			continue
+		case errors.As(err, &large) && large.Size <= maxSkip:
+			bad(err)
+			if _, err := r.Discard(int(large.Size)); err != nil {
+				return
+			}
+			continue
+		case errors.Is(err, proto.Error) && large == nil && malformed < maxMalformed:
+			malformed++
+			bad(err)
+			continue
+		case errors.Is(err, proto.Error):
+			bad(errors.Annotate(errFraming, err.Error()))
+		}
+		return
+	}
+}
+
+// envelopeReader returns the bounds of received envelopes.
+func envelopeReader() protodelim.UnmarshalOptions {
+	return protodelim.UnmarshalOptions{MaxSize: maxEnvelope}
+}
+
+// openKind opens a stream that begins with its kind.
+func openKind(mux *yamux.Session, kind string) (*yamux.Stream, error) {
+	st, err := mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	_ = st.SetWriteDeadline(time.Now().Add(keepAliveTimeout))
+	if _, err := protodelim.MarshalTo(st, wrapperspb.String(kind)); err != nil {
+		_ = st.Close()
+		return nil, err
+	}
+	_ = st.SetWriteDeadline(time.Time{})
+	return st, nil
+}
+
+// readKind reads the header that a stream begins with.
+func readKind(st *yamux.Stream) (string, error) {
+	kind := &wrapperspb.StringValue{}
+	opts := protodelim.UnmarshalOptions{MaxSize: maxName}
+	if err := opts.UnmarshalFrom(byteReader{st}, kind); err != nil {
+		return "", err
+	}
+	return kind.Value, nil
+}
+
+// byteReader reads single bytes without reading ahead.
+type byteReader struct{ io.Reader }
+
+// ReadByte reads one byte.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
