--- a/bluebellport/src/board.go
+++ b/bluebellport/src/board.go
@@ -16,6 +16,9 @@
 	State atomic.Pointer[bbticket.State]
 	// View is the live fleet; the membership controller owns it.
 	View atomic.Pointer[bbmember.View]
+	// Ready is set once a state is in force that is no older than any that a
+	// reached peer has; the follower owns it.
+	Ready atomic.Bool
 	// Draining is set once the instance refuses new work.
 	Draining atomic.Bool
 }
--- a/bluebellport/src/bus.go
+++ b/bluebellport/src/bus.go
@@ -20,6 +20,7 @@
 	errNoBody    = errors.ConstError("envelope without a known body")
 	errNoHandler = errors.ConstError("no handler for the body")
 	errNoWaiter  = errors.ConstError("answer that nobody waits for")
+	errTooMany   = errors.ConstError("too many members in one message")
 	errPanic     = errors.ConstError("handler panicked")
 )
 
--- a/bluebellport/src/peer.go
+++ b/bluebellport/src/peer.go
@@ -67,7 +67,8 @@
 }
 
 func (p *Peers) close() {
-	p.members.leave()
+	p.Leave()
+	p.flush()
 	p.mu.Lock()
 	p.cancel()
 	p.mu.Unlock()
@@ -75,6 +76,49 @@
 	p.wg.Wait()
 }
 
+// Leave tells the fleet that this instance leaves; it does not block, and
+// later calls do nothing.
+func (p *Peers) Leave() { p.members.leave() }
+
+// flush waits until what is queued has been sent, up to leaveFlush.
+func (p *Peers) flush() {
+	for end := time.Now().Add(leaveFlush); time.Now().Before(end); time.Sleep(leaveFlush / 50) {
+		waiting := 0
+		p.links.Range(func(_, l any) bool {
+			waiting += int(l.(*link).waiting.Load())
+			return true
+		})
+		if waiting == 0 {
+			return
+		}
+	}
+}
+
+// heard returns the members that were heard since the last call.
+func (p *Peers) heard() []bbmember.Member {
+	var out []bbmember.Member
+	p.links.Range(func(_, l any) bool {
+		if m, ok := l.(*link).heard(); ok {
+			out = append(out, m)
+		}
+		return true
+	})
+	return out
+}
+
+// probe connects to an instance, and tells the membership when that fails.
+func (p *Peers) probe(id bbunit.InstanceID) {
+	l, err := p.link(id)
+	if err != nil {
+		return
+	}
+	p.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, probeTimeout+dialTimeout)
+		defer cancel()
+		l.probe(ctx)
+	})
+}
+
 // Address returns the address listened on.
 func (p *Peers) Address() string { return p.ln.Addr().String() }
 
@@ -178,6 +222,7 @@
 			self := p.self()
 			e = &bbwire.Envelope{From: string(self.ID), Inc: uint64(self.Inc), Seq: e.Seq, Reply: e.Reply, Error: e.Error, Body: e.Body}
 			p.take(self.ID, e)
+			l.waiting.Add(-1)
 		case <-p.ctx.Done():
 			return
 		}
--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -33,3 +33,59 @@
 	// probeTimeout bounds the probe of a session that is in doubt.
 	probeTimeout = time.Second
 )
+
+// Limits of the list of instances and of gossip.
+const (
+	// listPeriod is the least time between two reads of the list.
+	listPeriod = 2 * time.Second
+	// listRate is the most that reading the list costs, in bytes a second.
+	listRate = 2 << 10
+	// listTimeout bounds one read of the list.
+	listTimeout = 2 * time.Second
+	// maxList is the largest list, in bytes.
+	maxList = 4 << 20
+	// maxGossip is the most that rumors add to a message, in bytes.
+	maxGossip = 32 << 10
+	// maxReports is the most members in one message.
+	maxReports = 256
+	// leaveFlush is the longest wait for the last messages to be sent.
+	leaveFlush = 500 * time.Millisecond
+)
+
+// Limits of following the log of tickets.
+const (
+	// followPeriod is the time between two looks at what is to be done.
+	followPeriod = 250 * time.Millisecond
+	// headPeriod is the time between two reads of the head beside the watch.
+	headPeriod = 5 * time.Second
+	// joinPeriod is the time between two reads of the head, and two rounds of
+	// asking, before any state is known.
+	joinPeriod = time.Second
+	// joinAsks is how many instances are asked in a round.
+	joinAsks = 3
+	// headTimeout bounds one read of the head and of the state.
+	headTimeout = 5 * time.Second
+	// watchLag is how long a watch may be behind a read before it counts as
+	// silent.
+	watchLag = time.Second
+	// watchPause is the least time between two watches.
+	watchPause = 500 * time.Millisecond
+	// treeWidth is how many instances of its failure domain one tells.
+	treeWidth = 4
+	// otherTells is how many other failure domains the first of one tells.
+	otherTells = 2
+	// tellPause is the time that tickets have to arrive by themselves before
+	// an instance that is behind is told.
+	tellPause = 500 * time.Millisecond
+	// askPause is the least time between two questions for tickets.
+	askPause = 100 * time.Millisecond
+	// stateTimeout bounds the transfer of a whole state.
+	stateTimeout = 10 * time.Second
+	// maxState is the largest whole state, in bytes of JSON.
+	maxState = 128 << 20
+	// maxHeld is how far ahead of the state a ticket is held.
+	maxHeld = 256
+	// maxKept and maxKeptBytes bound the tickets kept to pass on.
+	maxKept      = 256
+	maxKeptBytes = 1 << 20
+)
--- a/bluebellport/src/peer_link.go
+++ b/bluebellport/src/peer_link.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -16,11 +17,12 @@
 // the sessions that stand. Two instances that connect to each other at once
 // have two sessions for a while; the one not preferred goes idle and is closed.
 type link struct {
-	peers  *Peers
-	id     bbunit.InstanceID
-	queue  chan *bbwire.Envelope
-	dial   chan struct{} // held by the one who connects
-	failed atomic.Int64  // last failed attempt, in ns since the epoch
+	peers   *Peers
+	id      bbunit.InstanceID
+	queue   chan *bbwire.Envelope
+	dial    chan struct{} // held by the one who connects
+	waiting atomic.Int64  // envelopes queued or being written
+	failed  atomic.Int64  // last failed attempt, in ns since the epoch
 
 	mu       sync.Mutex
 	sessions []*session
@@ -35,10 +37,12 @@
 	if l.paused() && l.current() == nil {
 		return errors.Annotatef(ErrPeer, "no session with %s", l.id)
 	}
+	l.waiting.Add(1)
 	select {
 	case l.queue <- e:
 		return nil
 	default:
+		l.waiting.Add(-1)
 		l.peers.full.Inc(1)
 		return errors.Annotatef(ErrPeer, "queue to %s is full", l.id)
 	}
@@ -57,6 +61,7 @@
 		select {
 		case e := <-l.queue:
 			l.send(ctx, e)
+			l.waiting.Add(-1)
 		case <-tick.C:
 			if l.closeIdle() && l.peers.forget(l) {
 				return
@@ -104,7 +109,10 @@
 	}
 	s, err := l.peers.connect(ctx, l.id)
 	if err != nil {
-		l.failed.Store(time.Now().UnixNano())
+		if ctx.Err() == nil {
+			l.failed.Store(time.Now().UnixNano())
+			l.peers.members.unreachable(l.id)
+		}
 		return nil, errors.Annotatef(ErrPeer, "connect to %s: %v", l.id, err)
 	}
 	return s, nil
@@ -186,3 +194,23 @@
 		s.close()
 	}
 }
+
+// heard returns the member whose traffic came in since the last call.
+func (l *link) heard() (bbmember.Member, bool) {
+	s := l.current()
+	if s == nil || !s.heard.Swap(false) {
+		return bbmember.Member{}, false
+	}
+	return bbmember.Member{ID: l.id, Inc: bbunit.Incarnation(s.hello.Inc)}, true
+}
+
+// probe tells whether the peer can be reached, by the session at hand or by a
+// fresh connection.
+func (l *link) probe(ctx context.Context) bool {
+	if s := l.current(); s != nil && s.probe() {
+		s.heard.Store(true)
+		return true
+	}
+	_, err := l.session(ctx)
+	return err == nil
+}
--- a/bluebellport/src/session.go
+++ b/bluebellport/src/session.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
+	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -42,6 +43,7 @@
 
 	doubt atomic.Bool  // a probe is under way
 	used  atomic.Int64 // last traffic, in ns since the epoch
+	heard atomic.Bool  // something came in since the flag was last cleared
 }
 
 // muxConfig returns the settings of a yamux session.
@@ -123,6 +125,8 @@
 		return errors.Annotatef(errHello, "failure domain %.40q", h.GetDomain())
 	case h.GetInc() == 0:
 		return errors.Annotate(errHello, "no incarnation")
+	case !bbmember.ValidAddress(h.GetAddress()):
+		return errors.Annotatef(errHello, "address %.40q", h.GetAddress())
 	}
 	return nil
 }
@@ -185,6 +189,7 @@
 		case err == nil:
 			malformed = 0
 			s.touch()
+			s.heard.Store(true)
 			e.From, e.Inc = s.hello.Instance, s.hello.Inc
 			fn(e)
 			continue
--- /dev/null
+++ b/shared/bbmember/fleet.go
@@ -0,0 +1,436 @@
+package bbmember
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// Config bounds what one instance knows and sends.
+type Config struct {
+	// Period is the time between two rounds of gossip.
+	Period time.Duration
+	// Suspicion is the silence after which a member that can't be reached
+	// either is taken out of the view.
+	Suspicion time.Duration
+	// Forget is the silence after which an unlisted member is dropped.
+	Forget time.Duration
+	// Fanout is how many members of the own failure domain hear each round;
+	// one of another failure domain hears it too.
+	Fanout int
+	// DomainMax and SampleMax bound the reports of a message that are of the
+	// own failure domain and of the others.
+	DomainMax, SampleMax int
+}
+
+// DefaultConfig returns the bounds for a period and a time of suspicion.
+func DefaultConfig(period, suspicion time.Duration) Config {
+	return Config{
+		Period: period, Suspicion: suspicion, Forget: 12 * suspicion,
+		Fanout: 2, DomainMax: 32, SampleMax: 8,
+	}
+}
+
+// Report is what an instance says of a member. Only the member itself raises
+// Beat; it begins at the milliseconds of the epoch at its start, so that a
+// later life of the same id has the higher beats.
+type Report struct {
+	Member
+	Beat uint64
+}
+
+// Listed is one entry of the platform's list of instances, which lags.
+type Listed struct {
+	ID      bbunit.InstanceID
+	Domain  bbunit.DomainID
+	Address string
+	Leaving bool
+	// Since is when the entry took its state, in milliseconds since the epoch;
+	// 0 when the list doesn't tell.
+	Since int64
+}
+
+// Message is gossip for one member.
+type Message struct {
+	To      bbunit.InstanceID
+	Reports []Report
+}
+
+// Actions are what the instance has to do after an event.
+type Actions struct {
+	// View is the new view, nil when it is as before.
+	View *View
+	// Send is gossip to send now.
+	Send []Message
+	// Probe are members to connect to afresh; the outcome comes back as
+	// Greeted or Unreachable.
+	Probe []bbunit.InstanceID
+	// Dropped counts malformed reports.
+	Dropped int
+	// Superseded tells that a later life of this instance was seen.
+	Superseded bool
+}
+
+// Fleet decides who is live. It has no clock, random source or goroutine of
+// its own, and is not safe for concurrent use.
+type Fleet struct {
+	cfg     Config
+	self    Report
+	rnd     *rand.Rand
+	entries map[bbunit.InstanceID]*entry
+	order   []bbunit.InstanceID // keys of entries, sorted
+	graves  map[bbunit.InstanceID]grave
+	view    *View
+
+	last   time.Time     // wall time of the last event
+	clock  time.Duration // time passed, which never jumps
+	ticked time.Duration
+}
+
+// entry is what is known of another instance.
+type entry struct {
+	Report
+	seen    time.Duration // last rise of the beat, or contact
+	lost    time.Duration // last failed contact
+	probed  time.Duration // last probe
+	changed time.Duration // joined or began to leave
+	listed  bool
+	heard   bool
+}
+
+// grave keeps a dropped member's last beat, so that stale reports don't bring
+// it back.
+type grave struct {
+	beat uint64
+	at   time.Duration
+}
+
+// NewFleet returns the fleet as seen by self, which starts at now.
+func NewFleet(self Member, cfg Config, now time.Time, rnd *rand.Rand) *Fleet {
+	f := &Fleet{
+		cfg: cfg, self: Report{Member: self, Beat: uint64(max(now.UnixMilli(), 1))}, rnd: rnd,
+		entries: map[bbunit.InstanceID]*entry{}, graves: map[bbunit.InstanceID]grave{},
+		last: now, clock: time.Second,
+	}
+	f.view = f.build()
+	return f
+}
+
+// View returns the members that are live.
+func (f *Fleet) View() *View { return f.view }
+
+// Address returns where a member is reached, whether it is live or not.
+func (f *Fleet) Address(id bbunit.InstanceID) (string, bool) {
+	if e, ok := f.entries[id]; ok {
+		return e.Address, e.Address != ""
+	}
+	return "", false
+}
+
+// pass moves the clock on. Steps are bounded, so that neither a jump of the
+// wall clock nor a pause of this instance makes the others look silent.
+func (f *Fleet) pass(now time.Time) {
+	step := now.Sub(f.last)
+	f.last = now
+	f.clock += min(max(step, 0), 2*f.cfg.Period)
+}
+
+// Listed takes the platform's list.
+func (f *Fleet) Listed(now time.Time, list []Listed) Actions {
+	f.pass(now)
+	for _, e := range f.entries {
+		e.listed = false
+	}
+	for _, l := range list {
+		if l.ID == f.self.ID || !validNames(l.ID, l.Domain) {
+			continue
+		}
+		e := f.entries[l.ID]
+		if e == nil {
+			e = f.add(Report{Member: Member{ID: l.ID, Domain: l.Domain, Address: l.Address}})
+		}
+		e.listed = true
+		if !e.heard {
+			e.Address, e.Domain = l.Address, l.Domain
+		}
+		if l.Leaving && (!e.heard || l.Since >= int64(e.Beat)) {
+			e.leave(f.clock)
+		}
+	}
+	return f.finish(Actions{})
+}
+
+// Greeted takes what a member said of itself on a fresh connection.
+func (f *Fleet) Greeted(now time.Time, m Member) Actions {
+	f.pass(now)
+	if m.ID == f.self.ID || !validNames(m.ID, m.Domain) {
+		return Actions{Dropped: 1}
+	}
+	e := f.entries[m.ID]
+	switch {
+	case e == nil:
+		e = f.add(Report{Member: m})
+	case e.Inc == 0, e.Inc != m.Inc && f.silent(e):
+		leaving := e.Leaving && e.Inc == 0
+		e.Report = Report{Member: m, Beat: e.Beat}
+		e.Leaving = leaving
+		e.changed = f.clock
+	case e.Inc != m.Inc:
+		return f.finish(Actions{})
+	}
+	e.contact(f.clock)
+	return f.finish(Actions{})
+}
+
+// Contact notes that traffic came from members; only their ids and
+// incarnations are read.
+func (f *Fleet) Contact(now time.Time, from []Member) Actions {
+	f.pass(now)
+	for _, m := range from {
+		if e := f.entries[m.ID]; e != nil && e.Inc == m.Inc {
+			e.contact(f.clock)
+		}
+	}
+	return f.finish(Actions{})
+}
+
+// Unreachable notes that no connection to a member could be made.
+func (f *Fleet) Unreachable(now time.Time, id bbunit.InstanceID) Actions {
+	f.pass(now)
+	if e := f.entries[id]; e != nil {
+		e.lost = f.clock
+	}
+	return f.finish(Actions{})
+}
+
+// Told takes the reports of a message. News that a member leaves goes on at
+// once.
+func (f *Fleet) Told(now time.Time, reports []Report) Actions {
+	f.pass(now)
+	var a Actions
+	var news []Report
+	for _, r := range reports {
+		switch {
+		case !f.valid(r):
+			a.Dropped++
+		case r.ID == f.self.ID:
+			a.Superseded = a.Superseded || (r.Inc != f.self.Inc && r.Beat > f.self.Beat)
+		case f.learn(r) && r.Leaving:
+			news = append(news, r)
+		}
+	}
+	if len(news) > 0 {
+		for _, to := range f.partners(f.cfg.Fanout, 1) {
+			a.Send = append(a.Send, Message{To: to, Reports: news})
+		}
+	}
+	return f.finish(a)
+}
+
+// learn merges one report; it returns whether the member just joined or began
+// to leave.
+func (f *Fleet) learn(r Report) bool {
+	if g, ok := f.graves[r.ID]; ok && r.Beat <= g.beat {
+		return false
+	}
+	e := f.entries[r.ID]
+	if e == nil {
+		f.add(r).contact(f.clock)
+		return true
+	}
+	sameLife := e.Inc == r.Inc
+	if r.Beat <= e.Beat && (sameLife || !f.silent(e)) {
+		return false
+	}
+	was := e.Leaving && sameLife
+	joined := e.Inc != r.Inc
+	e.Report = r
+	e.Leaving = r.Leaving || was
+	e.heard, e.seen = true, f.clock
+	if joined || e.Leaving != was {
+		e.changed = f.clock
+		return true
+	}
+	return false
+}
+
+// Leave tells the own failure domain, and some of the others, that this
+// instance leaves.
+func (f *Fleet) Leave(now time.Time) Actions {
+	f.pass(now)
+	f.self.Leaving = true
+	f.self.Beat++
+	var a Actions
+	for _, to := range f.partners(f.cfg.DomainMax, f.cfg.SampleMax) {
+		a.Send = append(a.Send, Message{To: to, Reports: []Report{f.self}})
+	}
+	return f.finish(a)
+}
+
+// Tick runs one round; it is called each period.
+func (f *Fleet) Tick(now time.Time) Actions {
+	f.pass(now)
+	f.self.Beat++
+	f.bury()
+	var a Actions
+	for _, to := range f.partners(f.cfg.Fanout, 1) {
+		a.Send = append(a.Send, Message{To: to, Reports: f.reports(to)})
+	}
+	a.Probe = f.probes()
+	return f.finish(a)
+}
+
+// bury drops members that nobody vouches for any more.
+func (f *Fleet) bury() {
+	for _, id := range slices.Clone(f.order) {
+		e := f.entries[id]
+		gone := f.silence(e) > f.cfg.Forget || (e.Leaving && f.silent(e))
+		if e.listed || !gone {
+			continue
+		}
+		f.graves[id] = grave{beat: e.Beat, at: f.clock}
+		delete(f.entries, id)
+		i, _ := slices.BinarySearch(f.order, id)
+		f.order = slices.Delete(f.order, i, i+1)
+	}
+	for id, g := range f.graves {
+		if f.clock-g.at > 4*f.cfg.Forget {
+			delete(f.graves, id)
+		}
+	}
+}
+
+// probes picks the members to connect to afresh: those of the own failure
+// domain that went silent, and the one longest unheard of all.
+func (f *Fleet) probes() []bbunit.InstanceID {
+	var out []bbunit.InstanceID
+	var stalest *entry
+	for _, id := range f.order {
+		e := f.entries[id]
+		if f.clock-e.probed < f.cfg.Suspicion/2 {
+			continue
+		}
+		if e.Domain == f.self.Domain && len(out) < f.cfg.Fanout && f.silence(e) > f.cfg.Suspicion/2 {
+			e.probed = f.clock
+			out = append(out, id)
+			continue
+		}
+		if f.silent(e) && (stalest == nil || max(e.probed, e.seen) < max(stalest.probed, stalest.seen)) {
+			stalest = e
+		}
+	}
+	if stalest != nil && f.clock-f.ticked >= f.cfg.Suspicion/2 {
+		f.ticked, stalest.probed = f.clock, f.clock
+		out = append(out, stalest.ID)
+	}
+	return out
+}
+
+// partners picks live members at random, of the own failure domain and of the
+// others.
+func (f *Fleet) partners(own, others int) []bbunit.InstanceID {
+	var in, out []bbunit.InstanceID
+	for _, id := range f.order {
+		e := f.entries[id]
+		switch {
+		case !f.live(e):
+		case e.Domain == f.self.Domain:
+			in = append(in, id)
+		default:
+			out = append(out, id)
+		}
+	}
+	return append(f.pick(in, own), f.pick(out, others)...)
+}
+
+// pick returns n of ids, chosen at random; it reorders ids.
+func (f *Fleet) pick(ids []bbunit.InstanceID, n int) []bbunit.InstanceID {
+	n = min(n, len(ids))
+	for i := range n {
+		j := i + f.rnd.IntN(len(ids)-i)
+		ids[i], ids[j] = ids[j], ids[i]
+	}
+	return ids[:n]
+}
+
+// reports returns what a member is told: this instance first, then what
+// changed lately, then the failure domain and a sample of the others.
+func (f *Fleet) reports(to bbunit.InstanceID) []Report {
+	own := f.cfg.DomainMax
+	if e := f.entries[to]; e == nil || e.Domain != f.self.Domain {
+		own = f.cfg.SampleMax
+	}
+	var fresh, in, out []bbunit.InstanceID
+	for _, id := range f.order {
+		e := f.entries[id]
+		switch {
+		case id == to || !e.heard || !f.live(e) || e.Inc == 0:
+		case f.clock-e.changed < f.cfg.Suspicion:
+			fresh = append(fresh, id)
+		case e.Domain == f.self.Domain:
+			in = append(in, id)
+		default:
+			out = append(out, id)
+		}
+	}
+	ids := f.pick(fresh, f.cfg.SampleMax)
+	ids = append(ids, f.pick(in, own)...)
+	ids = append(ids, f.pick(out, f.cfg.SampleMax)...)
+	reports := []Report{f.self}
+	for _, id := range ids {
+		reports = append(reports, f.entries[id].Report)
+	}
+	return reports
+}
+
+func (f *Fleet) add(r Report) *entry {
+	e := &entry{Report: r, seen: f.clock, changed: f.clock}
+	f.entries[r.ID] = e
+	i, _ := slices.BinarySearch(f.order, r.ID)
+	f.order = slices.Insert(f.order, i, r.ID)
+	return e
+}
+
+func (e *entry) contact(clock time.Duration) { e.heard, e.seen = true, clock }
+
+func (e *entry) leave(clock time.Duration) {
+	if !e.Leaving {
+		e.Leaving, e.changed = true, clock
+	}
+}
+
+func (f *Fleet) silence(e *entry) time.Duration { return f.clock - e.seen }
+
+func (f *Fleet) silent(e *entry) bool { return f.silence(e) > f.cfg.Suspicion }
+
+// live tells whether a member belongs into the view: a silent one does until a
+// fresh connection to it has failed as well.
+func (f *Fleet) live(e *entry) bool { return !f.silent(e) || e.lost <= e.seen }
+
+// finish adds the view to the actions when it changed.
+func (f *Fleet) finish(a Actions) Actions {
+	v := f.build()
+	if v.Self != f.view.Self || !slices.Equal(v.Members, f.view.Members) {
+		f.view, a.View = v, v
+	}
+	return a
+}
+
+func (f *Fleet) build() *View {
+	v := &View{Self: f.self.Member, Members: make([]Member, 0, len(f.order)+1)}
+	placed := f.self.Leaving
+	for _, id := range f.order {
+		if !placed && id > f.self.ID {
+			v.Members, placed = append(v.Members, f.self.Member), true
+		}
+		if e := f.entries[id]; f.live(e) {
+			v.Members = append(v.Members, e.Member)
+		}
+	}
+	if !placed {
+		v.Members = append(v.Members, f.self.Member)
+	}
+	return v
+}
