Take requests end to end: front, engines, plain services, home forwarding, stop

Callers reach fiber handlers; a request joins the answer of its id, is carried to its home when the caller named it, and is run as admit, reserve, claim or open, attempts, bill. Streams are resumed at their engine or go on at another after the text the caller has; silent connections are found by asking over a fresh one.

--- /dev/null
+++ b/bluebellport/src/admin.go
@@ -0,0 +1,126 @@
+package bbport
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rcrowley/go-metrics"
+
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Status is what an instance tells operators of itself.
+type Status struct {
+	Instance bbunit.InstanceID   `json:"instance"`
+	Domain   bbunit.DomainID     `json:"domain"`
+	Version  string              `json:"version"`
+	Number   bbunit.TicketNumber `json:"number"`
+	Ready    bool                `json:"ready"`
+	Draining bool                `json:"draining"`
+	Open     int64               `json:"open"`
+	Members  []bbunit.InstanceID `json:"members"`
+	// Parts holds what the controllers tell, by their names.
+	Parts map[string]any `json:"parts,omitempty"`
+}
+
+// admin serves health, metrics and status to operators.
+type admin struct {
+	parts Parts
+	front *Front
+	app   *fiber.App
+	// tells are the controllers' own reports, by name.
+	tells map[string]func() any
+}
+
+func newAdmin(p Parts, f *Front, tells map[string]func() any) *admin {
+	a := &admin{parts: p, front: f, tells: tells}
+	a.app = fiber.New(fiber.Config{DisableStartupMessage: true})
+	a.app.Get("/healthz", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
+	a.app.Get("/readyz", a.ready)
+	a.app.Get("/metrics", a.metrics)
+	a.app.Get("/status", func(c *fiber.Ctx) error { return c.JSON(a.status()) })
+	return a
+}
+
+func (a *admin) isReady() bool {
+	b := a.parts.Board
+	return !b.Draining.Load() && b.State.Load().Number > 0
+}
+
+func (a *admin) ready(c *fiber.Ctx) error {
+	if !a.isReady() {
+		return c.Status(http.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (a *admin) status() Status {
+	b := a.parts.Board
+	s := Status{
+		Instance: a.parts.Opts.Self.ID(),
+		Domain:   bbunit.DomainID(a.parts.Opts.Self.Domain),
+		Version:  bbunit.Version,
+		Number:   stateOf(b).Number,
+		Ready:    a.isReady(),
+		Draining: b.Draining.Load(),
+		Open:     a.front.open.Load(),
+		Parts:    map[string]any{},
+	}
+	for _, m := range b.View.Load().Members {
+		s.Members = append(s.Members, m.ID)
+	}
+	for name, tell := range a.tells {
+		s.Parts[name] = tell()
+	}
+	return s
+}
+
+func stateOf(b *Board) *bbticket.State { return b.State.Load() }
+
+// metrics writes the registry in the Prometheus text format.
+func (a *admin) metrics(c *fiber.Ctx) error {
+	var lines []string
+	add := func(name, label string, v any) {
+		lines = append(lines, fmt.Sprintf("bluebellport_%s%s %v", strings.NewReplacer(".", "_", "-", "_").Replace(name), label, v))
+	}
+	a.parts.Metrics.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case metrics.Counter:
+			add(name+"_total", "", m.Count())
+		case metrics.Gauge:
+			add(name, "", m.Value())
+		case metrics.GaugeFloat64:
+			add(name, "", m.Value())
+		case metrics.Meter:
+			add(name+"_total", "", m.Count())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			addQuantiles(add, name, s.Count(), s.Percentiles(quantiles), 1)
+		case metrics.Timer:
+			s := m.Snapshot()
+			addQuantiles(add, name+"_seconds", s.Count(), s.Percentiles(quantiles), 1e9)
+		}
+	})
+	sort.Strings(lines)
+	var b bytes.Buffer
+	for _, l := range lines {
+		b.WriteString(l + "\n")
+	}
+	c.Set("Content-Type", "text/plain; version=0.0.4")
+	return c.Send(b.Bytes())
+}
+
+// quantiles that the metrics page shows of each distribution.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+func addQuantiles(add func(name, label string, v any), name string, n int64, values []float64, unit float64) {
+	add(name+"_count", "", n)
+	for i, q := range quantiles {
+		add(name, fmt.Sprintf("{quantile=%q}", fmt.Sprint(q)), values[i]/unit)
+	}
+}
--- a/bluebellport/src/board.go
+++ b/bluebellport/src/board.go
@@ -19,6 +19,8 @@
 	// Ready is set once a state is in force that is no older than any that a
 	// reached peer has; the follower owns it.
 	Ready atomic.Bool
+	// Leaving is set once the instance was told to stop.
+	Leaving atomic.Bool
 	// Draining is set once the instance refuses new work.
 	Draining atomic.Bool
 }
--- a/bluebellport/src/bus_test.go
+++ b/bluebellport/src/bus_test.go
@@ -48,7 +48,7 @@
 			from <- id
 			return tellEnvelope(string(rune('0' + e.GetTicketask().After)))
 		})
-		r, err := call(p.a, "b", askEnvelope(7), time.Second)
+		r, err := busCall(p.a, "b", askEnvelope(7), time.Second)
 		is.NoErr(err)
 		is.Equal(string(r.GetTickettell().State), "7")
 		is.Equal(<-from, bbunit.InstanceID("a"))
@@ -63,7 +63,7 @@
 		errs := make(chan bool, 20)
 		for i := range uint64(20) {
 			go func() {
-				r, err := call(p.a, "b", askEnvelope(i), time.Second)
+				r, err := busCall(p.a, "b", askEnvelope(i), time.Second)
 				errs <- err == nil && string(r.GetTickettell().State) == string(rune('a'+i))
 			}()
 		}
@@ -75,7 +75,7 @@
 		is := is.New(t)
 		p := pair(t)
 		was := time.Now()
-		_, err := call(p.a, "b", askEnvelope(1), 5*time.Second)
+		_, err := busCall(p.a, "b", askEnvelope(1), 5*time.Second)
 		is.True(err != nil)
 		is.True(time.Since(was) < 4*time.Second)
 	})
@@ -84,37 +84,37 @@
 		p := pair(t)
 		p.b.Handle(tellEnvelope(""), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { panic("x") })
 		p.b.Handle(askEnvelope(0), answerAll)
-		_, err := call(p.a, "b", tellEnvelope(""), time.Second)
+		_, err := busCall(p.a, "b", tellEnvelope(""), time.Second)
 		is.True(err != nil)
-		_, err = call(p.a, "b", askEnvelope(1), time.Second)
+		_, err = busCall(p.a, "b", askEnvelope(1), time.Second)
 		is.NoErr(err)
 	})
 	t.Run("silent handler ends at the deadline", func(t *testing.T) {
 		is := is.New(t)
 		p := pair(t)
 		p.b.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return nil })
-		_, err := call(p.a, "b", askEnvelope(1), 100*time.Millisecond)
+		_, err := busCall(p.a, "b", askEnvelope(1), 100*time.Millisecond)
 		is.True(errors.Is(err, ErrPeer))
 	})
 	t.Run("unknown instance", func(t *testing.T) {
 		is := is.New(t)
 		p := pair(t)
-		_, err := call(p.a, "nobody", askEnvelope(1), 200*time.Millisecond)
+		_, err := busCall(p.a, "nobody", askEnvelope(1), 200*time.Millisecond)
 		is.True(errors.Is(err, ErrPeer))
 	})
 	t.Run("severed link", func(t *testing.T) {
 		is := is.New(t)
 		p := pair(t)
 		p.b.Handle(askEnvelope(0), answerAll)
-		_, err := call(p.a, "b", askEnvelope(1), time.Second)
+		_, err := busCall(p.a, "b", askEnvelope(1), time.Second)
 		is.NoErr(err)
 		p.sever()
-		_, err = call(p.a, "b", askEnvelope(1), 300*time.Millisecond)
+		_, err = busCall(p.a, "b", askEnvelope(1), 300*time.Millisecond)
 		is.True(errors.Is(err, ErrPeer))
 	})
 }
 
-func call(b Bus, to bbunit.InstanceID, e *bbwire.Envelope, d time.Duration) (*bbwire.Envelope, error) {
+func busCall(b Bus, to bbunit.InstanceID, e *bbwire.Envelope, d time.Duration) (*bbwire.Envelope, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	return b.Call(ctx, to, e)
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -1,8 +1,194 @@
 package bbport
 
-import "io"
+import (
+	"context"
+	stderrors "errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
 
 // Main runs the program with the arguments and returns its exit code.
-func Main(_ []string, _, _ io.Writer) int {
-	return 0
+func Main(args []string, stdout, stderr io.Writer) int {
+	opts := &Options{}
+	code := -1
+	app := kingpin.New("bluebellport", "One instance of a fleet of routers for prepaid token budgets.")
+	app.Version(bbunit.Version)
+	app.UsageWriter(stdout).ErrorWriter(stderr)
+	app.Terminate(func(c int) { code = c })
+	serve := app.Command("serve", "Take requests until told to stop.")
+	for _, g := range opts.groups() {
+		g.flags(serve)
+	}
+	_, err := app.Parse(args)
+	if code >= 0 {
+		return code
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "bluebellport: %s\n", err)
+		return exitUsage
+	}
+	if bad := opts.Check(); len(bad) > 0 {
+		for _, line := range bad {
+			fmt.Fprintf(stderr, "bluebellport: %s\n", line)
+		}
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := Serve(ctx, opts, stderr); err != nil {
+		fmt.Fprintf(stderr, "bluebellport: %s\n", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// Serve runs an instance until ctx ends, and then stops it without cutting a
+// request. The parts know only the board and the interfaces in parts.go:
+//
+//	                 platform: key-value service, list of instances
+//	                    |            |              |
+//	                Follower       Peers        Treasury, Recorder
+//	                    | State      | View         | shares, records
+//	                    v            v              v
+//	                 [ Board ] <-----+---- Bus ---- peers
+//	                    |
+//	caller -> Front -> runner: Admit -> Reserve -> Claim/Open -> attempts -> Bill
+//	   ^                                                           |
+//	   +------------------ flow <---------- engines, plains <------+--> target
+func Serve(ctx context.Context, opts *Options, logs io.Writer) error {
+	log, err := newLog(opts, logs)
+	if err != nil {
+		return err
+	}
+	stopTrace, err := startTrace(opts)
+	if err != nil {
+		return err
+	}
+	defer stopTrace()
+	p := newParts(opts, log)
+	store, closeStore := bbstore.NewClient(opts.Self.Store, bbstore.ClientOptions{})
+	defer closeStore()
+	p.Store = store
+
+	peers, closePeers, err := NewPeers(p)
+	if err != nil {
+		return err
+	}
+	defer closePeers()
+	p.Bus = peers
+	_, closeFollower := NewFollower(p, peers)
+	defer closeFollower()
+	treasury, closeTreasury := NewTreasury(p)
+	defer closeTreasury()
+	recorder, closeRecorder := NewRecorder(p)
+	defer closeRecorder()
+	router, closeRouter := NewRouter(p)
+	defer closeRouter()
+
+	f := NewFront(p, newRunner(p, router, treasury, recorder))
+	f.carrier = newCarrier(f, peers)
+	a := newAdmin(p, f, map[string]func() any{
+		"money":   func() any { return treasuryTold(treasury.Status()) },
+		"records": func() any { return recorder.Status() },
+	})
+	return listen(ctx, p, f, a, func(ctx context.Context) {
+		if err := stderrors.Join(treasury.Drain(ctx), recorder.Drain(ctx)); err != nil {
+			log.WithField("event", "drain").WithError(err).Error("not all was handed back")
+		}
+	})
+}
+
+// newParts returns what all controllers share, without store and bus.
+func newParts(opts *Options, log logrus.FieldLogger) Parts {
+	self := bbmember.Member{ID: opts.Self.ID(), Inc: newIncarnation(), Domain: bbunit.DomainID(opts.Self.Domain)}
+	return Parts{
+		Board:   NewBoard(self),
+		Log:     log,
+		Metrics: metrics.NewRegistry(),
+		Opts:    opts,
+		Now:     time.Now,
+	}
+}
+
+func newRunner(p Parts, router *Router, m Money, l Ledger) *runner {
+	self := p.Board.View.Load().Self
+	owner := fmt.Sprintf("%s/%x", self.ID, uint64(self.Inc))
+	up := &upstream{}
+	var tasks conc.WaitGroup
+	return &runner{
+		parts:   p,
+		router:  router,
+		money:   m,
+		ledger:  l,
+		engines: &engines{up: up, owner: owner, silence: p.Opts.Front.Silence, tasks: tasks.Go},
+		plains:  &plains{up: up, owner: owner, silence: p.Opts.Front.Silence},
+		owner:   owner,
+		tracer:  otel.Tracer("bluebellport"),
+	}
+}
+
+// listen opens both addresses, serves until ctx ends, and stops: it goes on
+// taking requests while the balancer learns that the instance leaves, then
+// refuses new ones, ends the open ones whole, and hands back what it holds.
+func listen(ctx context.Context, p Parts, f *Front, a *admin, drain func(context.Context)) error {
+	callers, err := net.Listen("tcp", p.Opts.Front.Listen)
+	if err != nil {
+		return errors.Annotate(err, "--listen")
+	}
+	operators, err := net.Listen("tcp", p.Opts.Front.Admin)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Annotate(err, "--admin")
+	}
+	var wg conc.WaitGroup
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- f.app.Listener(callers) })
+	wg.Go(func() { failed <- a.app.Listener(operators) })
+	p.Log.WithFields(logrus.Fields{"event": "serving", "listen": callers.Addr().String(), "admin": operators.Addr().String()}).Info("serving")
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	}
+	p.Board.Leaving.Store(true)
+	p.Log.WithField("event", "leaving").Info("leaving")
+	end, cancel := context.WithTimeout(context.Background(), p.Opts.Front.Drain)
+	defer cancel()
+	f.drain(end)
+	drain(end)
+	_ = f.app.ShutdownWithTimeout(time.Second)
+	_ = a.app.ShutdownWithTimeout(time.Second)
+	wg.Wait()
+	p.Log.WithField("event", "stopped").Info("stopped")
+	return errors.Trace(err)
+}
+
+// treasuryTold is a treasury's status, or why there is none.
+func treasuryTold(s TreasuryStatus, err error) any {
+	if err != nil {
+		return map[string]string{"error": err.Error()}
+	}
+	return s
 }
--- /dev/null
+++ b/bluebellport/src/drain.go
@@ -0,0 +1,36 @@
+package bbport
+
+import (
+	"context"
+	"time"
+)
+
+// frontDrainPoll is how often a stopping instance looks whether its requests ended.
+const frontDrainPoll = 20 * time.Millisecond
+
+// drain ends the callers' side: for the linger time it still takes requests,
+// since the balancer learns late that the instance leaves, and asks each caller
+// to open a new connection; then it refuses new ones and waits for the open
+// ones until ctx ends.
+func (f *Front) drain(ctx context.Context) {
+	wait(ctx, f.opts.Linger)
+	f.parts.Board.Draining.Store(true)
+	for f.open.Load() > 0 {
+		if !wait(ctx, frontDrainPoll) {
+			f.parts.Log.WithField("event", "drain").WithField("open", f.open.Load()).Error("drain limit reached with requests open")
+			return
+		}
+	}
+}
+
+// wait sleeps and returns false when ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbunit"
@@ -71,6 +72,9 @@
 	if o.Domain == "" {
 		bad = append(bad, "--domain: must not be empty")
 	}
+	if _, err := logrus.ParseLevel(o.LogLevel); err != nil {
+		bad = append(bad, fmt.Sprintf("--log-level: %q: panic, fatal, error, warning, info, debug or trace", o.LogLevel))
+	}
 	bad = append(bad, badAddress("--store", o.Store, true)...)
 	bad = append(bad, badAddress("--list", o.List, false)...)
 	return append(bad, badAddress("--trace-otlp", o.TraceOTLP, false)...)
@@ -86,6 +90,10 @@
 	Body    int64 // bytes
 	Drain   time.Duration
 	Timeout time.Duration
+	// Linger is how long a leaving instance still takes new requests.
+	Linger time.Duration
+	// Silence is how long a target may send nothing before it is asked about.
+	Silence time.Duration
 }
 
 func (o *FrontOptions) flags(cmd *kingpin.CmdClause) {
@@ -94,6 +102,8 @@
 	cmd.Flag("max-body", "Largest request body, in bytes.").Envar("BLUEBELLPORT_MAX_BODY").Default("1048576").Int64Var(&o.Body)
 	cmd.Flag("drain", "Longest time that a planned stop waits for streams to end.").Envar("BLUEBELLPORT_DRAIN").Default("60s").DurationVar(&o.Drain)
 	cmd.Flag("timeout", "Deadline of a request that sets none.").Envar("BLUEBELLPORT_TIMEOUT").Default("120s").DurationVar(&o.Timeout)
+	cmd.Flag("linger", "How long a leaving instance still takes requests while the balancer learns of it.").Envar("BLUEBELLPORT_LINGER").Default("3s").DurationVar(&o.Linger)
+	cmd.Flag("silence", "How long a target may send nothing before it is asked about over a fresh connection.").Envar("BLUEBELLPORT_SILENCE").Default("2s").DurationVar(&o.Silence)
 }
 
 func (o *FrontOptions) check() []string {
@@ -103,6 +113,10 @@
 		bad = append(bad, fmt.Sprintf("--max-body: must be above 0, is %d", o.Body))
 	}
 	bad = append(bad, badDuration("--drain", o.Drain)...)
+	bad = append(bad, badDuration("--silence", o.Silence)...)
+	if o.Linger < 0 || o.Linger >= o.Drain {
+		bad = append(bad, fmt.Sprintf("--linger: must be from 0 to below --drain (%s), is %s", o.Drain, o.Linger))
+	}
 	return append(bad, badDuration("--timeout", o.Timeout)...)
 }
 
--- a/bluebellport/src/parts.go
+++ b/bluebellport/src/parts.go
@@ -91,6 +91,11 @@
 	Claim(ctx context.Context, r *bbwire.Record) (*bbwire.Record, error)
 	// Open notes a reservation before the request is sent. It does not wait.
 	Open(r *bbwire.Record)
+	// Withdraw gives up a claim or an open reservation of which nothing was
+	// sent and nothing will be. It does not wait.
+	Withdraw(r *bbwire.Record)
+	// Full tells that new work must be refused, since too many bills wait.
+	Full() bool
 	// Bill queues the final record of a request. It does not wait; the record
 	// is sent until it is acknowledged.
 	Bill(r *bbwire.Record)
--- a/bluebellport/src/recorder_lane.go
+++ b/bluebellport/src/recorder_lane.go
@@ -221,7 +221,7 @@
 
 // forward sends items to the home and waits for its verdicts. It returns the
 // items that have to come again, and false when the home did not answer.
-func (r *Recorder) forward(ctx context.Context, l *lane, home bbmember.Member, items []*item) ([]*item, bool) {
+func (r *Recorder) forward(ctx context.Context, _ *lane, home bbmember.Member, items []*item) ([]*item, bool) {
 	items = r.wanted(items)
 	if len(items) == 0 {
 		return nil, true
--- /dev/null
+++ b/bluebellport/src/run.go
@@ -0,0 +1,274 @@
+package bbport
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// runner takes a parsed request from admission to its bill.
+type runner struct {
+	parts   Parts
+	router  *Router
+	money   Money
+	ledger  Ledger
+	engines *engines
+	plains  *plains
+	owner   string
+	tracer  trace.Tracer
+}
+
+// job is one request under way.
+type job struct {
+	*runner
+	c     *call
+	out   *Answer
+	hold  *Hold
+	rec   *bbwire.Record
+	ask   Ask
+	relay relay
+	tried []bbunit.TargetID
+	last  bbunit.TargetID
+	// sent tells that a byte of the request may have run somewhere.
+	sent bool
+}
+
+// run does the whole request and ends the answer:
+//
+//	admit -> reserve -> claim or open -> attempts -> bill
+//	   \________\___________\______________\______-> refusal
+func (r *runner) run(ctx context.Context, c *call, out *Answer) {
+	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errors.Trace(errDeadline))
+	defer cancel()
+	j := &job{runner: r, c: c, out: out, ask: askOf(ctx, c)}
+	pass, err := r.router.Admit(j.ask)
+	if err != nil {
+		j.refuse(err)
+		return
+	}
+	defer pass.Done()
+	if j.hold, err = r.reserve(ctx, c); err != nil {
+		j.refuse(err)
+		return
+	}
+	if stands, err := j.record(ctx); err != nil {
+		j.hold.End(0)
+		j.unclaimed(err, stands)
+		return
+	}
+	j.finish(ctx, j.attempts(ctx))
+}
+
+func askOf(ctx context.Context, c *call) Ask {
+	a := Ask{
+		Service:  c.service.ID,
+		Account:  c.account.ID,
+		Priority: c.priority,
+		Deadline: c.deadline,
+		Prefix:   c.prefixes(),
+		Print:    printOf(c.method, string(c.service.ID), c.path, c.body),
+		Repeat:   c.repeatable,
+		Cancel:   ctx.Done(),
+	}
+	if c.chat != nil {
+		a.Output = c.chat.bound(c.service)
+	}
+	return a
+}
+
+// reserve sets the request's highest price aside.
+func (r *runner) reserve(ctx context.Context, c *call) (*Hold, error) {
+	ctx, span := r.tracer.Start(ctx, "reserve", trace.WithAttributes(attribute.Int64("tokens", int64(c.most))))
+	defer span.End()
+	if len(c.budgets) == 0 {
+		return nil, errors.Trace(ErrBudget)
+	}
+	return r.money.Reserve(ctx, c.budgets, c.most)
+}
+
+// record claims a request that must not run twice, and notes any other. With
+// an error it returns the record that stands, if there is one.
+func (j *job) record(ctx context.Context) (*bbwire.Record, error) {
+	j.rec = &bbwire.Record{
+		Kind:    bbwire.Record_OPEN,
+		Account: string(j.c.account.ID),
+		Request: string(j.c.id),
+		Print:   j.c.print,
+		Budget:  string(j.hold.Budget),
+		Holder:  string(j.hold.Holder),
+		Service: string(j.c.service.ID),
+		Amount:  int64(j.c.most),
+		Made:    j.parts.Now().UnixMilli(),
+	}
+	if j.c.repeatable {
+		j.ledger.Open(j.rec)
+		return nil, nil
+	}
+	ctx, span := j.tracer.Start(ctx, "claim")
+	defer span.End()
+	return j.ledger.Claim(ctx, j.rec)
+}
+
+// unclaimed ends the answer of a request whose claim was refused. Where another
+// claim or a bill stands, the request may have run, and the answer says so.
+func (j *job) unclaimed(err error, stands *bbwire.Record) {
+	if !errors.Is(err, ErrClaimed) || stands == nil {
+		j.refuse(err)
+		return
+	}
+	detail := "another copy of the request was sent and its end was not seen"
+	if stands.Kind == bbwire.Record_BILL {
+		detail = fmt.Sprintf("the request ran and was billed %d tokens; its answer is no longer kept here", stands.Amount)
+	}
+	j.fail(errors.Annotate(err, detail), bbunit.OutcomeUnknown)
+}
+
+// attempts tries targets until one answers or nothing more may be tried.
+func (j *job) attempts(ctx context.Context) error {
+	for n := 0; ; n++ {
+		at, err := j.router.Pick(j.ask, j.tried)
+		if err != nil {
+			return err
+		}
+		end := j.attempt(ctx, at, n)
+		at.Done(end)
+		j.sent = j.sent || end.Sent
+		if end.Err == nil || errors.Is(end.Err, errAnswered) {
+			return end.Err
+		}
+		j.log(at, n, end)
+		if ctx.Err() != nil {
+			return errors.Annotate(context.Cause(ctx), end.Err.Error())
+		}
+		if !j.again(end) {
+			return end.Err
+		}
+		j.tried = append(j.tried, at.Target.ID)
+		j.relay.restart()
+	}
+}
+
+// again tells whether another target may be tried.
+func (j *job) again(end AttemptEnd) bool {
+	if end.Sent && !j.c.repeatable {
+		return false
+	}
+	if j.relay.many && len(j.relay.text) > 0 {
+		return false
+	}
+	return true
+}
+
+// attempt runs the request at one target.
+func (j *job) attempt(ctx context.Context, at *Attempt, n int) AttemptEnd {
+	ctx, span := j.tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("target", string(at.Target.ID)), attribute.Int("attempt", n)))
+	defer span.End()
+	j.last = at.Target.ID
+	var end AttemptEnd
+	if j.c.chat != nil {
+		end = j.engines.run(ctx, j.c, at, n, &j.relay, j.out)
+	} else {
+		end = j.plains.run(ctx, j.c, at, n, j.out)
+	}
+	if end.Err != nil {
+		span.RecordError(end.Err)
+	}
+	return end
+}
+
+func (j *job) log(at *Attempt, n int, end AttemptEnd) {
+	j.parts.Log.WithFields(map[string]any{
+		"event": "attempt", "request": j.c.id, "account": j.c.account.ID, "target": at.Target.ID,
+		"attempt": n, "sent": end.Sent, "crashed": end.Crashed,
+	}).WithError(end.Err).Warn("attempt failed")
+}
+
+// finish bills the request and ends its answer.
+func (j *job) finish(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		j.bill(bbwire.Record_BILL, j.c.price(j.relay.total()))
+		j.out.Finish(bbunit.OutcomeDone)
+	case errors.Is(err, errAnswered):
+		j.bill(bbwire.Record_BILL, 0)
+		j.out.Finish(bbunit.OutcomeFailed)
+	case !j.sent:
+		j.hold.End(0)
+		j.ledger.Withdraw(j.rec)
+		j.refuse(err)
+	case !j.c.repeatable:
+		j.bill(bbwire.Record_UNKNOWN, j.c.most)
+		j.fail(err, bbunit.OutcomeUnknown)
+	default:
+		j.bill(bbwire.Record_BILL, j.partial())
+		j.fail(err, bbunit.OutcomeFailed)
+	}
+	if ctx.Err() != nil {
+		trace.SpanFromContext(ctx).RecordError(context.Cause(ctx))
+	}
+}
+
+// partial is the price of an answer that ended early: what the caller got.
+func (j *job) partial() bbunit.Tokens {
+	if len(j.relay.text) == 0 {
+		return 0
+	}
+	return j.c.price(j.relay.total())
+}
+
+// bill ends the reservation and records what the request came to.
+func (j *job) bill(kind bbwire.Record_Kind, amount bbunit.Tokens) {
+	j.hold.End(amount)
+	j.rec.Kind, j.rec.Amount, j.rec.Target = kind, int64(amount), string(j.last)
+	j.ledger.Bill(j.rec)
+}
+
+// refuse ends the answer of a request that did not run.
+func (j *job) refuse(err error) {
+	j.fail(err, bbunit.OutcomeNotRun)
+}
+
+// fail ends the answer with what is known of the request.
+func (j *job) fail(err error, o bbunit.Outcome) {
+	r := refuse(err, o)
+	j.parts.Log.WithFields(map[string]any{
+		"event": "refused", "request": j.c.id, "account": j.c.account.ID, "service": j.c.service.ID,
+		"status": r.Status, "outcome": o.String(), "retry": r.Retry.Seconds(),
+	}).WithError(err).Info("request refused")
+	r.end(j.c.id, j.out, j.relay.begun)
+}
+
+// end writes the refusal: as the answer, or as the last event of a stream that
+// has begun.
+func (r refusal) end(id bbunit.RequestID, out *Answer, started bool) {
+	body := r.body(id)
+	if started {
+		body = fmt.Appendf(nil, "event: error\ndata: {\"error\":%s}\n\n", body)
+	} else {
+		begin(out, r.Status, "application/problem+json", r.fields())
+	}
+	// The caller may be gone; the outcome is recorded all the same.
+	_ = out.Write(context.Background(), body)
+	out.Finish(r.Outcome)
+}
+
+// fields are the header fields of a refusal.
+func (r refusal) fields() []Field {
+	var out []Field
+	if r.Retry > 0 {
+		out = append(out, Field{"Retry-After", strconv.FormatInt(retrySeconds(r.Retry), 10)})
+	}
+	if r.Status == http.StatusUnauthorized {
+		out = append(out, Field{"WWW-Authenticate", "Bearer"})
+	}
+	return out
+}
--- /dev/null
+++ b/bluebellport/src/trace.go
@@ -0,0 +1,70 @@
+package bbport
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// traceFlush bounds the export of the last spans at a stop.
+const traceFlush = 2 * time.Second
+
+// newLog returns a logger of JSON lines.
+func newLog(opts *Options, w io.Writer) (logrus.FieldLogger, error) {
+	level, err := logrus.ParseLevel(opts.Self.LogLevel)
+	if err != nil {
+		return nil, errors.Annotate(err, "--log-level")
+	}
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(level)
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return l.WithFields(logrus.Fields{"instance": opts.Self.Instance, "domain": opts.Self.Domain}), nil
+}
+
+// startTrace sets the trace context that is passed on, and the exporter where
+// the settings name a collector. The function it returns exports the last
+// spans.
+func startTrace(opts *Options) (func(), error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	if opts.Self.TraceOTLP == "" {
+		return func() {}, nil
+	}
+	exp, err := otlptracehttp.New(context.Background(),
+		otlptracehttp.WithEndpoint(opts.Self.TraceOTLP), otlptracehttp.WithInsecure())
+	if err != nil {
+		return nil, errors.Annotate(err, "--trace-otlp")
+	}
+	tp := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exp), sdktrace.WithResource(resource.NewSchemaless(
+		attribute.String("service.name", "bluebellport"),
+		attribute.String("service.version", bbunit.Version),
+		attribute.String("service.instance.id", opts.Self.Instance),
+	)))
+	otel.SetTracerProvider(tp)
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), traceFlush)
+		defer cancel()
+		_ = tp.Shutdown(ctx)
+	}, nil
+}
+
+// newIncarnation draws a number that tells this life of the instance from
+// others.
+func newIncarnation() bbunit.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return bbunit.Incarnation(binary.LittleEndian.Uint64(b[:]))
+}
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -32,7 +32,7 @@
 	witness bbledger.Witness
 	keepers map[int]*bbledger.Keeper
 	holders uint64
-	waiters []*waiter
+	waiters []*shareWaiter
 	view    *bbmember.View
 	visits  visits
 
@@ -119,7 +119,7 @@
 	t.waited.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, t.wait)
 	defer cancel()
-	w := &waiter{budgets: budgets, most: most, done: make(chan struct{})}
+	w := &shareWaiter{budgets: budgets, most: most, done: make(chan struct{})}
 	t.box.put(func() { t.join(w) })
 	select {
 	case <-w.done:
--- /dev/null
+++ b/bluebellport/src/upstream.go
@@ -0,0 +1,150 @@
+package bbport
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// errNotSent marks an attempt of which no byte left for the target.
+const errNotSent = errors.ConstError("not sent")
+
+// upstream holds the connections to targets. The zero value works.
+type upstream struct {
+	pooled sync.Map // address -> *fasthttp.HostClient
+	fresh  sync.Map // address -> *fasthttp.HostClient that reuses nothing
+}
+
+// client returns the client for an address. One that is fresh opens a new
+// connection for each request.
+func (u *upstream) client(address string, fresh bool) *fasthttp.HostClient {
+	m := &u.pooled
+	if fresh {
+		m = &u.fresh
+	}
+	if v, ok := m.Load(address); ok {
+		return v.(*fasthttp.HostClient)
+	}
+	v, _ := m.LoadOrStore(address, newClient(address))
+	return v.(*fasthttp.HostClient)
+}
+
+// newClient returns a client that sends each request at most once.
+func newClient(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		Dial:                      dial,
+		MaxConns:                  maxConns,
+		MaxIdleConnDuration:       idleTimeout,
+		MaxIdemponentCallAttempts: 1,
+		StreamResponseBody:        true,
+		MaxResponseBodySize:       maxAnswer,
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+	}
+}
+
+func dial(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, targetDialTimeout)
+	if err != nil {
+		return nil, errors.WithType(err, errNotSent)
+	}
+	return c, nil
+}
+
+// forget closes idle connections to targets that are no longer in force.
+func (u *upstream) forget(keep map[string]bool) {
+	for _, m := range []*sync.Map{&u.pooled, &u.fresh} {
+		m.Range(func(k, v any) bool {
+			if !keep[k.(string)] {
+				v.(*fasthttp.HostClient).CloseIdleConnections()
+				m.Delete(k)
+			}
+			return true
+		})
+	}
+}
+
+// send does the request and returns once the answer's header is there, the
+// context ends or the deadline passes. Sent is false only when no byte left.
+// The answer must be closed by its clean-up function.
+func (u *upstream) send(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time) (resp *fasthttp.Response, free func(), sent bool, err error) {
+	if fresh {
+		req.SetConnectionClose()
+	}
+	otel.GetTextMapPropagator().Inject(ctx, requestCarrier{&req.Header})
+	done := make(chan error, 1)
+	resp = fasthttp.AcquireResponse()
+	c := u.client(address, fresh)
+	go func() { done <- c.DoDeadline(req, resp, deadline) }()
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		go abandon(done, req, resp)
+		return nil, func() {}, true, errors.WithType(context.Cause(ctx), errSilent)
+	}
+	if err != nil {
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+		return nil, func() {}, !notSent(err), errors.Trace(err)
+	}
+	free = sync.OnceFunc(func() {
+		_ = resp.CloseBodyStream()
+		fasthttp.ReleaseRequest(req)
+		fasthttp.ReleaseResponse(resp)
+	})
+	return resp, free, true, nil
+}
+
+// abandon cleans up after a request that nobody waits for any more.
+func abandon(done <-chan error, req *fasthttp.Request, resp *fasthttp.Response) {
+	if err := <-done; err == nil {
+		_ = resp.CloseBodyStream()
+	}
+	fasthttp.ReleaseRequest(req)
+	fasthttp.ReleaseResponse(resp)
+}
+
+func notSent(err error) bool {
+	return errors.Is(err, errNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
+}
+
+// readAll reads an answer's body up to maxAnswer bytes.
+func readAll(resp *fasthttp.Response) ([]byte, error) {
+	s := resp.BodyStream()
+	if s == nil {
+		return append([]byte(nil), resp.Body()...), nil
+	}
+	b, err := io.ReadAll(io.LimitReader(s, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = errors.WithType(errors.Errorf("answer above %d bytes", maxAnswer), errTarget)
+	}
+	return b, errors.Trace(err)
+}
+
+// requestCarrier writes trace context into a request's header.
+type requestCarrier struct{ h *fasthttp.RequestHeader }
+
+var _ propagation.TextMapCarrier = requestCarrier{}
+
+// Get returns a field.
+func (c requestCarrier) Get(key string) string { return string(c.h.Peek(key)) }
+
+// Set writes a field.
+func (c requestCarrier) Set(key, value string) { c.h.Set(key, value) }
+
+// Keys returns the names of all fields.
+func (c requestCarrier) Keys() []string {
+	var out []string
+	for k := range c.h.All() {
+		out = append(out, string(k))
+	}
+	return out
+}
--- a/bluebellport/src/waiter.go
+++ b/bluebellport/src/waiter.go
@@ -9,9 +9,9 @@
 	"bluebellport.example/shared/bbunit"
 )
 
-// waiter is a request that waits for a share. The loop settles it or the
+// shareWaiter is a request that waits for a share. The loop settles it or the
 // request gives up, whichever comes first.
-type waiter struct {
+type shareWaiter struct {
 	budgets []bbunit.BudgetID
 	most    bbunit.Tokens
 	done    chan struct{}
@@ -25,7 +25,7 @@
 }
 
 // take ends the wait and returns what the loop found: ErrShare if nothing.
-func (w *waiter) take() (*bbledger.Pot, error) {
+func (w *shareWaiter) take() (*bbledger.Pot, error) {
 	if !w.over.Swap(true) {
 		return nil, errors.Annotate(ErrShare, "no share in time")
 	}
@@ -34,7 +34,7 @@
 }
 
 // settle gives the request its pot or error; false when it has given up.
-func (w *waiter) settle(pot *bbledger.Pot, err error) bool {
+func (w *shareWaiter) settle(pot *bbledger.Pot, err error) bool {
 	if w.over.Swap(true) {
 		return false
 	}
@@ -43,7 +43,7 @@
 	return true
 }
 
-func (t *Treasury) join(w *waiter) {
+func (t *Treasury) join(w *shareWaiter) {
 	if w.over.Load() {
 		return
 	}
@@ -51,22 +51,22 @@
 	t.attend(w, 0)
 }
 
-// attend makes the waiter wait for its budget of that place.
-func (t *Treasury) attend(w *waiter, at int) {
+// attend makes the shareWaiter wait for its budget of that place.
+func (t *Treasury) attend(w *shareWaiter, at int) {
 	t.unattend(w)
 	w.at, w.joined = at, t.purse.Pot(w.budgets[at])
 	t.purse.Wait(w.joined, w.most)
 }
 
-func (t *Treasury) unattend(w *waiter) {
+func (t *Treasury) unattend(w *shareWaiter) {
 	if w.joined != nil {
 		t.purse.Done(w.joined, w.most)
 		w.joined = nil
 	}
 }
 
-// leave forgets a waiter whose request went on.
-func (t *Treasury) leave(w *waiter) {
+// leave forgets a shareWaiter whose request went on.
+func (t *Treasury) leave(w *shareWaiter) {
 	t.unattend(w)
 	for i, x := range t.waiters {
 		if x == w {
@@ -96,8 +96,8 @@
 	}
 }
 
-// serveWaiter reports whether the waiter is settled.
-func (t *Treasury) serveWaiter(w *waiter) bool {
+// serveWaiter reports whether the shareWaiter is settled.
+func (t *Treasury) serveWaiter(w *shareWaiter) bool {
 	for _, b := range w.budgets {
 		pot := t.purse.Pot(b)
 		if pot.Reserve(w.most) {
