--- a/bluebellport/src/bus.go
+++ b/bluebellport/src/bus.go
@@ -31,12 +31,12 @@
 // its body's type. The zero value works.
 type dispatcher struct {
 	seq      atomic.Uint64
-	waiters  sync.Map // seq -> *waiter
+	pending  sync.Map // seq -> *pendingCall
 	handlers sync.Map // reflect.Type -> envelopeHandler
 }
 
-// waiter is a question under way; only the instance asked may answer it.
-type waiter struct {
+// pendingCall is a question under way; only the instance asked may answer it.
+type pendingCall struct {
 	to bbunit.InstanceID
 	ch chan *bbwire.Envelope // nil: the peer was lost
 }
@@ -48,10 +48,10 @@
 // call sends a numbered copy of e and waits for its answer up to the deadline
 // of ctx.
 func (d *dispatcher) call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope, send func(*bbwire.Envelope) error) (*bbwire.Envelope, error) {
-	w := &waiter{to: to, ch: make(chan *bbwire.Envelope, 1)}
+	w := &pendingCall{to: to, ch: make(chan *bbwire.Envelope, 1)}
 	q := &bbwire.Envelope{Seq: d.seq.Add(1), Body: e.Body}
-	d.waiters.Store(q.Seq, w)
-	defer d.waiters.Delete(q.Seq)
+	d.pending.Store(q.Seq, w)
+	defer d.pending.Delete(q.Seq)
 	if err := send(q); err != nil {
 		return nil, err
 	}
@@ -71,9 +71,9 @@
 
 // lost ends all questions to an instance whose session broke.
 func (d *dispatcher) lost(to bbunit.InstanceID) {
-	d.waiters.Range(func(k, v any) bool {
-		if w := v.(*waiter); w.to == to {
-			d.waiters.Delete(k)
+	d.pending.Range(func(k, v any) bool {
+		if w := v.(*pendingCall); w.to == to {
+			d.pending.Delete(k)
 			w.answer(nil)
 		}
 		return true
@@ -81,7 +81,7 @@
 }
 
 // answer hands r over unless another answer came first.
-func (w *waiter) answer(r *bbwire.Envelope) {
+func (w *pendingCall) answer(r *bbwire.Envelope) {
 	select {
 	case w.ch <- r:
 	default:
@@ -114,12 +114,12 @@
 }
 
 func (d *dispatcher) answered(from bbunit.InstanceID, e *bbwire.Envelope) error {
-	v, ok := d.waiters.Load(e.Seq)
-	if !ok || v.(*waiter).to != from {
+	v, ok := d.pending.Load(e.Seq)
+	if !ok || v.(*pendingCall).to != from {
 		return errNoWaiter
 	}
-	d.waiters.Delete(e.Seq)
-	v.(*waiter).answer(e)
+	d.pending.Delete(e.Seq)
+	v.(*pendingCall).answer(e)
 	return nil
 }
 
--- a/bluebellport/src/follower.go
+++ b/bluebellport/src/follower.go
@@ -35,13 +35,14 @@
 	log   *bbticket.Log
 	clog  logrus.FieldLogger
 
-	mu       sync.Mutex // guards history and the writing of Board.State
-	past     history
-	known    bool // the state in force was read from the service or a peer
-	wanted   atomic.Uint64
-	rose     atomic.Int64 // when the state last rose, in ns since the epoch
-	fetching atomic.Bool
-	asked    atomic.Int64 // when a peer was last asked, in ns since the epoch
+	mu                sync.Mutex // guards history and the writing of Board.State
+	past              history
+	known             bool          // the state in force was read from the service or a peer
+	wanted            atomic.Uint64 // highest number that a peer spoke of
+	wantedAt          atomic.Int64  // when wanted rose, in ns since the epoch
+	rose              atomic.Int64  // when the state last rose, in ns since the epoch
+	fetching, reading atomic.Bool
+	asked             atomic.Int64 // when a peer was last asked, in ns since the epoch
 
 	watch   *watch
 	tried   time.Time // last read of the head
@@ -75,7 +76,7 @@
 // run reads the head until the state is known, and watches it while this
 // instance is the first of its failure domain.
 func (f *Follower) run() {
-	f.readHead()
+	f.step()
 	t := time.NewTicker(followPeriod)
 	defer t.Stop()
 	for {
@@ -100,19 +101,31 @@
 	if !known {
 		wait = joinPeriod
 	}
-	if !known && f.parts.Now().Sub(f.tried) >= wait {
-		f.askSome(v)
-	}
-	if (first || !known) && f.parts.Now().Sub(f.tried) >= wait {
-		f.readHead()
+	if (first || !known) && time.Since(f.tried) >= wait {
+		f.tried = time.Now()
+		if !known {
+			f.askSome(v)
+		}
+		f.startRead()
 	}
 	f.ready()
 }
 
+// startRead reads the head beside the loop, unless a read is under way.
+func (f *Follower) startRead() {
+	if !f.reading.CompareAndSwap(false, true) {
+		return
+	}
+	w := f.watch
+	f.wg.Go(func() {
+		defer f.reading.Store(false)
+		f.readHead(w)
+	})
+}
+
 // readHead reads the log's head from the service, and the whole state when the
 // one here is too old for it.
-func (f *Follower) readHead() {
-	f.tried = f.parts.Now()
+func (f *Follower) readHead(w *watch) {
 	ctx, cancel := context.WithTimeout(f.ctx, headTimeout)
 	defer cancel()
 	h, rev, err := f.log.Head(ctx)
@@ -120,7 +133,7 @@
 		f.clog.WithError(err).Debug("head of the ticket log not read")
 		return
 	}
-	f.watch.saw(rev)
+	w.saw(rev)
 	f.takeHead(ctx, h)
 	f.ready()
 }
@@ -204,8 +217,12 @@
 	f.mu.Lock()
 	known := f.known
 	f.mu.Unlock()
-	n := uint64(f.parts.Board.State.Load().Number)
-	if known && n >= f.wanted.Load() {
+	n, wanted := uint64(f.parts.Board.State.Load().Number), f.wanted.Load()
+	late := wanted > 0 && time.Since(time.Unix(0, f.wantedAt.Load())) > joinPatience
+	if known && n < wanted && late {
+		f.clog.WithFields(logrus.Fields{"ticket": n, "told": wanted}).Warn("peer spoke of a ticket that it did not deliver")
+	}
+	if known && (n >= wanted || late) {
 		f.parts.Board.Ready.Store(true)
 		f.clog.WithField("ticket", n).Info("ready")
 	}
@@ -330,7 +347,11 @@
 func (f *Follower) want(n uint64) {
 	for {
 		was := f.wanted.Load()
-		if n <= was || f.wanted.CompareAndSwap(was, n) {
+		if n <= was {
+			return
+		}
+		if f.wanted.CompareAndSwap(was, n) {
+			f.wantedAt.Store(time.Now().UnixNano())
 			return
 		}
 	}
--- a/bluebellport/src/follower_spread.go
+++ b/bluebellport/src/follower_spread.go
@@ -27,7 +27,7 @@
 func (f *Follower) tell(after bbunit.TicketNumber, from bbunit.InstanceID) {
 	v := f.parts.Board.View.Load()
 	e := f.ticketsAfter(uint64(after))
-	if e == nil {
+	if e == nil || len(e.GetTickettell().Tickets) > maxPush {
 		return
 	}
 	for _, to := range spread(v, from, rand.IntN) {
@@ -140,7 +140,7 @@
 		}
 		f.want(uint64(tickets[len(tickets)-1].Number))
 		f.takeTickets(tickets, from)
-	default:
+	case f.ctx.Err() == nil:
 		f.wg.Go(func() { f.fetch(from) })
 	}
 	f.ready()
--- /dev/null
+++ b/bluebellport/src/follower_test.go
@@ -0,0 +1,59 @@
+package bbport
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// testTicket is a ticket that writes one account of its own and one shared.
+func testTicket(n int) bbticket.Ticket {
+	key := func(s string) []string { return []string{fmt.Sprintf("sha256:%064s", s)} }
+	return bbticket.Ticket{Number: bbunit.TicketNumber(n), Accounts: []bbticket.Account{
+		{ID: bbunit.AccountID(fmt.Sprintf("own%d", n)), Keys: key(fmt.Sprintf("%d", n))},
+		{ID: "shared", Keys: key("f"), Priority: bbunit.Priority(n)},
+	}}
+}
+
+func accept(t testing.TB, store bbstore.Store, n int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := bbticket.NewLog(store).Accept(ctx, testTicket(n), fmt.Sprint("nonce", n), time.Now()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestTicketReachesEveryInstance(t *testing.T) {
+	is := is.New(t)
+	l, store := newListFake(t), bbstore.NewMem()
+	accept(t, store, 1)
+	var nodes []*testNode
+	for i := range 6 {
+		nodes = append(nodes, startNode(t, fmt.Sprintf("i%d", i), fmt.Sprintf("d%d", i%2), l, store))
+	}
+	all := func(n bbunit.TicketNumber) func() bool {
+		return func() bool {
+			for _, d := range nodes {
+				if d.number() != n || !d.parts.Board.Ready.Load() || len(d.view().Members) != len(nodes) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	within(t, 10*time.Second, "ticket 1 everywhere", all(1))
+	accept(t, store, 2)
+	within(t, 2*time.Second, "ticket 2 everywhere", all(2))
+	for _, d := range nodes {
+		is.Equal(d.parts.Board.State.Load().Accounts["shared"].Object.Priority, bbunit.Priority(2))
+	}
+	within(t, 2*time.Second, "one waiting watch a failure domain", func() bool { return store.Counts().Waiting == 2 })
+}
--- a/bluebellport/src/member.go
+++ b/bluebellport/src/member.go
@@ -134,6 +134,9 @@
 		Domain: bbunit.DomainID(h.Domain), Address: h.Address,
 	}
 	m.do(func(f *bbmember.Fleet, now time.Time) bbmember.Actions { return f.Greeted(now, peer) })
+	for _, r := range m.gossip.heard() {
+		r.Take(peer.ID, &bbwire.Gossip{Number: h.Number})
+	}
 }
 
 func (m *membership) unreachable(id bbunit.InstanceID) {
--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -83,6 +83,11 @@
 	stateTimeout = 10 * time.Second
 	// maxState is the largest whole state, in bytes of JSON.
 	maxState = 128 << 20
+	// joinPatience is how long a joining instance waits for a state that a peer
+	// spoke of.
+	joinPatience = 10 * time.Second
+	// maxPush is the most tickets pushed at once; more are asked for.
+	maxPush = 32
 	// maxHeld is how far ahead of the state a ticket is held.
 	maxHeld = 256
 	// maxKept and maxKeptBytes bound the tickets kept to pass on.
--- /dev/null
+++ b/bluebellport/src/peer_node_test.go
@@ -0,0 +1,137 @@
+package bbport
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// listFake is the platform's list of instances, set by the test.
+type listFake struct {
+	mu      sync.Mutex
+	entries []map[string]any
+	down    bool
+	srv     *httptest.Server
+}
+
+func newListFake(t testing.TB) *listFake {
+	l := &listFake{entries: []map[string]any{}}
+	l.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(l.entries)
+	}))
+	t.Cleanup(l.srv.Close)
+	return l
+}
+
+func (l *listFake) add(id, domain, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, map[string]any{"id": id, "domain": domain, "address": address, "state": "live", "zone": "ignored"})
+}
+
+func (l *listFake) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// testNode is one instance's peers and follower on loopback.
+type testNode struct {
+	id       bbunit.InstanceID
+	parts    Parts
+	peers    *Peers
+	follower *Follower
+	stop     func()
+}
+
+var testInc atomic.Uint64
+
+const (
+	testPeriod    = 50 * time.Millisecond
+	testSuspicion = 400 * time.Millisecond
+)
+
+func testParts(id, domain, list string, store bbstore.Store) Parts {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := bbmember.Member{ID: bbunit.InstanceID(id), Inc: bbunit.Incarnation(testInc.Add(1)), Domain: bbunit.DomainID(domain)}
+	return Parts{
+		Board: NewBoard(self), Store: store, Log: log, Metrics: metrics.NewRegistry(), Now: time.Now,
+		Opts: &Options{
+			Self: SelfOptions{Instance: id, Domain: domain, List: list},
+			Peer: PeerOptions{Listen: "127.0.0.1:0", Period: testPeriod, Suspicion: testSuspicion},
+		},
+	}
+}
+
+// startNode starts an instance, puts it on the list and stops it at the end.
+func startNode(t testing.TB, id, domain string, l *listFake, store bbstore.Store) *testNode {
+	t.Helper()
+	n := &testNode{id: bbunit.InstanceID(id), parts: testParts(id, domain, l.srv.Listener.Addr().String(), store)}
+	peers, stopPeers, err := NewPeers(n.parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.peers, n.parts.Bus = peers, peers
+	follower, stopFollower := NewFollower(n.parts, peers)
+	n.follower = follower
+	var once sync.Once
+	n.stop = func() {
+		once.Do(func() {
+			stopFollower()
+			stopPeers()
+		})
+	}
+	t.Cleanup(n.stop)
+	l.add(id, domain, peers.Address())
+	return n
+}
+
+// kill stops the instance without a word to the others.
+func (n *testNode) kill() {
+	n.peers.members.mu.Lock()
+	n.peers.members.left = true
+	n.peers.members.mu.Unlock()
+	n.stop()
+}
+
+func (n *testNode) view() *bbmember.View { return n.parts.Board.View.Load() }
+
+func (n *testNode) number() bbunit.TicketNumber { return n.parts.Board.State.Load().Number }
+
+// sees tells whether the instance has another in its view, not leaving.
+func (n *testNode) sees(id bbunit.InstanceID) bool {
+	m, ok := n.view().Find(id)
+	return ok && !m.Leaving
+}
+
+// within waits until ok holds and returns how long that took.
+func within(t testing.TB, d time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > d {
+			t.Fatalf("not within %s: %s", d, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(start)
+}
