--- a/bluebellport/src/money_constants.go
+++ b/bluebellport/src/money_constants.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// storeTimeout bounds one call of the key-value service for budgets.
-	storeTimeout = 2 * time.Second
+	// pageTimeout bounds one call of the key-value service for budgets.
+	pageTimeout = 2 * time.Second
 	// drainPoll is how often a drain looks whether all money is returned.
 	drainPoll = 20 * time.Millisecond
 	// visitAfter is when pages are read after the fleet changed: later than an
--- a/bluebellport/src/treasury_loop.go
+++ b/bluebellport/src/treasury_loop.go
@@ -104,7 +104,7 @@
 
 // load reads a keeper's page.
 func (t *Treasury) load(k *bbledger.Keeper) {
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, pageTimeout)
 	defer cancel()
 	t.reads.Inc(1)
 	ev := bbledger.Loaded{}
@@ -122,7 +122,7 @@
 
 // save writes a keeper's page.
 func (t *Treasury) save(k *bbledger.Keeper, a bbledger.Save) {
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, pageTimeout)
 	defer cancel()
 	t.writes.Inc(1)
 	ev := bbledger.Saved{}
