Give back what a repeated bill took, and fetch answers from the claim's owner

Cause: a request that ran in two failure domains was billed once but spent twice from the budget; a copy of a claimed request was told unknown although the owner still had its answer. Change: the bill's verdict refunds the pot, and the claim's owner is asked before the caller is told unknown.

--- a/bluebellport/src/call.go
+++ b/bluebellport/src/call.go
@@ -26,6 +26,8 @@
 	keyed bool
 	// carried tells that another instance sent it here, to its home.
 	carried bool
+	// fetched tells that it was sent here since the claim's owner is here.
+	fetched bool
 	// print is a hash of method, path and body.
 	print  uint64
 	method string
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -110,11 +110,12 @@
 
 	f := NewFront(p, newRunner(p, router, treasury, recorder))
 	f.carrier = newCarrier(f, peers)
+	f.runner.elsewhere = f.carrier.fetch
 	a := newAdmin(p, f, map[string]func() any{
 		"money":   func() any { return treasuryTold(treasury.Status()) },
 		"records": func() any { return recorder.Status() },
 	})
-	return listen(ctx, p, f, a, func(ctx context.Context) {
+	return listen(ctx, p, f, a, peers.Leave, func(ctx context.Context) {
 		if err := stderrors.Join(treasury.Drain(ctx), recorder.Drain(ctx)); err != nil {
 			log.WithField("event", "drain").WithError(err).Error("not all was handed back")
 		}
@@ -153,7 +154,7 @@
 // listen opens both addresses, serves until ctx ends, and stops: it goes on
 // taking requests while the balancer learns that the instance leaves, then
 // refuses new ones, ends the open ones whole, and hands back what it holds.
-func listen(ctx context.Context, p Parts, f *Front, a *admin, drain func(context.Context)) error {
+func listen(ctx context.Context, p Parts, f *Front, a *admin, leave func(), drain func(context.Context)) error {
 	callers, err := net.Listen("tcp", p.Opts.Front.Listen)
 	if err != nil {
 		return errors.Annotate(err, "--listen")
@@ -173,6 +174,7 @@
 	case <-ctx.Done():
 	}
 	p.Board.Leaving.Store(true)
+	leave()
 	p.Log.WithField("event", "leaving").Info("leaving")
 	end, cancel := context.WithTimeout(context.Background(), p.Opts.Front.Drain)
 	defer cancel()
--- a/bluebellport/src/home.go
+++ b/bluebellport/src/home.go
@@ -56,6 +56,18 @@
 	return m, ok && m.ID != v.Self.ID
 }
 
+// fetch has the instance that owns the request's claim bring its answer.
+func (h *carrier) fetch(ctx context.Context, c *call, to bbunit.InstanceID, out *Answer) error {
+	v := h.front.parts.Board.View.Load()
+	m, ok := v.Find(to)
+	if !ok || c.fetched || to == v.Self.ID {
+		return errors.Trace(errHome)
+	}
+	fetched := *c
+	fetched.fetched = true
+	return h.carry(ctx, &fetched, m, out)
+}
+
 // carry has the home run the request and copies its answer to out. errHome when
 // nothing of an answer came, so that the request may be run here.
 func (h *carrier) carry(ctx context.Context, c *call, to bbmember.Member, out *Answer) error {
@@ -98,7 +110,7 @@
 		Account: string(c.account.ID), Request: string(c.id), Service: string(c.service.ID),
 		Method: c.method, Path: c.path, Body: c.body, Priority: int32(c.priority),
 		Deadline: time.Until(c.deadline).Milliseconds(), Trace: trace["traceparent"],
-		Fields: fieldsOut(c.header),
+		Fields: fieldsOut(c.header), Fetch: c.fetched,
 	}
 	if c.chat != nil {
 		r.Service = ""
@@ -191,7 +203,7 @@
 	}
 	c, err := w.parseFor(f.parts.Board.State.Load(), bbunit.AccountID(r.Account), f.parts.Now(), f.opts.Timeout)
 	if err == nil {
-		c.carried = true
+		c.carried, c.fetched = true, r.Fetch
 	}
 	return c, err
 }
--- a/bluebellport/src/parts.go
+++ b/bluebellport/src/parts.go
@@ -74,13 +74,15 @@
 	Reserve(ctx context.Context, budgets []bbunit.BudgetID, most bbunit.Tokens) (*Hold, error)
 }
 
-// Hold is an amount set aside for one request. Exactly one of its calls ends
-// it; later ones do nothing.
+// Hold is an amount set aside for one request. The first call of End ends it;
+// later ones do nothing.
 type Hold struct {
 	Budget bbunit.BudgetID
 	Holder bbunit.HolderID
 	Most   bbunit.Tokens
 	End    func(used bbunit.Tokens)
+	// Refund takes back, after End, what turned out not to be owed.
+	Refund func(n bbunit.Tokens)
 }
 
 // Ledger is the record side of a request.
@@ -96,9 +98,11 @@
 	Withdraw(r *bbwire.Record)
 	// Full tells that new work must be refused, since too many bills wait.
 	Full() bool
-	// Bill queues the final record of a request. It does not wait; the record
-	// is sent until it is acknowledged.
-	Bill(r *bbwire.Record)
+	// BillThen queues the final record of a request. It does not wait; the
+	// record is sent until it is acknowledged, and then, if set, gets the
+	// verdict: on REPEATED and MISMATCH another bill stands and the amount is
+	// not owed.
+	BillThen(r *bbwire.Record, then func(v *bbwire.Verdict))
 }
 
 // Attempt is one choice of a target for a request.
--- a/bluebellport/src/run.go
+++ b/bluebellport/src/run.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"bluebellport.example/shared/bbjournal"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -24,6 +25,9 @@
 	plains  *plains
 	owner   string
 	tracer  trace.Tracer
+	// elsewhere has the instance that owns a claim bring the answer; errHome
+	// when it cannot.
+	elsewhere func(ctx context.Context, c *call, to bbunit.InstanceID, out *Answer) error
 }
 
 // job is one request under way.
@@ -61,7 +65,7 @@
 	}
 	if stands, err := j.record(ctx); err != nil {
 		j.hold.End(0)
-		j.unclaimed(err, stands)
+		j.unclaimed(ctx, err, stands)
 		return
 	}
 	j.finish(ctx, j.attempts(ctx))
@@ -118,15 +122,20 @@
 }
 
 // unclaimed ends the answer of a request whose claim was refused. Where another
-// claim or a bill stands, the request may have run, and the answer says so.
-func (j *job) unclaimed(err error, stands *bbwire.Record) {
+// claim or a bill stands, its owner is asked for the answer; else the request
+// may have run, and the caller is told so.
+func (j *job) unclaimed(ctx context.Context, err error, stands *bbwire.Record) {
 	if !errors.Is(err, ErrClaimed) || stands == nil {
 		j.refuse(err)
 		return
 	}
+	owner, perr := bbjournal.ParseOwner(stands.Owner)
+	if perr == nil && j.elsewhere != nil && j.elsewhere(ctx, j.c, owner.Instance, j.out) == nil {
+		return
+	}
 	detail := "another copy of the request was sent and its end was not seen"
 	if stands.Kind == bbwire.Record_BILL {
-		detail = fmt.Sprintf("the request ran and was billed %d tokens; its answer is no longer kept here", stands.Amount)
+		detail = fmt.Sprintf("the request ran and was billed %d tokens; its answer is no longer kept", stands.Amount)
 	}
 	j.fail(errors.Annotate(err, detail), bbunit.OutcomeUnknown)
 }
@@ -229,7 +238,12 @@
 func (j *job) bill(kind bbwire.Record_Kind, amount bbunit.Tokens) {
 	j.hold.End(amount)
 	j.rec.Kind, j.rec.Amount, j.rec.Target = kind, int64(amount), string(j.last)
-	j.ledger.Bill(j.rec)
+	hold := j.hold
+	j.ledger.BillThen(j.rec, func(v *bbwire.Verdict) {
+		if v.Kind == bbwire.Verdict_REPEATED || v.Kind == bbwire.Verdict_MISMATCH {
+			hold.Refund(amount)
+		}
+	})
 }
 
 // refuse ends the answer of a request that did not run.
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -83,7 +83,7 @@
 
 func newHold(pot *bbledger.Pot, most bbunit.Tokens) *Hold {
 	h := &hold{Hold: Hold{Budget: pot.Budget, Holder: pot.Holder(), Most: most}, pot: pot}
-	h.Hold.End = h.end
+	h.Hold.End, h.Hold.Refund = h.end, pot.Refund
 	return &h.Hold
 }
 
--- a/shared/bbledger/pot.go
+++ b/shared/bbledger/pot.go
@@ -69,6 +69,14 @@
 	p.free.Add(int64(most - used))
 }
 
+// Refund takes back n tokens of what End spent, when the request turned out to
+// have been billed elsewhere. It must not be more than End spent. Where the
+// spending was put on slices already, it is set off against what comes next.
+func (p *Pot) Refund(n bbunit.Tokens) {
+	p.used.Add(-int64(n))
+	p.free.Add(int64(n))
+}
+
 // Low tells whether more should be asked for.
 func (p *Pot) Low() bool { return p.free.Load() < p.low.Load() }
 
