--- a/bluebellport/src/duplicate.go
+++ b/bluebellport/src/duplicate.go
@@ -65,15 +65,15 @@
 // Join returns the answer to a request and whether the caller leads, that is,
 // has to run the request, Write its answer and Finish it. Both leader and
 // followers Read the answer and Leave it. ErrReused when the request id stands
-// for another print. It does not block.
-func (d *Dups) Join(account bbunit.AccountID, id bbunit.RequestID, print uint64) (*Answer, bool, error) {
+// for another fingerprint. It does not block.
+func (d *Dups) Join(account bbunit.AccountID, id bbunit.RequestID, fingerprint uint64) (*Answer, bool, error) {
 	k := dupKey{account, id}
 	s := &d.shards[xxhash.Sum64String(string(account)+"\x00"+string(id))%dupShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d.expire(s)
 	if r := s.runs[k]; r != nil {
-		if r.print != print {
+		if r.print != fingerprint {
 			return nil, false, ErrReused
 		}
 		if a := r.join(); a != nil {
@@ -81,7 +81,7 @@
 		}
 		s.drop(r)
 	}
-	r := newRun(d, s, k, print)
+	r := newRun(d, s, k, fingerprint)
 	if s.runs == nil {
 		s.runs = map[dupKey]*run{}
 	}
@@ -174,9 +174,9 @@
 	idle    *time.Timer
 }
 
-func newRun(d *Dups, s *dupShard, k dupKey, print uint64) *run {
+func newRun(d *Dups, s *dupShard, k dupKey, fingerprint uint64) *run {
 	r := &run{
-		dups: d, shard: s, key: k, print: print,
+		dups: d, shard: s, key: k, print: fingerprint,
 		changed: make(chan struct{}), readers: map[*Answer]struct{}{},
 	}
 	r.ctx, r.cancel = context.WithCancelCause(context.Background())
--- a/bluebellport/src/recorder_commit.go
+++ b/bluebellport/src/recorder_commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,7 +21,7 @@
 	}
 	r.pace(ctx, items)
 	l.book.Begin(r.Now())
-	for range commitTries {
+	for n := range commitTries {
 		records := make([]*bbwire.Record, len(items))
 		for i, it := range items {
 			records[i] = it.rec
@@ -37,10 +38,22 @@
 		if items = r.wanted(items); len(items) == 0 {
 			return nil
 		}
+		if len(plan.Writes) > 0 {
+			pause(ctx, n)
+		}
 	}
 	return r.postpone(items)
 }
 
+// pause waits before a write is made once more, longer each time.
+func pause(ctx context.Context, n int) {
+	d := min(retryLeast<<min(n, 8), retryMost)
+	select {
+	case <-ctx.Done():
+	case <-time.After(rand.N(d)):
+	}
+}
+
 // postpone returns the own items and tells the others to come again.
 func (r *Recorder) postpone(items []*item) []*item {
 	var left []*item
--- a/bluebellport/src/recorder_constants.go
+++ b/bluebellport/src/recorder_constants.go
@@ -17,6 +17,10 @@
 	recordTick = 10 * time.Millisecond
 	// commitTries bounds the rounds of one commit.
 	commitTries = 32
+	// retryLeast and retryMost bound the random wait before a write that lost
+	// its race is made again.
+	retryLeast = 2 * time.Millisecond
+	retryMost  = 100 * time.Millisecond
 	// batchMost is the most records in one message.
 	batchMost = 2000
 	// deadMost is the most given-up claims that an instance remembers.
--- /dev/null
+++ b/bluebellport/src/recorder_fleet_test.go
@@ -0,0 +1,366 @@
+package bbport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbjournal"
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// recordFleet is a few recorders around one store, joined by a net that can be cut.
+type recordFleet struct {
+	t     testing.TB
+	mem   *bbstore.Mem
+	nodes map[bbunit.InstanceID]*recordNode
+	order []bbunit.InstanceID
+
+	mu  sync.Mutex
+	ran map[string]int
+	seq uint64
+}
+
+type recordNode struct {
+	*Recorder
+	f     *recordFleet
+	id    bbunit.InstanceID
+	stop  func()
+	store *heldStore
+	bus   *recordBus
+}
+
+func testRecordOptions() RecordOptions {
+	return RecordOptions{
+		Retention: time.Hour, ClaimPeriod: 5 * time.Millisecond, BillPeriod: 10 * time.Millisecond,
+		ClaimTimeout: 2 * time.Second, Takeover: 100 * time.Millisecond, Queue: 1000, Writes: 1000,
+	}
+}
+
+// newRecordFleet starts instances a1, a2, ... b1, ... with the given numbers in
+// the failure domains a, b, ...
+func newRecordFleet(t testing.TB, o RecordOptions, domains ...int) *recordFleet {
+	f := &recordFleet{t: t, mem: bbstore.NewMem(), nodes: map[bbunit.InstanceID]*recordNode{}, ran: map[string]int{}}
+	for d, n := range domains {
+		for i := range n {
+			domain := string(rune('a' + d))
+			f.start(bbunit.InstanceID(fmt.Sprintf("%s%d", domain, i+1)), bbunit.DomainID(domain), o)
+		}
+	}
+	f.spread()
+	t.Cleanup(func() {
+		for _, id := range f.order {
+			f.nodes[id].stop()
+		}
+	})
+	return f
+}
+
+func (f *recordFleet) start(id bbunit.InstanceID, d bbunit.DomainID, o RecordOptions) {
+	f.seq++
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &recordNode{f: f, id: id, store: &heldStore{Store: f.mem}}
+	n.bus = newRecordBus(f, id)
+	self := bbmember.Member{ID: id, Inc: bbunit.Incarnation(f.seq), Domain: d}
+	n.Recorder, n.stop = NewRecorder(Parts{
+		Board: NewBoard(self), Store: n.store, Bus: n.bus, Log: log, Metrics: metrics.NewRegistry(),
+		Opts: &Options{Record: o}, Now: time.Now,
+	})
+	stop := n.stop
+	n.stop = sync.OnceFunc(func() {
+		n.store.release()
+		stop()
+		n.bus.close()
+	})
+	f.nodes[id] = n
+	f.order = append(f.order, id)
+}
+
+// spread gives all instances the same view, without those missing.
+func (f *recordFleet) spread(missing ...bbunit.InstanceID) {
+	var live []bbmember.Member
+	for _, id := range f.order {
+		gone := false
+		for _, m := range missing {
+			gone = gone || m == id
+		}
+		if !gone {
+			live = append(live, f.nodes[id].self)
+		}
+	}
+	for _, id := range f.order {
+		n := f.nodes[id]
+		n.Board.View.Store(&bbmember.View{Self: n.self, Members: live})
+	}
+}
+
+// kill ends an instance at once: it writes and sends nothing more.
+func (f *recordFleet) kill(id bbunit.InstanceID) {
+	n := f.nodes[id]
+	n.bus.cut(true)
+	n.store.kill()
+	n.stop()
+	f.spread(id)
+}
+
+// request is one copy of a non-idempotent request at an instance; it returns
+// what the caller is told.
+func (n *recordNode) request(id string, amount int64) error {
+	r := n.rec(id)
+	if _, err := n.Claim(context.Background(), r); err != nil {
+		return err
+	}
+	n.f.mu.Lock()
+	n.f.ran[id]++
+	n.f.mu.Unlock()
+	r.Amount = amount
+	n.Bill(r)
+	return nil
+}
+
+func (n *recordNode) rec(id string) *bbwire.Record {
+	return &bbwire.Record{Account: "acc", Request: id, Print: 7, Service: "svc", Budget: "bud"}
+}
+
+// standing returns all records in the store by request id.
+func (f *recordFleet) standing() map[string][]*bbwire.Record {
+	entries, _, err := f.mem.List(context.Background(), bbjournal.Prefix)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	out := map[string][]*bbwire.Record{}
+	for _, e := range entries {
+		l := &bbwire.Leaf{}
+		if err := proto.Unmarshal(e.Value, l); err != nil {
+			f.t.Fatal(err)
+		}
+		for _, r := range l.Records {
+			out[r.Request] = append(out[r.Request], r)
+		}
+	}
+	return out
+}
+
+// eventually waits until the request has exactly one record of that kind.
+func (f *recordFleet) eventually(id string, kind bbwire.Record_Kind) *bbwire.Record {
+	f.t.Helper()
+	var last []*bbwire.Record
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if last = f.standing()[id]; len(last) == 1 && last[0].Kind == kind {
+			return last[0]
+		}
+	}
+	f.t.Fatalf("%s: want one %s, have %v", id, kind, last)
+	return nil
+}
+
+// homeOf returns the instance of the failure domain that commits for the request.
+func (f *recordFleet) homeOf(id string, d bbunit.DomainID) *recordNode {
+	p := bbjournal.PartitionOf("acc", id)
+	for _, n := range f.nodes {
+		if m, ok := n.Board.View.Load().Home(p.Home(), d); ok {
+			return f.nodes[m.ID]
+		}
+	}
+	return nil
+}
+
+// awayFrom returns an instance of the home's failure domain that is not it.
+func (f *recordFleet) awayFrom(home *recordNode) *recordNode {
+	for _, id := range f.order {
+		if n := f.nodes[id]; n.self.Domain == home.self.Domain && n != home {
+			return n
+		}
+	}
+	return nil
+}
+
+// heldStore can hold an instance's writes back, as a pause would, or refuse all.
+type heldStore struct {
+	bbstore.Store
+	mu   sync.Mutex
+	gate chan struct{}
+	dead bool
+}
+
+func (s *heldStore) hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate = make(chan struct{})
+}
+
+func (s *heldStore) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gate != nil {
+		close(s.gate)
+		s.gate = nil
+	}
+}
+
+func (s *heldStore) kill() {
+	s.mu.Lock()
+	s.dead = true
+	s.mu.Unlock()
+	s.release()
+}
+
+func (s *heldStore) CAS(ctx context.Context, key string, value []byte, prev bbstore.Revision, lease bbstore.LeaseID) (bbstore.Revision, error) {
+	s.mu.Lock()
+	gate, dead := s.gate, s.dead
+	s.mu.Unlock()
+	if dead {
+		return 0, bbstore.ErrDown
+	}
+	if gate == nil {
+		return s.Store.CAS(ctx, key, value, prev, lease)
+	}
+	type answer struct {
+		rev bbstore.Revision
+		err error
+	}
+	c := make(chan answer, 1)
+	go func() {
+		<-gate
+		s.mu.Lock()
+		dead := s.dead
+		s.mu.Unlock()
+		if dead {
+			return
+		}
+		rev, err := s.Store.CAS(context.Background(), key, value, prev, lease)
+		c <- answer{rev, err}
+	}()
+	select {
+	case a := <-c:
+		return a.rev, a.err
+	case <-ctx.Done():
+		return 0, bbstore.ErrUnknown
+	}
+}
+
+// recordBus delivers envelopes within a fleet, in order for each receiver.
+type recordBus struct {
+	f    *recordFleet
+	id   bbunit.InstanceID
+	mu   sync.Mutex
+	fns  map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope
+	off  bool
+	drop func(e *bbwire.Envelope) bool // messages to this instance that get lost
+	gate chan struct{}                 // messages to this instance wait for it
+	in   chan func()
+	done chan struct{}
+}
+
+func newRecordBus(f *recordFleet, id bbunit.InstanceID) *recordBus {
+	b := &recordBus{
+		f: f, id: id, fns: map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope{},
+		in: make(chan func(), 10000), done: make(chan struct{}),
+	}
+	go func() {
+		for {
+			select {
+			case fn := <-b.in:
+				b.mu.Lock()
+				gate := b.gate
+				b.mu.Unlock()
+				if gate != nil {
+					<-gate
+				}
+				fn()
+			case <-b.done:
+				return
+			}
+		}
+	}()
+	return b
+}
+
+func (b *recordBus) close() { close(b.done) }
+
+func (b *recordBus) cut(off bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.off = off
+}
+
+func (b *recordBus) isOff() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.off
+}
+
+// hold keeps the messages to this instance back until release.
+func (b *recordBus) hold() (release func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	gate := make(chan struct{})
+	b.gate = gate
+	return func() {
+		b.mu.Lock()
+		b.gate = nil
+		b.mu.Unlock()
+		close(gate)
+	}
+}
+
+func (b *recordBus) lose(drop func(e *bbwire.Envelope) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drop = drop
+}
+
+func (b *recordBus) Handle(sample *bbwire.Envelope, fn func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fns[reflect.TypeOf(sample.Body)] = fn
+}
+
+func (b *recordBus) deliver(to bbunit.InstanceID, e *bbwire.Envelope, then func(*bbwire.Envelope)) error {
+	n := b.f.nodes[to]
+	if n == nil || b.isOff() || n.bus.isOff() {
+		return ErrPeer
+	}
+	c := proto.Clone(e).(*bbwire.Envelope)
+	n.bus.in <- func() {
+		n.bus.mu.Lock()
+		fn, drop := n.bus.fns[reflect.TypeOf(c.Body)], n.bus.drop
+		n.bus.mu.Unlock()
+		if n.bus.isOff() || drop != nil && drop(c) {
+			return
+		}
+		if a := fn(b.id, c); then != nil && a != nil {
+			then(a)
+		}
+	}
+	return nil
+}
+
+func (b *recordBus) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
+	return b.deliver(to, e, nil)
+}
+
+func (b *recordBus) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+	got := make(chan *bbwire.Envelope, 1)
+	if err := b.deliver(to, e, func(a *bbwire.Envelope) { got <- a }); err != nil {
+		return nil, err
+	}
+	select {
+	case a := <-got:
+		return a, nil
+	case <-ctx.Done():
+		return nil, ErrPeer
+	}
+}
--- a/bluebellport/src/recorder_lane.go
+++ b/bluebellport/src/recorder_lane.go
@@ -132,7 +132,7 @@
 		}
 		if len(own) > 0 {
 			var ok bool
-			if left, ok = r.forward(ctx, l, home, own); !ok {
+			if left, ok = r.forward(ctx, home, own); !ok {
 				l.restUntil = r.Now().Add(homeRest)
 				r.count.direct.Inc(1)
 				left, rest = nil, append(left, rest...)
@@ -221,7 +221,7 @@
 
 // forward sends items to the home and waits for its verdicts. It returns the
 // items that have to come again, and false when the home did not answer.
-func (r *Recorder) forward(ctx context.Context, l *lane, home bbmember.Member, items []*item) ([]*item, bool) {
+func (r *Recorder) forward(ctx context.Context, home bbmember.Member, items []*item) ([]*item, bool) {
 	items = r.wanted(items)
 	if len(items) == 0 {
 		return nil, true
