--- a/bluebellport/src/engine.go
+++ b/bluebellport/src/engine.go
@@ -120,7 +120,7 @@
 	if resp.StatusCode() >= http.StatusInternalServerError {
 		return errors.WithType(errors.Errorf("target answered %d", resp.StatusCode()), errTarget)
 	}
-	b, err := readAll(resp)
+	b, err := readBody(resp)
 	if err != nil {
 		return broken(err)
 	}
@@ -149,7 +149,7 @@
 
 // whole relays an answer that is not streamed.
 func (g *engines) whole(ctx context.Context, resp *fasthttp.Response, a *exchange, r *relay, out *Answer) error {
-	b, err := readAll(resp)
+	b, err := readBody(resp)
 	if err != nil {
 		return broken(err)
 	}
@@ -260,7 +260,7 @@
 	if resp.StatusCode() != http.StatusOK {
 		return status{}, errors.NotFoundf("request %s", a.id)
 	}
-	b, err := readAll(resp)
+	b, err := readBody(resp)
 	if err != nil {
 		return status{}, errors.Trace(err)
 	}
--- a/bluebellport/src/plain.go
+++ b/bluebellport/src/plain.go
@@ -91,7 +91,7 @@
 	if c.repeatable && resp.StatusCode() >= http.StatusInternalServerError {
 		return errors.WithType(errors.Errorf("target answered %d", resp.StatusCode()), errTarget)
 	}
-	b, err := readAll(resp)
+	b, err := readBody(resp)
 	if err != nil {
 		return broken(err)
 	}
--- a/bluebellport/src/upstream.go
+++ b/bluebellport/src/upstream.go
@@ -116,8 +116,8 @@
 	return errors.Is(err, errNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
 }
 
-// readAll reads an answer's body up to maxAnswer bytes.
-func readAll(resp *fasthttp.Response) ([]byte, error) {
+// readBody reads an answer's body up to maxAnswer bytes.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
 	s := resp.BodyStream()
 	if s == nil {
 		return append([]byte(nil), resp.Body()...), nil
