--- /dev/null
+++ b/bluebellctl/src/budget.go
@@ -0,0 +1,138 @@
+package bbctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbledger"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// budgetCommands declares the commands on budgets.
+func budgetCommands(app *kingpin.Application, commands map[string]command) {
+	b := app.Command("budget", "Show what is paid, drawn, spent and stuck; release what is stuck.")
+	var id, holder string
+	var detail bool
+	show := b.Command("show", "Show budgets.")
+	show.Arg("budget", "Id of the budget; none shows all.").StringVar(&id)
+	show.Flag("holders", "Show also who has drawn, and what is stuck and why.").BoolVar(&detail)
+	commands[show.FullCommand()] = func(ctx context.Context, e *env) error {
+		return showBudgets(ctx, e, bbunit.BudgetID(id), detail)
+	}
+	release := b.Command("release", "State that a holder's instance and those it granted to are gone for good, and give its money back.")
+	release.Arg("budget", "Id of the budget.").Required().StringVar(&id)
+	release.Arg("holder", "Id of the holder, as budget show --holders prints it.").Required().StringVar(&holder)
+	commands[release.FullCommand()] = func(ctx context.Context, e *env) error {
+		return releaseBudget(ctx, e, bbunit.BudgetID(id), bbunit.HolderID(holder))
+	}
+}
+
+// loadBudgets returns all budgets in force, sorted by id, with what the pages
+// say of them.
+func loadBudgets(ctx context.Context, e *env, only bbunit.BudgetID) ([]bbledger.BudgetStatus, error) {
+	s, err := bbticket.NewLog(e.store).Load(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	list, err := bbledger.Show(ctx, e.store)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	seen := map[bbunit.BudgetID]bool{}
+	for i := range list {
+		seen[list[i].Budget] = true
+	}
+	for id, b := range s.Budgets {
+		if !seen[id] && !b.Object.Gone {
+			list = append(list, bbledger.BudgetStatus{Budget: id, Paid: b.Object.Paid, Number: b.Number, Rest: b.Object.Paid})
+		}
+	}
+	if only != "" {
+		list = slices.DeleteFunc(list, func(b bbledger.BudgetStatus) bool { return b.Budget != only })
+		if len(list) == 0 {
+			return nil, errors.WithType(errors.Errorf("budget: unknown: %q", only), errUsage)
+		}
+	}
+	slices.SortFunc(list, func(a, b bbledger.BudgetStatus) int { return cmp.Compare(a.Budget, b.Budget) })
+	return list, nil
+}
+
+func showBudgets(ctx context.Context, e *env, only bbunit.BudgetID, detail bool) error {
+	list, err := loadBudgets(ctx, e, only)
+	if err != nil {
+		return err
+	}
+	if detail && e.opts.Output == formatTable {
+		return e.show(list, []string{"BUDGET", "HOLDER", "DOMAIN", "DRAWN", "SPENT", "STUCK", "WITNESS OR REASON"}, holderRows(list))
+	}
+	var cells [][]any
+	for _, b := range list {
+		cells = append(cells, []any{b.Budget, b.Paid, b.Drawn, b.Spent, b.Stuck, b.Rest, len(b.Holders)})
+	}
+	return e.show(list, []string{"BUDGET", "PAID", "DRAWN", "SPENT", "STUCK", "REST", "HOLDERS"}, cells)
+}
+
+// holderRows lists each holder and each stuck amount.
+func holderRows(list []bbledger.BudgetStatus) [][]any {
+	var cells [][]any
+	for _, b := range list {
+		for _, h := range b.Holders {
+			cells = append(cells, []any{b.Budget, h.Holder, h.Domain, h.Drawn, h.Spent, "", h.Witness})
+		}
+		for _, x := range b.Stucks {
+			cells = append(cells, []any{b.Budget, x.Holder, "", "", "", x.Amount, x.Why})
+		}
+	}
+	return cells
+}
+
+func releaseBudget(ctx context.Context, e *env, b bbunit.BudgetID, h bbunit.HolderID) error {
+	n, err := bbledger.Release(ctx, e.store, b, h)
+	if errors.Is(err, bbledger.ErrNoHolder) {
+		return errors.WithType(err, errUsage)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(e.info, "budget %s: %d tokens given back\n", b, n)
+	return nil
+}
+
+// capBudgets keeps the budgets that the ticket lowers from being drawn above
+// what it will leave, before the ticket is accepted. The function it returns
+// takes the caps back, for a ticket that was refused.
+func capBudgets(ctx context.Context, e *env, t bbticket.Ticket, nonce string) (func(), error) {
+	var capped []bbunit.BudgetID
+	undo := func() {
+		for _, id := range capped {
+			if err := bbledger.Uncap(context.WithoutCancel(ctx), e.store, id, t.Number, nonce); err != nil {
+				fmt.Fprintf(e.info, "budget %s: the cap of refused ticket %d stands until a ticket sets the budget: %s\n", id, t.Number, err)
+			}
+		}
+	}
+	s, err := bbticket.NewLog(e.store).Load(ctx)
+	if err != nil {
+		return undo, errors.Trace(err)
+	}
+	for _, b := range t.Budgets {
+		paid := b.Paid
+		if b.Gone {
+			paid = 0
+		}
+		if paid >= s.Budgets[b.ID].Object.Paid {
+			continue
+		}
+		capped = append(capped, b.ID)
+		if err := bbledger.Cap(ctx, e.store, b.ID, paid, t.Number, nonce); err != nil {
+			undo()
+			return func() {}, errors.Trace(err)
+		}
+	}
+	return undo, nil
+}
--- a/bluebellctl/src/core.go
+++ b/bluebellctl/src/core.go
@@ -49,6 +49,7 @@
 	opts.flags(app)
 	commands := map[string]command{}
 	ticketCommands(app, commands)
+	budgetCommands(app, commands)
 	statusCommands(app, commands)
 	name, err := app.Parse(args)
 	if code >= 0 {
--- a/bluebellctl/src/ticket.go
+++ b/bluebellctl/src/ticket.go
@@ -87,8 +87,29 @@
 	return nil
 }
 
+// acceptTicket has the ticket accepted. A budget that it lowers is capped first;
+// where more is drawn, the ticket is refused with the figure.
 func acceptTicket(ctx context.Context, e *env, t bbticket.Ticket, nonce string) error {
-	return bbticket.NewLog(e.store).Accept(ctx, t, nonce, time.Now().UTC())
+	l := bbticket.NewLog(e.store)
+	s, err := l.Load(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if t.Number != s.Number+1 {
+		return &bbticket.NumberError{Asked: t.Number, Head: s.Number}
+	}
+	if err := s.Check(t); err != nil {
+		return err
+	}
+	undo, err := capBudgets(ctx, e, t, nonce)
+	if err != nil {
+		return err
+	}
+	err = l.Accept(ctx, t, nonce, time.Now().UTC())
+	if errors.Is(err, bbticket.ErrNumber) || errors.Is(err, bbticket.ErrInvalid) {
+		undo()
+	}
+	return err
 }
 
 // ticketRow is one line of the list of tickets.
