--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -6,6 +6,9 @@
 const (
 	// maxHeader is the size of a request's header block, in bytes.
 	maxHeader = 16 << 10
+	// bodySlack is how far above the limit a body is still read, in bytes, so
+	// that its sender gets an answer instead of a closed connection.
+	bodySlack = 1 << 20
 	// maxRequestID is the length of an Idempotency-Key, in bytes.
 	maxRequestID = 200
 	// maxOutput is the most tokens that a caller may ask for in one answer.
--- a/bluebellport/src/front.go
+++ b/bluebellport/src/front.go
@@ -58,7 +58,7 @@
 	metrics.NewRegisteredFunctionalGauge("front.open", p.Metrics, f.open.Load)
 	f.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
-		BodyLimit:             int(f.opts.Body),
+		BodyLimit:             int(f.opts.Body) + bodySlack,
 		ReadBufferSize:        maxHeader,
 		ReadTimeout:           f.opts.Timeout,
 		IdleTimeout:           f.opts.Timeout,
@@ -169,6 +169,9 @@
 	if err := f.accepting(); err != nil {
 		return nil, err
 	}
+	if int64(len(w.body)) > f.opts.Body {
+		return nil, errors.WithType(errors.Errorf("body: %d bytes, at most %d", len(w.body), f.opts.Body), errBody)
+	}
 	return w.parse(f.parts.Board.State.Load(), now, f.opts.Timeout)
 }
 
--- /dev/null
+++ b/bluebellport/src/front_test.go
@@ -0,0 +1,457 @@
+package bbport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sebdah/goldie/v2"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// fakeMoney has one budget of so many tokens.
+type fakeMoney struct {
+	mu         sync.Mutex
+	left, used bbunit.Tokens
+	open       int
+}
+
+func (m *fakeMoney) Reserve(_ context.Context, b []bbunit.BudgetID, most bbunit.Tokens) (*Hold, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.left < most {
+		return nil, ErrBudget
+	}
+	m.left -= most
+	m.open++
+	return &Hold{Budget: b[0], Holder: "h", Most: most, End: func(used bbunit.Tokens) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.left += most - used
+		m.used += used
+		m.open--
+	}, Refund: func(n bbunit.Tokens) { m.left += n; m.used -= n }}, nil
+}
+
+// fakeLedger keeps records in memory.
+type fakeLedger struct {
+	mu     sync.Mutex
+	claims map[string]*bbwire.Record
+	final  []*bbwire.Record
+	gone   int
+	refuse error
+}
+
+func (l *fakeLedger) Claim(_ context.Context, r *bbwire.Record) (*bbwire.Record, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse != nil {
+		return nil, l.refuse
+	}
+	if s := l.claims[r.Request]; s != nil {
+		return s, ErrClaimed
+	}
+	l.claims[r.Request] = r
+	return nil, nil
+}
+func (l *fakeLedger) Open(*bbwire.Record) {}
+func (l *fakeLedger) Full() bool          { return false }
+
+func (l *fakeLedger) Withdraw(r *bbwire.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.claims, r.Request)
+	l.gone++
+}
+
+func (l *fakeLedger) BillThen(r *bbwire.Record, _ func(*bbwire.Verdict)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.final = append(l.final, r)
+}
+
+func (l *fakeLedger) last() *bbwire.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.final) == 0 {
+		return &bbwire.Record{}
+	}
+	return l.final[len(l.final)-1]
+}
+
+// bed is a front with fakes behind it and scripted targets.
+type bed struct {
+	*Front
+	url    string
+	money  *fakeMoney
+	ledger *fakeLedger
+}
+
+const testKey = "test-key"
+
+// newBed starts a front whose targets are served by the handlers; a nil handler
+// is a target that cannot be reached.
+func newBed(t *testing.T, targets ...http.HandlerFunc) *bed {
+	t.Helper()
+	tk := bbticket.Ticket{
+		Number: 1,
+		Accounts: []bbticket.Account{
+			{ID: "norra", Keys: []string{digest(testKey)}, Priority: 5},
+			{ID: "poor", Keys: []string{digest("poor-key")}},
+		},
+		Budgets: []bbticket.Budget{{ID: "b", Account: "norra", Paid: 100000}},
+		Services: []bbticket.Service{
+			{ID: "chat", Kind: bbticket.KindEngine, Price: bbticket.Price{Input: 1, Output: 1}, Output: 50},
+			{ID: "desk", Kind: bbticket.KindPlain, Price: bbticket.Price{Call: 10}},
+			{ID: "closed", Kind: bbticket.KindPlain, Accounts: []bbunit.AccountID{"poor"}},
+		},
+	}
+	for i, h := range targets {
+		address := unusedAddress(t)
+		if h != nil {
+			s := httptest.NewServer(h)
+			t.Cleanup(s.Close)
+			address = s.Listener.Addr().String()
+		}
+		for _, service := range []bbunit.ServiceID{"chat", "desk"} {
+			id := bbunit.TargetID(fmt.Sprintf("%s-%d", service, i))
+			tk.Targets = append(tk.Targets, bbticket.Target{ID: id, Service: service, Address: address, Domain: "d"})
+		}
+	}
+	return serveBed(t, (&bbticket.State{}).Apply(tk))
+}
+
+func serveBed(t *testing.T, s *bbticket.State) *bed {
+	t.Helper()
+	o := &Options{}
+	parseOptions(t, o, "--instance", "i1", "--domain", "d", "--store", "127.0.0.1:1", "--silence", "100ms", "--timeout", "3s")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	p := Parts{
+		Board: NewBoard(bbmember.Member{ID: "i1", Inc: 7, Domain: "d"}), Log: log,
+		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now,
+	}
+	p.Board.State.Store(s)
+	router, stop := NewRouter(p)
+	t.Cleanup(stop)
+	b := &bed{money: &fakeMoney{left: 100000}, ledger: &fakeLedger{claims: map[string]*bbwire.Record{}}}
+	b.Front = NewFront(p, newRunner(p, router, b.money, b.ledger))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = b.app.Listener(ln) }()
+	t.Cleanup(func() { _ = b.app.Shutdown() })
+	b.url = "http://" + ln.Addr().String()
+	return b
+}
+
+func unusedAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// do sends a request; fields come as name, value pairs.
+func (b *bed) do(t *testing.T, method, path, body string, fields ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(got)
+}
+
+// settled waits until no reservation is open.
+func (b *bed) settled(is *is.I) {
+	is.Helper()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		b.money.mu.Lock()
+		open := b.money.open
+		b.money.mu.Unlock()
+		if open == 0 && b.open.Load() == 0 {
+			return
+		}
+	}
+	is.Fail() // a reservation or a caller is still open
+}
+
+const ask = `{"model":"chat","messages":[{"role":"user","content":"hi"}]}`
+
+// TestRefusals holds the head and body of each refusal in a golden file; none
+// of them may leave money set aside.
+func TestRefusals(t *testing.T) {
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	long := strings.Repeat("k", maxRequestID+1)
+	for name, c := range map[string]struct {
+		method, path, body string
+		fields             []string
+		status             int
+	}{
+		"key":         {"POST", "/v1/chat/completions", ask, []string{"Authorization", "Bearer nobody"}, 401},
+		"no-key":      {"POST", "/v1/chat/completions", ask, []string{"Authorization", "Basic x"}, 401},
+		"budget":      {"POST", "/v1/chat/completions", ask, []string{"Authorization", "Bearer poor-key"}, 402},
+		"large":       {"POST", "/v1/chat/completions", `{"model":"chat","max_tokens":999999,"messages":[1]}`, nil, 402},
+		"forbidden":   {"GET", "/services/closed/x", "", nil, 403},
+		"model":       {"POST", "/v1/chat/completions", `{"model":"none","messages":[1]}`, nil, 404},
+		"service":     {"GET", "/services/none/x", "", nil, 404},
+		"path":        {"GET", "/nothing", "", nil, 404},
+		"json":        {"POST", "/v1/chat/completions", `{"model":`, nil, 400},
+		"no-messages": {"POST", "/v1/chat/completions", `{"model":"chat"}`, nil, 400},
+		"negative":    {"POST", "/v1/chat/completions", `{"model":"chat","max_tokens":-1,"messages":[1]}`, nil, 400},
+		"overflow":    {"POST", "/v1/chat/completions", `{"model":"chat","max_tokens":99999999999999999999,"messages":[1]}`, nil, 400},
+		"choices":     {"POST", "/v1/chat/completions", `{"model":"chat","n":9,"messages":[1]}`, nil, 400},
+		"id-long":     {"GET", "/services/desk/x", "", []string{"Idempotency-Key", long}, 400},
+		"id-space":    {"GET", "/services/desk/x", "", []string{"Idempotency-Key", "a b"}, 400},
+		"deadline":    {"GET", "/services/desk/x", "", []string{"X-Request-Deadline-Ms", "-5"}, 400},
+		"priority":    {"GET", "/services/desk/x", "", []string{"X-Request-Priority", "high"}, 400},
+		"body":        {"POST", "/services/desk/x", strings.Repeat("x", 1<<20+1), nil, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, body := b.do(t, c.method, c.path, c.body, c.fields...)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get("Content-Type"), "application/problem+json")
+			got := fmt.Sprintf("%d Retry-After=%q\n%s\n", resp.StatusCode, resp.Header.Get("Retry-After"), scrub(body))
+			goldie.New(t).Assert(t, "refusal/"+name, []byte(got))
+		})
+	}
+	b.settled(is.New(t))
+	is.New(t).Equal(b.money.used, bbunit.Tokens(0))
+}
+
+// scrub takes the made request id out of a problem.
+func scrub(body string) string {
+	if i := strings.Index(body, `,"request":"0`); i >= 0 {
+		return body[:i] + "}"
+	}
+	return body
+}
+
+// TestPlainPassedWhole checks what reaches a plain service and what comes back.
+func TestPlainPassedWhole(t *testing.T) {
+	is := is.New(t)
+	var seen *http.Request
+	var got []byte
+	b := newBed(t, func(w http.ResponseWriter, r *http.Request) {
+		seen = r
+		got, _ = io.ReadAll(r.Body)
+		w.Header().Set("X-Answer", "yes")
+		w.Header().Set("Content-Type", "text/weird")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = w.Write([]byte("whole"))
+	})
+	resp, body := b.do(t, "POST", "/services/desk/a%20b/c?x=1&y=%2F", "payload", "X-Mine", "1", "Idempotency-Key", "k1", "Content-Type", "text/odd")
+	is.Equal(resp.StatusCode, http.StatusAccepted)
+	is.Equal(body, "whole")
+	is.Equal(resp.Header.Get("X-Answer"), "yes")
+	is.Equal(resp.Header.Get("Content-Type"), "text/weird")
+	is.Equal(seen.RequestURI, "/a%20b/c?x=1&y=%2F")
+	is.Equal(string(got), "payload")
+	is.Equal(seen.Header.Get("X-Mine"), "1")
+	is.Equal(seen.Header.Get("Content-Type"), "text/odd")
+	is.Equal(seen.Header.Get("Authorization"), "") // the key stays here
+	is.Equal(seen.Header.Get("Idempotency-Key"), "k1")
+	b.settled(is)
+	is.Equal(b.ledger.last().Amount, int64(10))
+	is.Equal(b.money.used, bbunit.Tokens(10))
+}
+
+// TestSameIDTwice: the same body joins the kept answer, another body is refused.
+func TestSameIDTwice(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs++
+		_, _ = fmt.Fprintf(w, "run %d", runs)
+	})
+	_, first := b.do(t, "POST", "/services/desk/book", "road=4", "Idempotency-Key", "k")
+	_, again := b.do(t, "POST", "/services/desk/book", "road=4", "Idempotency-Key", "k")
+	is.Equal(first, again)
+	is.Equal(runs, 1)
+	resp, body := b.do(t, "POST", "/services/desk/book", "road=5", "Idempotency-Key", "k")
+	is.Equal(resp.StatusCode, http.StatusConflict)
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+	is.Equal(runs, 1)
+	b.settled(is)
+	is.Equal(len(b.ledger.final), 1) // one bill
+}
+
+// TestPlainFaults is the table of a plain service's faults: what the caller is
+// told, how often the request ran, and what is recorded.
+func TestPlainFaults(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is seen only then
+		<-r.Context().Done()
+	}
+	cut := func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) }
+	leaving := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	broken := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	for name, c := range map[string]struct {
+		method  string
+		fault   http.HandlerFunc
+		status  int
+		outcome string
+		kind    bbwire.Record_Kind
+		runs    int // requests that reached targets
+	}{
+		"get-dead":     {"GET", nil, 200, "", bbwire.Record_BILL, 1},
+		"get-cut":      {"GET", cut, 200, "", bbwire.Record_BILL, 2},
+		"get-hang":     {"GET", hang, 200, "", bbwire.Record_BILL, 2},
+		"get-leaving":  {"GET", leaving, 200, "", bbwire.Record_BILL, 2},
+		"get-broken":   {"GET", broken, 200, "", bbwire.Record_BILL, 2},
+		"post-dead":    {"POST", nil, 200, "", bbwire.Record_BILL, 1},
+		"post-leaving": {"POST", leaving, 200, "", bbwire.Record_BILL, 2},
+		"post-cut":     {"POST", cut, 502, "unknown", bbwire.Record_UNKNOWN, 1},
+		"post-hang":    {"POST", hang, 504, "unknown", bbwire.Record_UNKNOWN, 1},
+		"post-broken":  {"POST", broken, 500, "", bbwire.Record_BILL, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			runs, failed := 0, false
+			// The first request to arrive anywhere meets the fault.
+			h := func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				runs++
+				fail := !failed && c.fault != nil
+				failed = true
+				mu.Unlock()
+				if fail {
+					c.fault(w, r)
+					return
+				}
+				_, _ = w.Write([]byte("ok"))
+			}
+			targets := []http.HandlerFunc{h, h}
+			if c.fault == nil {
+				targets[0] = nil
+			}
+			b := newBed(t, targets...)
+			resp, body := b.do(t, c.method, "/services/desk/x", "", "X-Request-Deadline-Ms", "700")
+			is.Equal(resp.StatusCode, c.status)
+			if c.outcome != "" {
+				is.True(strings.Contains(body, `"outcome":"`+c.outcome+`"`))
+			}
+			b.settled(is)
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(runs, c.runs)
+			is.Equal(b.ledger.last().Kind, c.kind)
+			is.Equal(len(b.ledger.final), 1)
+		})
+	}
+}
+
+func hijackClose(w http.ResponseWriter) {
+	if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+// TestNotRunLeavesNoClaim: when no target can be reached the caller may come
+// again with the same id.
+func TestNotRunLeavesNoClaim(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, nil)
+	resp, body := b.do(t, "POST", "/services/desk/x", "", "Idempotency-Key", "k")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+	is.True(resp.Header.Get("Retry-After") != "")
+	b.settled(is)
+	is.Equal(b.ledger.gone, 1)
+	is.Equal(len(b.ledger.claims), 0)
+	is.Equal(b.money.used, bbunit.Tokens(0))
+}
+
+// TestNoClaimNotSent: without a claim nothing leaves for a target.
+func TestNoClaimNotSent(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	b := newBed(t, func(http.ResponseWriter, *http.Request) { runs++ })
+	b.ledger.refuse = ErrNoClaim
+	resp, body := b.do(t, "POST", "/services/desk/x", "")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+	is.Equal(runs, 0)
+	b.settled(is)
+}
+
+// TestDrainCutsNothing: a stopping instance ends open streams whole and refuses
+// new requests as not run.
+func TestDrainCutsNothing(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = w.Write([]byte("whole"))
+	})
+	b.opts.Linger = 0
+	var wg sync.WaitGroup
+	var got string
+	wg.Go(func() { _, got = b.do(t, "GET", "/services/desk/x", "", "X-Request-Deadline-Ms", "2000") })
+	for b.Front.open.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan struct{})
+	go func() {
+		b.drain(context.Background())
+		close(drained)
+	}()
+	for !b.parts.Board.Draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	resp, body := b.do(t, "GET", "/services/desk/x", "")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+	close(release)
+	wg.Wait()
+	<-drained
+	is.Equal(got, "whole")
+}
+
+func parseOptions(t *testing.T, o *Options, args ...string) {
+	t.Helper()
+	app := kingpin.New("test", "")
+	cmd := app.Command("serve", "")
+	for _, g := range o.groups() {
+		g.flags(cmd)
+	}
+	if _, err := app.Parse(append([]string{"serve"}, args...)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/bluebellport/src/refusal.go
+++ b/bluebellport/src/refusal.go
@@ -62,9 +62,6 @@
 	return b
 }
 
-// after is implemented by errors that know when coming back can help.
-type after interface{ RetryAfter() time.Duration }
-
 // statuses maps sentinel errors to the status and to whether coming back helps.
 var statuses = []struct {
 	err    error
@@ -88,6 +85,15 @@
 	{errFull, http.StatusServiceUnavailable, true},
 	{errSilent, http.StatusBadGateway, false},
 	{errTarget, http.StatusBadGateway, true},
+	{ErrLimit, http.StatusTooManyRequests, true},
+	{ErrOverload, http.StatusServiceUnavailable, true},
+	{ErrNoTarget, http.StatusServiceUnavailable, true},
+	{ErrBusy, http.StatusServiceUnavailable, true},
+	{ErrLeaving, http.StatusServiceUnavailable, true},
+	{errNotSent, http.StatusServiceUnavailable, true},
+	{ErrDeadline, http.StatusGatewayTimeout, false},
+	{ErrPoisoned, http.StatusBadGateway, false},
+	{ErrLeft, http.StatusGatewayTimeout, false},
 }
 
 // refuse turns an error into what the caller is told.
@@ -103,9 +109,9 @@
 		}
 		break
 	}
-	var a after
-	if errors.As(err, &a) {
-		r.Retry = a.RetryAfter()
+	var told *Refusal
+	if errors.As(err, &told) && told.RetryAfter > 0 {
+		r.Retry = told.RetryAfter
 	}
 	return r
 }
