Relay streams through cuts, silence and dead engines; test each

Cause: an abandoned request's answer was written by two goroutines (seen by the race detector in TestDeadlineCancels). Change: send keeps its own variables and one release function.

--- /dev/null
+++ b/bluebellport/src/engine_test.go
@@ -0,0 +1,316 @@
+package bbport
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// script is an engine that generates ten tokens and fails as told.
+type script struct {
+	mu      sync.Mutex
+	asks    int
+	resumes int
+	cancels int
+	cutAt   int  // event after which the first connection breaks; 0 never
+	silent  bool // the connection falls silent instead of breaking
+	keeps   bool // a broken stream can be resumed
+	dead    bool // after the cut nothing is answered any more
+	queue   time.Duration
+}
+
+const scriptTokens = 10
+
+// whole is the text of the script's answer.
+func whole() string {
+	var b strings.Builder
+	for i := range scriptTokens {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	gone := s.dead && s.asks > 0
+	s.mu.Unlock()
+	if gone {
+		hijackClose(w)
+		return
+	}
+	switch {
+	case r.Method == http.MethodPost:
+		s.chat(w, r)
+	case r.Method == http.MethodDelete:
+		s.mu.Lock()
+		s.cancels++
+		s.mu.Unlock()
+	case strings.HasSuffix(r.URL.Path, "/stream"):
+		s.resume(w, r)
+	default:
+		state := "done"
+		if s.queue > 0 {
+			state = "waiting"
+		}
+		fmt.Fprintf(w, `{"state":%q,"usage":{"completion_tokens":10}}`, state)
+	}
+}
+
+func (s *script) chat(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Messages []message `json:"messages"`
+		Go       bool      `json:"continue_final_message"`
+		Stream   bool      `json:"stream"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.asks++
+	cut := s.cutAt
+	s.cutAt = 0
+	s.mu.Unlock()
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-time.After(s.queue):
+	case <-r.Context().Done():
+		return
+	}
+	from := 0
+	if body.Go {
+		from = strings.Count(body.Messages[len(body.Messages)-1].Content, "t")
+	}
+	if !body.Stream {
+		fmt.Fprintf(w, `{"choices":[{"message":{"content":%q}}],"usage":{"prompt_tokens":3,"completion_tokens":10}}`, whole())
+		return
+	}
+	s.events(w, r, from, from, cut)
+}
+
+// events sends tokens from a number on and fails after the cut; so many were
+// given in the prompt.
+func (s *script) events(w http.ResponseWriter, r *http.Request, from, given, cut int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	id := r.Header.Get("X-Request-Id")
+	for i := from; i < scriptTokens; i++ {
+		if cut > 0 && i == cut {
+			w.(http.Flusher).Flush()
+			if s.silent {
+				<-r.Context().Done()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t%d \"}}]}\n\n", i+1, id, i)
+	}
+	fmt.Fprintf(w, "id: 11\ndata: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n", id)
+	fmt.Fprintf(w, "id: 12\ndata: {\"id\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d}}\n\n", id, 3+given, scriptTokens-given)
+	fmt.Fprint(w, "id: 13\ndata: [DONE]\n\n")
+}
+
+func (s *script) resume(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.resumes++
+	s.mu.Unlock()
+	if !s.keeps {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	from := 0
+	_, _ = fmt.Sscanf(r.URL.Query().Get("from"), "%d", &from)
+	s.events(w, r, from, 0, 0)
+}
+
+const streamed = `{"model":"chat","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"hi"}]}`
+
+// readStream puts a stream's text together and checks its form.
+func readStream(is *is.I, body string) (text string, u usage) {
+	is.Helper()
+	is.True(strings.HasSuffix(body, "data: [DONE]\n\n"))
+	id := ""
+	for _, line := range strings.Split(strings.TrimSuffix(body, "data: [DONE]\n\n"), "\n\n") {
+		if line == "" {
+			continue
+		}
+		var c chunk
+		is.NoErr(json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &c))
+		if id == "" {
+			id = c.ID
+		}
+		is.Equal(c.ID, id) // one id, whoever generated
+		for _, ch := range c.Choices {
+			text += ch.Delta.Content
+		}
+		if c.Usage != nil {
+			u = *c.Usage
+		}
+	}
+	return text, u
+}
+
+// TestStreamFaults: the caller sees the whole text once, whatever happens to
+// the engines, and is billed for it once.
+func TestStreamFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		first   *script // faults of whichever engine is asked first
+		resumed bool
+		asks    int
+	}{
+		"none":            {&script{}, false, 1},
+		"cut-resumed":     {&script{cutAt: 4, keeps: true}, true, 1},
+		"cut-restarted":   {&script{cutAt: 4}, false, 2},
+		"silent-resumed":  {&script{cutAt: 4, silent: true, keeps: true}, true, 1},
+		"silent-at-start": {&script{cutAt: 1, silent: true}, false, 2},
+		"slow-queue":      {&script{queue: 400 * time.Millisecond}, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := c.first
+			b := newBed(t, s.ServeHTTP, s.ServeHTTP)
+			resp, body := b.do(t, "POST", "/v1/chat/completions", streamed)
+			is.Equal(resp.StatusCode, 200)
+			is.Equal(resp.Header.Get("Content-Type"), "text/event-stream")
+			text, u := readStream(is, body)
+			is.Equal(text, whole())
+			is.Equal(u, usage{Prompt: 3, Completion: 10})
+			b.settled(is)
+			is.Equal(len(b.ledger.final), 1)
+			is.Equal(b.ledger.last().Amount, int64(13))
+			is.Equal(b.money.used, bbunit.Tokens(13))
+			is.Equal(s.asks, c.asks) // waiting in a queue is no silence
+			is.Equal(s.resumes > 0 && s.keeps, c.resumed)
+		})
+	}
+}
+
+// TestStreamEngineDies: the other engine goes on after the text so far.
+func TestStreamEngineDies(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	dying, well := &script{cutAt: 4, dead: true}, &script{}
+	first := 0 // which target was asked first, from 1
+	pick := func(n int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			if first == 0 {
+				first = n
+			}
+			s := well
+			if first == n {
+				s = dying
+			}
+			mu.Unlock()
+			s.ServeHTTP(w, r)
+		}
+	}
+	b := newBed(t, pick(1), pick(2))
+	_, body := b.do(t, "POST", "/v1/chat/completions", streamed)
+	text, u := readStream(is, body)
+	is.Equal(text, whole())
+	is.Equal(u, usage{Prompt: 3, Completion: 10})
+	b.settled(is)
+	is.Equal(b.ledger.last().Amount, int64(13))
+}
+
+// TestStreamLost: when no engine can go on, the stream ends with the outcome
+// and without [DONE], and the caller pays for what it got.
+func TestStreamLost(t *testing.T) {
+	is := is.New(t)
+	s := &script{cutAt: 4, dead: true}
+	b := newBed(t, s.ServeHTTP)
+	resp, body := b.do(t, "POST", "/v1/chat/completions", streamed)
+	is.Equal(resp.StatusCode, 200)
+	is.True(!strings.Contains(body, "[DONE]"))
+	is.True(strings.Contains(body, `"outcome":"failed"`))
+	b.settled(is)
+	is.Equal(b.ledger.last().Kind, bbwire.Record_BILL)
+	is.Equal(b.ledger.last().Amount, int64(4))
+}
+
+// TestWholeFaults: an answer that is not streamed is asked for again elsewhere.
+func TestWholeFaults(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	cuts := 1
+	h := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		cut := cuts > 0 && r.Method == http.MethodPost
+		if cut {
+			cuts--
+		}
+		mu.Unlock()
+		if cut {
+			hijackClose(w)
+			return
+		}
+		(&script{}).ServeHTTP(w, r)
+	}
+	b := newBed(t, h, h)
+	resp, body := b.do(t, "POST", "/v1/chat/completions", ask)
+	is.Equal(resp.StatusCode, 200)
+	is.True(strings.Contains(body, whole()))
+	b.settled(is)
+	is.Equal(len(b.ledger.final), 1)
+	is.Equal(b.ledger.last().Amount, int64(13))
+}
+
+// TestDeadlineCancels: past its deadline a chat is refused at once and
+// cancelled at the engine.
+func TestDeadlineCancels(t *testing.T) {
+	is := is.New(t)
+	s := &script{queue: 2 * time.Second}
+	b := newBed(t, s.ServeHTTP)
+	started := time.Now()
+	resp, body := b.do(t, "POST", "/v1/chat/completions", streamed, "X-Request-Deadline-Ms", "300")
+	took := time.Since(started)
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.True(strings.Contains(body, `"outcome":"failed"`))
+	is.True(took > 250*time.Millisecond && took < time.Second) // neither early nor held back
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		n := s.cancels
+		s.mu.Unlock()
+		if n > 0 {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.cancels, 1)
+}
+
+// TestCallerLeaves: a chat whose caller is gone is cancelled at the engine after
+// the grace.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	s := &script{queue: 10 * time.Second}
+	b := newBed(t, s.ServeHTTP)
+	out, leader, err := b.dups.Join("norra", "x", 1)
+	is.NoErr(err)
+	is.True(leader)
+	w := &wire{method: "POST", path: "/v1/chat/completions", key: testKey, body: []byte(streamed)}
+	c, err := w.parse(b.parts.Board.State.Load(), time.Now(), 3*time.Second)
+	is.NoErr(err)
+	done := make(chan struct{})
+	go func() {
+		b.runner.run(out.Context(), c, out)
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	out.Leave()
+	select {
+	case <-done:
+	case <-time.After(2500 * time.Millisecond):
+		is.Fail() // the run went on after all callers left
+	}
+}
--- a/bluebellport/src/upstream.go
+++ b/bluebellport/src/upstream.go
@@ -73,41 +73,38 @@
 }
 
 // send does the request and returns once the answer's header is there, the
-// context ends or the deadline passes. Sent is false only when no byte left.
-// The answer must be closed by its clean-up function.
-func (u *upstream) send(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time) (resp *fasthttp.Response, free func(), sent bool, err error) {
+// context ends or the deadline passes. The bool is false only when no byte left.
+// The answer must be closed by its clean-up function, which also ends a read
+// under way.
+func (u *upstream) send(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time) (*fasthttp.Response, func(), bool, error) {
 	if fresh {
 		req.SetConnectionClose()
 	}
 	otel.GetTextMapPropagator().Inject(ctx, requestCarrier{&req.Header})
 	done := make(chan error, 1)
-	resp = fasthttp.AcquireResponse()
+	resp := fasthttp.AcquireResponse()
 	c := u.client(address, fresh)
 	go func() { done <- c.DoDeadline(req, resp, deadline) }()
 	select {
-	case err = <-done:
+	case err := <-done:
+		if err == nil {
+			return resp, sync.OnceFunc(func() { release(req, resp) }), true, nil
+		}
+		release(req, resp)
+		return nil, func() {}, !notSent(err), errors.Trace(err)
 	case <-ctx.Done():
-		go abandon(done, req, resp)
+		go func() {
+			<-done
+			release(req, resp)
+		}()
 		return nil, func() {}, true, errors.WithType(context.Cause(ctx), errSilent)
 	}
-	if err != nil {
-		fasthttp.ReleaseRequest(req)
-		fasthttp.ReleaseResponse(resp)
-		return nil, func() {}, !notSent(err), errors.Trace(err)
-	}
-	free = sync.OnceFunc(func() {
-		_ = resp.CloseBodyStream()
-		fasthttp.ReleaseRequest(req)
-		fasthttp.ReleaseResponse(resp)
-	})
-	return resp, free, true, nil
 }
 
-// abandon cleans up after a request that nobody waits for any more.
-func abandon(done <-chan error, req *fasthttp.Request, resp *fasthttp.Response) {
-	if err := <-done; err == nil {
-		_ = resp.CloseBodyStream()
-	}
+// release closes the answer, whether it was read whole or not, and gives both
+// back to the HTTP library.
+func release(req *fasthttp.Request, resp *fasthttp.Response) {
+	_ = resp.CloseBodyStream()
 	fasthttp.ReleaseRequest(req)
 	fasthttp.ReleaseResponse(resp)
 }
