Take the answer that comes after an unknown outcome

Cause: a request that may not be repeated was told unknown at its deadline and its answer thrown away, so that its caller never learned. Ruled out: holding the caller's answer back.

--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -145,7 +145,7 @@
 		money:   m,
 		ledger:  l,
 		engines: &engines{up: up, owner: owner, silence: p.Opts.Front.Silence, tasks: tasks.Go},
-		plains:  &plains{up: up, owner: owner, silence: p.Opts.Front.Silence},
+		plains:  &plains{up: up, owner: owner, silence: p.Opts.Front.Silence, late: p.Opts.Front.Late},
 		owner:   owner,
 		tracer:  otel.Tracer("bluebellport"),
 	}
--- a/bluebellport/src/front.go
+++ b/bluebellport/src/front.go
@@ -55,6 +55,7 @@
 		cut:      metrics.GetOrRegisterCounter("front.cut", p.Metrics),
 		took:     metrics.GetOrRegisterTimer("front.time", p.Metrics),
 	}
+	r.rejoin = func(c *call) (*Answer, bool, error) { return f.dups.Join(c.account.ID, c.id, c.print) }
 	metrics.NewRegisteredFunctionalGauge("front.open", p.Metrics, f.open.Load)
 	f.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true,
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -139,7 +139,7 @@
 func serveBed(t *testing.T, s *bbticket.State) *bed {
 	t.Helper()
 	o := &Options{}
-	parseOptions(t, o, "--instance", "i1", "--domain", "d", "--store", "127.0.0.1:1", "--silence", "100ms", "--timeout", "3s")
+	parseOptions(t, o, "--instance", "i1", "--domain", "d", "--store", "127.0.0.1:1", "--silence", "100ms", "--timeout", "3s", "--late", "1s")
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := Parts{
@@ -377,6 +377,35 @@
 	}
 }
 
+// TestLateAnswer: an answer that comes after the caller was told unknown is
+// billed, and a copy of the request gets it; the request ran once.
+func TestLateAnswer(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	runs := 0
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		runs++
+		mu.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		_, _ = w.Write([]byte("booked"))
+	})
+	resp, body := b.do(t, "POST", "/services/desk/x", "", "Idempotency-Key", "k", "X-Request-Deadline-Ms", "200")
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.True(strings.Contains(body, `"outcome":"unknown"`))
+	is.Equal(b.ledger.last().Kind, bbwire.Record_UNKNOWN)
+	for end := time.Now().Add(3 * time.Second); b.ledger.last().Kind != bbwire.Record_BILL && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(b.ledger.last().Kind, bbwire.Record_BILL)
+	resp, body = b.do(t, "POST", "/services/desk/x", "", "Idempotency-Key", "k")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, "booked")
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(runs, 1)
+}
+
 func hijackClose(w http.ResponseWriter) {
 	if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
 		_ = conn.Close()
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -94,6 +94,9 @@
 	Linger time.Duration
 	// Silence is how long a target may send nothing before it is asked about.
 	Silence time.Duration
+	// Late is how long after its deadline the answer to a request that may not
+	// be repeated is still waited for.
+	Late time.Duration
 }
 
 func (o *FrontOptions) flags(cmd *kingpin.CmdClause) {
@@ -104,6 +107,7 @@
 	cmd.Flag("timeout", "Deadline of a request that sets none.").Envar("BLUEBELLPORT_TIMEOUT").Default("120s").DurationVar(&o.Timeout)
 	cmd.Flag("linger", "How long a leaving instance still takes requests while the balancer learns of it.").Envar("BLUEBELLPORT_LINGER").Default("3s").DurationVar(&o.Linger)
 	cmd.Flag("silence", "How long a target may send nothing before it is asked about over a fresh connection.").Envar("BLUEBELLPORT_SILENCE").Default("2s").DurationVar(&o.Silence)
+	cmd.Flag("late", "How long past its deadline the answer to a request that may not be repeated is waited for.").Envar("BLUEBELLPORT_LATE").Default("60s").DurationVar(&o.Late)
 }
 
 func (o *FrontOptions) check() []string {
@@ -114,6 +118,7 @@
 	}
 	bad = append(bad, badDuration("--drain", o.Drain)...)
 	bad = append(bad, badDuration("--silence", o.Silence)...)
+	bad = append(bad, badDuration("--late", o.Late)...)
 	if o.Linger < 0 || o.Linger >= o.Drain {
 		bad = append(bad, fmt.Sprintf("--linger: must be from 0 to below --drain (%s), is %s", o.Drain, o.Linger))
 	}
--- a/bluebellport/src/run.go
+++ b/bluebellport/src/run.go
@@ -25,6 +25,8 @@
 	plains  *plains
 	owner   string
 	tracer  trace.Tracer
+	// rejoin attaches to the answer of a request anew, to lead it.
+	rejoin func(c *call) (*Answer, bool, error)
 	// elsewhere has the instance that owns a claim bring the answer; errHome
 	// when it cannot.
 	elsewhere func(ctx context.Context, c *call, to bbunit.InstanceID, out *Answer) error
@@ -43,6 +45,8 @@
 	last  bbunit.TargetID
 	// sent tells that a byte of the request may have run somewhere.
 	sent bool
+	// ended is closed once the caller was told and the request recorded.
+	ended chan struct{}
 }
 
 // run does the whole request and ends the answer:
@@ -52,7 +56,8 @@
 func (r *runner) run(ctx context.Context, c *call, out *Answer) {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errors.Trace(errDeadline))
 	defer cancel()
-	j := &job{runner: r, c: c, out: out, ask: askOf(ctx, c)}
+	j := &job{runner: r, c: c, out: out, ask: askOf(ctx, c), ended: make(chan struct{})}
+	defer close(j.ended)
 	pass, err := r.router.Admit(j.ask)
 	if err != nil {
 		j.refuse(err)
@@ -186,7 +191,7 @@
 	if j.c.chat != nil {
 		end = j.engines.run(ctx, j.c, at, n, &j.relay, j.out)
 	} else {
-		end = j.plains.run(ctx, j.c, at, n, j.out)
+		end = j.plains.run(ctx, j.c, at, n, j.out, j.late())
 	}
 	if end.Err != nil {
 		span.RecordError(end.Err)
--- a/bluebellport/src/upstream.go
+++ b/bluebellport/src/upstream.go
@@ -77,6 +77,12 @@
 // The answer must be closed by its clean-up function, which also ends a read
 // under way.
 func (u *upstream) send(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time) (*fasthttp.Response, func(), bool, error) {
+	return u.sendLate(ctx, address, fresh, req, deadline, nil)
+}
+
+// sendLate is send; an answer that comes between the context's end and the
+// deadline goes to late, if set, which may block.
+func (u *upstream) sendLate(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time, late func(*fasthttp.Response)) (*fasthttp.Response, func(), bool, error) {
 	if fresh {
 		req.SetConnectionClose()
 	}
@@ -94,7 +100,9 @@
 		return nil, func() {}, !notSent(err), errors.Trace(err)
 	case <-ctx.Done():
 		go func() {
-			<-done
+			if err := <-done; err == nil && late != nil {
+				late(resp)
+			}
 			release(req, resp)
 		}()
 		return nil, func() {}, true, errors.WithType(context.Cause(ctx), errSilent)
