Bound the traffic of membership and test the fleet core

Ruled out: fewer partners (the time until a death is known grows). Change: a message carries the 16 members of the domain whose beats rose last, a sample of 4 others, and a failure domain's name once. The property test found three faults, mended here: a life that leaves came back after a list or a greeting brought it again, an earlier life was taken back by its greeting, and a greeting of another life counted as contact.

Guards removed, and the tests that then failed: bounds of the clock's step (TestClockJumpsKeepTheView); leaving is sticky (TestFleetNeverLosesItself, TestLeavingGoesAheadOfTheList); a failed connection before suspicion (TestSuspicionNeedsAFailedConnection, TestPartitionHeals); the list's mark is for one life (TestLeavingGoesAheadOfTheList); beats only forward (TestLivesOfOneName, TestFleetNeverLosesItself); dropped members' last beats and lives (TestFleetNeverLosesItself); a later life noticed (TestLivesOfOneName); beats of the future, zero beats and incarnations (TestMalformedReportsAreDropped). TestLivesOfOneName got a case after the guard on greetings of another life was removed without a failure.

--- a/bluebellport/src/gossip.go
+++ b/bluebellport/src/gossip.go
@@ -60,14 +60,14 @@
 			g.over.Inc(1)
 			out = &bbwire.Gossip{Number: out.Number}
 		}
-		out.Members = reportsOut(msg.Reports)
+		out.Members = bbmember.Encode(msg.Reports)
 		g.send(msg.To, out)
 	}
 }
 
 // news sends reports that can't wait for the next round.
 func (g *gossip) news(msg bbmember.Message) {
-	g.send(msg.To, &bbwire.Gossip{Members: reportsOut(msg.Reports)})
+	g.send(msg.To, &bbwire.Gossip{Members: bbmember.Encode(msg.Reports)})
 }
 
 func (g *gossip) send(to bbunit.InstanceID, out *bbwire.Gossip) {
@@ -82,35 +82,10 @@
 		g.peers.drop(from, errTooMany)
 		return nil
 	}
-	reports := reportsIn(in.GetMembers())
+	reports := bbmember.Decode(in.GetMembers())
 	g.members.do(func(f *bbmember.Fleet, now time.Time) bbmember.Actions { return f.Told(now, reports) })
 	for _, r := range g.heard() {
 		r.Take(from, in)
 	}
 	return nil
 }
-
-func reportsOut(reports []bbmember.Report) []*bbwire.Member {
-	out := make([]*bbwire.Member, len(reports))
-	for i, r := range reports {
-		out[i] = &bbwire.Member{
-			Instance: string(r.ID), Inc: uint64(r.Inc), Domain: string(r.Domain),
-			Address: r.Address, Beat: r.Beat, Leaving: r.Leaving,
-		}
-	}
-	return out
-}
-
-func reportsIn(in []*bbwire.Member) []bbmember.Report {
-	out := make([]bbmember.Report, len(in))
-	for i, m := range in {
-		out[i] = bbmember.Report{
-			Member: bbmember.Member{
-				ID: bbunit.InstanceID(m.GetInstance()), Inc: bbunit.Incarnation(m.GetInc()),
-				Domain: bbunit.DomainID(m.GetDomain()), Address: m.GetAddress(), Leaving: m.GetLeaving(),
-			},
-			Beat: m.GetBeat(),
-		}
-	}
-	return out
-}
--- a/shared/bbmember/fleet.go
+++ b/shared/bbmember/fleet.go
@@ -1,6 +1,7 @@
 package bbmember
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,7 +30,7 @@
 func DefaultConfig(period, suspicion time.Duration) Config {
 	return Config{
 		Period: period, Suspicion: suspicion, Forget: 12 * suspicion,
-		Fanout: 2, DomainMax: 32, SampleMax: 8,
+		Fanout: 2, DomainMax: 16, SampleMax: 4,
 	}
 }
 
@@ -103,8 +104,10 @@
 // grave keeps a dropped member's last beat, so that stale reports don't bring
 // it back.
 type grave struct {
-	beat uint64
-	at   time.Duration
+	inc     bbunit.Incarnation
+	beat    uint64
+	leaving bool
+	at      time.Duration
 }
 
 // NewFleet returns the fleet as seen by self, which starts at now.
@@ -169,16 +172,16 @@
 		return Actions{Dropped: 1}
 	}
 	e := f.entries[m.ID]
+	g, buried := f.graves[m.ID]
 	switch {
+	case buried && g.inc != m.Inc, e != nil && e.Inc != 0 && e.Inc != m.Inc:
+		return f.finish(Actions{}) // its reports tell which life is the later
 	case e == nil:
 		e = f.add(Report{Member: m})
-	case e.Inc == 0, e.Inc != m.Inc && f.silent(e):
-		leaving := e.Leaving && e.Inc == 0
-		e.Report = Report{Member: m, Beat: e.Beat}
+	case e.Inc == 0:
+		leaving := e.Leaving || f.left(m)
+		e.Report, e.changed = Report{Member: m}, f.clock
 		e.Leaving = leaving
-		e.changed = f.clock
-	case e.Inc != m.Inc:
-		return f.finish(Actions{})
 	}
 	e.contact(f.clock)
 	return f.finish(Actions{})
@@ -240,14 +243,13 @@
 		f.add(r).contact(f.clock)
 		return true
 	}
-	sameLife := e.Inc == r.Inc
-	if r.Beat <= e.Beat && (sameLife || !f.silent(e)) {
+	if r.Beat <= e.Beat {
 		return false
 	}
-	was := e.Leaving && sameLife
 	joined := e.Inc != r.Inc
+	was := e.Leaving && !joined
 	e.Report = r
-	e.Leaving = r.Leaving || was
+	e.Leaving = r.Leaving || was || f.left(r.Member)
 	e.heard, e.seen = true, f.clock
 	if joined || e.Leaving != was {
 		e.changed = f.clock
@@ -282,18 +284,23 @@
 	return f.finish(a)
 }
 
-// bury drops members that nobody vouches for any more.
+// bury drops members that nobody vouches for any more. A listed one stays to be
+// reached, with its life forgotten.
 func (f *Fleet) bury() {
 	for _, id := range slices.Clone(f.order) {
 		e := f.entries[id]
-		gone := f.silence(e) > f.cfg.Forget || (e.Leaving && f.silent(e))
-		if e.listed || !gone {
-			continue
+		gone := f.silence(e) > f.cfg.Forget
+		left := e.Leaving && f.silent(e)
+		switch {
+		case e.listed && gone && e.heard:
+			f.graves[id] = grave{inc: e.Inc, leaving: e.Leaving, at: f.clock}
+			e.Inc, e.Beat, e.heard = 0, 0, false
+		case !e.listed && (gone || left):
+			f.graves[id] = grave{inc: e.Inc, beat: e.Beat, leaving: e.Leaving, at: f.clock}
+			delete(f.entries, id)
+			i, _ := slices.BinarySearch(f.order, id)
+			f.order = slices.Delete(f.order, i, i+1)
 		}
-		f.graves[id] = grave{beat: e.Beat, at: f.clock}
-		delete(f.entries, id)
-		i, _ := slices.BinarySearch(f.order, id)
-		f.order = slices.Delete(f.order, i, i+1)
 	}
 	for id, g := range f.graves {
 		if f.clock-g.at > 4*f.cfg.Forget {
@@ -376,7 +383,7 @@
 		}
 	}
 	ids := f.pick(fresh, f.cfg.SampleMax)
-	ids = append(ids, f.pick(in, own)...)
+	ids = append(ids, f.freshest(in, own)...)
 	ids = append(ids, f.pick(out, f.cfg.SampleMax)...)
 	reports := []Report{f.self}
 	for _, id := range ids {
@@ -385,14 +392,30 @@
 	return reports
 }
 
+// freshest returns n of ids, those whose beats rose last; it reorders ids.
+func (f *Fleet) freshest(ids []bbunit.InstanceID, n int) []bbunit.InstanceID {
+	ids = f.pick(ids, len(ids))
+	slices.SortStableFunc(ids, func(a, b bbunit.InstanceID) int {
+		return cmp.Compare(f.entries[b].seen, f.entries[a].seen)
+	})
+	return ids[:min(n, len(ids))]
+}
+
 func (f *Fleet) add(r Report) *entry {
 	e := &entry{Report: r, seen: f.clock, changed: f.clock}
+	e.Leaving = e.Leaving || f.left(r.Member)
 	f.entries[r.ID] = e
 	i, _ := slices.BinarySearch(f.order, r.ID)
 	f.order = slices.Insert(f.order, i, r.ID)
 	return e
 }
 
+// left tells whether a life was dropped while it was leaving.
+func (f *Fleet) left(m Member) bool {
+	g, ok := f.graves[m.ID]
+	return ok && g.leaving && g.inc == m.Inc
+}
+
 func (e *entry) contact(clock time.Duration) { e.heard, e.seen = true, clock }
 
 func (e *entry) leave(clock time.Duration) {
@@ -411,13 +434,33 @@
 
 // finish adds the view to the actions when it changed.
 func (f *Fleet) finish(a Actions) Actions {
-	v := f.build()
-	if v.Self != f.view.Self || !slices.Equal(v.Members, f.view.Members) {
-		f.view, a.View = v, v
+	if !f.current() {
+		f.view = f.build()
+		a.View = f.view
 	}
 	return a
 }
 
+// current tells whether the view is as it would be built now.
+func (f *Fleet) current() bool {
+	if f.view.Self != f.self.Member {
+		return false
+	}
+	members := f.view.Members
+	for _, id := range f.order {
+		if len(members) > 0 && members[0].ID == f.self.ID {
+			members = members[1:]
+		}
+		if e := f.entries[id]; f.live(e) {
+			if len(members) == 0 || members[0] != e.Member {
+				return false
+			}
+			members = members[1:]
+		}
+	}
+	return len(members) == 0 || (len(members) == 1 && members[0].ID == f.self.ID)
+}
+
 func (f *Fleet) build() *View {
 	v := &View{Self: f.self.Member, Members: make([]Member, 0, len(f.order)+1)}
 	placed := f.self.Leaving
--- /dev/null
+++ b/shared/bbmember/fleet_test.go
@@ -0,0 +1,322 @@
+package bbmember
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// fleetCost is what a fleet of a size costs, and how soon it hears.
+type fleetCost struct {
+	rate    float64 // bytes of gossip sent by an instance in a second
+	probes  float64 // probes by an instance in a second
+	missing int
+	leaving int // seconds until every instance knows of one that leaves
+	death   int // seconds until the failure domain knows of one that died
+}
+
+func measureFleet(n, domains int) fleetCost {
+	const periods = 30
+	s := newSim(n, domains, 7)
+	s.run(20)
+	for _, d := range s.nodes {
+		d.sent = 0
+	}
+	s.probes = 0
+	s.run(periods)
+	c := fleetCost{missing: s.missing()}
+	for _, d := range s.nodes {
+		c.rate += float64(d.sent) / float64(n) / periods
+	}
+	c.probes = float64(s.probes) / float64(n) / periods
+	gone, dead := s.nodes[0], s.nodes[1]
+	s.act(gone, gone.Leave(s.now))
+	gone.down = true
+	c.leaving = s.until(60, func(d *simNode) bool { m, ok := d.View().Find(gone.Member.ID); return !ok || m.Leaving })
+	dead.down = true
+	c.death = s.until(60, func(d *simNode) bool {
+		_, ok := d.View().Find(dead.Member.ID)
+		return !ok || d.Member.Domain != dead.Member.Domain
+	})
+	return c
+}
+
+// BenchmarkGossip prints what membership costs an instance against the number
+// of instances.
+func BenchmarkGossip(b *testing.B) {
+	for _, z := range []struct{ n, domains int }{{8, 4}, {32, 4}, {128, 8}, {512, 12}} {
+		b.Run(fmt.Sprintf("instances=%d", z.n), func(b *testing.B) {
+			var c fleetCost
+			for b.Loop() {
+				c = measureFleet(z.n, z.domains)
+			}
+			b.ReportMetric(c.rate, "B/s")
+			b.ReportMetric(c.probes, "probes/s")
+			b.ReportMetric(float64(c.leaving), "s-leaving")
+			b.ReportMetric(float64(c.death), "s-death")
+		})
+	}
+}
+
+func TestTrafficIsBounded(t *testing.T) {
+	for _, z := range []struct{ n, domains int }{{8, 4}, {32, 2}, {64, 1}} {
+		is := is.New(t)
+		c := measureFleet(z.n, z.domains)
+		t.Logf("instances %d, failure domains %d: %+v", z.n, z.domains, c)
+		is.Equal(c.missing, 0)
+		is.True(c.leaving >= 0 && c.leaving <= 5)
+		is.True(c.death >= 0 && c.death <= 15)
+		is.True(c.rate < 4000)
+	}
+}
+
+func newTestFleet() *Fleet {
+	self := Member{ID: "self", Inc: 9, Domain: "d1", Address: "10.0.0.1:1"}
+	return NewFleet(self, DefaultConfig(time.Second, 5*time.Second), simStart, rand.New(rand.NewPCG(1, 2)))
+}
+
+func testReport(id string, inc, beat uint64) Report {
+	return Report{
+		Member: Member{ID: bbunit.InstanceID(id), Inc: bbunit.Incarnation(inc), Domain: "d1", Address: "10.0.0.2:1"},
+		Beat:   beat,
+	}
+}
+
+func beatAt(d time.Duration) uint64 { return uint64(simStart.Add(d).UnixMilli()) }
+
+func TestMalformedReportsAreDropped(t *testing.T) {
+	good := testReport("a", 1, beatAt(0))
+	cases := map[string]func(r *Report){
+		"no id":               func(r *Report) { r.ID = "" },
+		"long id":             func(r *Report) { r.ID = bbunit.InstanceID(strings.Repeat("x", 200)) },
+		"no failure domain":   func(r *Report) { r.Domain = "" },
+		"no incarnation":      func(r *Report) { r.Inc = 0 },
+		"no beat":             func(r *Report) { r.Beat = 0 },
+		"beat of the future":  func(r *Report) { r.Beat = math.MaxUint64 },
+		"address by name":     func(r *Report) { r.Address = "host:1" },
+		"unspecified address": func(r *Report) { r.Address = "0.0.0.0:1" },
+		"no port":             func(r *Report) { r.Address = "10.0.0.2:0" },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet()
+			bad := good
+			spoil(&bad)
+			a := f.Told(simStart, []Report{bad, testReport("b", 1, beatAt(0))})
+			is.Equal(a.Dropped, 1)
+			is.Equal(len(f.View().Members), 2) // self and b: the rest of the message counts
+		})
+	}
+}
+
+func TestLivesOfOneName(t *testing.T) {
+	const old, young = 1, 2
+	cases := map[string]struct {
+		run  func(f *Fleet)
+		want bbunit.Incarnation
+	}{
+		"a later life replaces the earlier": {func(f *Fleet) {
+			f.Told(simStart, []Report{testReport("a", old, beatAt(0))})
+			f.Told(simStart, []Report{testReport("a", young, beatAt(time.Minute))})
+		}, young},
+		"an earlier life that resumes does not come back": {func(f *Fleet) {
+			f.Told(simStart, []Report{testReport("a", young, beatAt(time.Minute))})
+			f.Told(simStart, []Report{testReport("a", old, beatAt(30*time.Second))})
+			f.Greeted(simStart, testReport("a", old, 0).Member)
+		}, young},
+		"a later life with a clock behind is taken once the earlier is forgotten": {func(f *Fleet) {
+			f.Told(simStart, []Report{testReport("a", old, beatAt(time.Minute))})
+			f.Listed(simStart, []Listed{{ID: "a", Domain: "d1", Address: "10.0.0.2:1"}})
+			for i := range 70 {
+				f.Tick(simStart.Add(time.Duration(i) * time.Second))
+			}
+			f.Told(simStart, []Report{testReport("a", young, beatAt(0))})
+		}, young},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet()
+			c.run(f)
+			m, ok := f.View().Find("a")
+			is.True(ok)
+			is.Equal(m.Inc, c.want)
+		})
+	}
+	t.Run("an earlier life's greeting does not keep the later one in the view", func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		f.Told(simStart, []Report{testReport("a", young, beatAt(0))})
+		at := simStart
+		for range 10 {
+			at = at.Add(time.Second)
+			f.Tick(at)
+		}
+		f.Unreachable(at, "a")
+		f.Greeted(at, testReport("a", old, 0).Member)
+		_, ok := f.View().Find("a")
+		is.True(!ok)
+	})
+	t.Run("an instance hears that it was replaced", func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet()
+		is.True(f.Told(simStart, []Report{testReport("self", 10, beatAt(time.Minute))}).Superseded)
+		is.True(!f.Told(simStart, []Report{testReport("self", 8, beatAt(-time.Minute))}).Superseded)
+		is.Equal(f.View().Self.Inc, bbunit.Incarnation(9))
+	})
+}
+
+func TestLeavingGoesAheadOfTheList(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet()
+	live := []Listed{{ID: "a", Domain: "d1", Address: "10.0.0.2:1"}}
+	f.Listed(simStart, live)
+	f.Told(simStart, []Report{testReport("a", 1, beatAt(0))})
+	r := testReport("a", 1, beatAt(0)+1)
+	r.Leaving = true
+	f.Told(simStart, []Report{r})
+	f.Listed(simStart, live) // the list still has it live
+	_, ok := f.View().Home("k", "d1")
+	is.True(ok)
+	m, _ := f.View().Find("a")
+	is.True(m.Leaving)
+	r.Leaving, r.Beat = false, r.Beat+1
+	f.Told(simStart, []Report{r})
+	m, _ = f.View().Find("a")
+	is.True(m.Leaving) // a life that leaves doesn't come back
+
+	f.Told(simStart, []Report{testReport("a", 2, beatAt(time.Minute))})
+	f.Listed(simStart, []Listed{{ID: "a", Domain: "d1", Address: "10.0.0.2:1", Leaving: true, Since: simStart.UnixMilli()}})
+	m, _ = f.View().Find("a")
+	is.True(!m.Leaving) // the mark was for the earlier life
+}
+
+func TestClockJumpsKeepTheView(t *testing.T) {
+	for _, jump := range []time.Duration{time.Hour, -time.Hour, 10 * time.Second} {
+		t.Run(jump.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestFleet()
+			f.Told(simStart, []Report{testReport("a", 1, beatAt(0))})
+			f.Tick(simStart.Add(time.Second))
+			f.Unreachable(simStart.Add(jump), "a")
+			f.Tick(simStart.Add(jump))
+			f.Tick(simStart.Add(jump + time.Second))
+			_, ok := f.View().Find("a")
+			is.True(ok)
+			for i := range 12 {
+				f.Tick(simStart.Add(jump + time.Duration(i)*time.Second))
+			}
+			_, ok = f.View().Find("a")
+			is.True(!ok) // real silence still counts after the jump
+		})
+	}
+}
+
+func TestSuspicionNeedsAFailedConnection(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet()
+	f.Told(simStart, []Report{testReport("a", 1, beatAt(0))})
+	probed := false
+	at := simStart
+	for range 10 {
+		at = at.Add(time.Second)
+		a := f.Tick(at)
+		probed = probed || len(a.Probe) > 0
+	}
+	is.True(probed)
+	_, ok := f.View().Find("a")
+	is.True(ok) // silent, but nobody tried a fresh connection in vain
+	f.Unreachable(at, "a")
+	_, ok = f.View().Find("a")
+	is.True(!ok)
+	f.Greeted(at, testReport("a", 1, 0).Member)
+	_, ok = f.View().Find("a")
+	is.True(ok)
+}
+
+func TestPartitionHeals(t *testing.T) {
+	is := is.New(t)
+	s := newSim(48, 4, 3)
+	s.run(10)
+	part := func(d *simNode) bool { return d.Member.Domain == s.nodes[0].Member.Domain }
+	s.cut = func(a, b *simNode) bool { return part(a) != part(b) }
+	apart := s.until(120, func(d *simNode) bool {
+		for _, m := range d.View().Members {
+			if part(s.byID[m.ID]) != part(d) {
+				return false
+			}
+		}
+		return true
+	})
+	s.run(120)
+	s.cut = func(_, _ *simNode) bool { return false }
+	healed := s.until(60, func(d *simNode) bool { return len(d.View().Members) == len(s.nodes) })
+	t.Logf("cut seen whole after %d s, healed after %d s", apart, healed)
+	is.True(apart >= 0)
+	is.True(healed >= 0 && healed <= 30)
+}
+
+// TestFleetNeverLosesItself checks what holds after any events at all.
+func TestFleetNeverLosesItself(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet()
+		at := simStart
+		leaving := map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			at = at.Add(time.Duration(rapid.IntRange(-5000, 20000).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprintf("m%d", rapid.IntRange(0, 3).Draw(t, "id"))
+			inc, beat := rapid.Uint64Range(1, 3).Draw(t, "inc"), rapid.Uint64Range(0, 9).Draw(t, "beat")
+			r := testReport(id, inc, beatAt(time.Duration(inc)*time.Minute)+beat)
+			r.Leaving = beat >= 5 // each life begins to leave at its fifth beat
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				f.Told(at, []Report{r})
+			case 1:
+				f.Listed(at, []Listed{{ID: r.ID, Domain: r.Domain, Address: r.Address}})
+			case 2:
+				hello := r.Member
+				hello.Leaving = false // a Hello does not tell
+				f.Greeted(at, hello)
+			case 3:
+				f.Unreachable(at, r.ID)
+			case 4:
+				f.Contact(at, []Member{r.Member})
+			default:
+				f.Tick(at)
+			}
+			checkView(t, f, leaving)
+		}
+	})
+}
+
+// checkView holds for every view: sorted, this instance once, and no life that
+// leaves comes back.
+func checkView(t *rapid.T, f *Fleet, leaving map[string]bool) {
+	v := f.View()
+	self := 0
+	for i, m := range v.Members {
+		if i > 0 && v.Members[i-1].ID >= m.ID {
+			t.Fatalf("not sorted: %v", v.Members)
+		}
+		if m.ID == "self" {
+			self++
+		}
+		life := fmt.Sprint(m.ID, m.Inc)
+		if m.Inc != 0 && leaving[life] && !m.Leaving {
+			t.Fatalf("%s came back", life)
+		}
+		leaving[life] = leaving[life] || m.Leaving
+	}
+	if self != 1 {
+		t.Fatalf("this instance is %d times in its view", self)
+	}
+}
