--- a/bluebellport/src/parts.go
+++ b/bluebellport/src/parts.go
@@ -74,13 +74,15 @@
 	Reserve(ctx context.Context, budgets []bbunit.BudgetID, most bbunit.Tokens) (*Hold, error)
 }
 
-// Hold is an amount set aside for one request. Exactly one of its calls ends
-// it; later ones do nothing.
+// Hold is an amount set aside for one request. The first call of End ends it;
+// later ones do nothing.
 type Hold struct {
 	Budget bbunit.BudgetID
 	Holder bbunit.HolderID
 	Most   bbunit.Tokens
 	End    func(used bbunit.Tokens)
+	// Refund takes back, after End, what turned out not to be owed.
+	Refund func(n bbunit.Tokens)
 }
 
 // Ledger is the record side of a request.
@@ -91,9 +93,16 @@
 	Claim(ctx context.Context, r *bbwire.Record) (*bbwire.Record, error)
 	// Open notes a reservation before the request is sent. It does not wait.
 	Open(r *bbwire.Record)
-	// Bill queues the final record of a request. It does not wait; the record
-	// is sent until it is acknowledged.
-	Bill(r *bbwire.Record)
+	// Withdraw gives up a claim or an open reservation of which nothing was
+	// sent and nothing will be. It does not wait.
+	Withdraw(r *bbwire.Record)
+	// Full tells that new work must be refused, since too many bills wait.
+	Full() bool
+	// BillThen queues the final record of a request. It does not wait; the
+	// record is sent until it is acknowledged, and then, if set, gets the
+	// verdict: on REPEATED and MISMATCH another bill stands and the amount is
+	// not owed.
+	BillThen(r *bbwire.Record, then func(v *bbwire.Verdict))
 }
 
 // Attempt is one choice of a target for a request.
