--- a/bluebellctl/src/budget.go
+++ b/bluebellctl/src/budget.go
@@ -46,7 +46,13 @@
 	}
 	seen := map[bbunit.BudgetID]bool{}
 	for i := range list {
-		seen[list[i].Budget] = true
+		b := &list[i]
+		seen[b.Budget] = true
+		// A page learns of a ticket at its next draw.
+		if f := s.Budgets[b.Budget]; f.Number > b.Number {
+			b.Rest += f.Object.Paid - b.Paid
+			b.Paid, b.Number = f.Object.Paid, f.Number
+		}
 	}
 	for id, b := range s.Budgets {
 		if !seen[id] && !b.Object.Gone {
--- a/bluebellctl/src/core.go
+++ b/bluebellctl/src/core.go
@@ -7,19 +7,11 @@
 	"fmt"
 	"io"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 
+	"bluebellport.example/shared/bbcli"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
-	"bluebellport.example/shared/bbunit"
-)
-
-// Exit codes of the program.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
 )
 
 // errUsage marks input that the operator has to mend.
@@ -41,30 +33,16 @@
 //	arguments -> options, command -> store and instances -> table or JSON
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &Options{}
-	code := -1
-	app := kingpin.New("bluebellctl", "Steer and watch a fleet of bluebellport instances.")
-	app.Version(bbunit.Version)
-	app.UsageWriter(stdout).ErrorWriter(stderr)
-	app.Terminate(func(c int) { code = c })
+	app := bbcli.New("bluebellctl", "Steer and watch a fleet of bluebellport instances.", stdout, stderr)
 	opts.flags(app)
 	commands := map[string]command{}
 	ticketCommands(app, commands)
 	budgetCommands(app, commands)
 	statusCommands(app, commands)
-	name, err := app.Parse(args)
-	if code >= 0 {
+	name, code, ok := bbcli.Parse(app, args, stderr, opts.Check)
+	if !ok {
 		return code
 	}
-	if err != nil {
-		fmt.Fprintf(stderr, "bluebellctl: %s\n", err)
-		return exitUsage
-	}
-	if bad := opts.Check(); len(bad) > 0 {
-		for _, line := range bad {
-			fmt.Fprintf(stderr, "bluebellctl: %s\n", line)
-		}
-		return exitUsage
-	}
 	store, closeStore := bbstore.NewClient(opts.Store, bbstore.ClientOptions{})
 	defer closeStore()
 	ctx, cancel := context.WithTimeout(context.Background(), opts.Timeout)
@@ -75,11 +53,11 @@
 // report prints the error and returns the exit code for it.
 func report(err error, stderr io.Writer) int {
 	if err == nil {
-		return exitOK
+		return bbcli.ExitOK
 	}
 	fmt.Fprintf(stderr, "bluebellctl: %s\n", err)
 	if errors.Is(err, errUsage) || errors.Is(err, bbticket.ErrInvalid) {
-		return exitUsage
+		return bbcli.ExitUsage
 	}
-	return exitFailed
+	return bbcli.ExitFailed
 }
--- a/bluebellctl/src/options.go
+++ b/bluebellctl/src/options.go
@@ -32,11 +32,12 @@
 // Check returns one line for each bad setting.
 func (o *Options) Check() []string {
 	var bad []string
-	for flag, list := range map[string][]string{"--store": {o.Store}, "--admin": o.Admins} {
-		for _, v := range list {
-			if _, _, err := net.SplitHostPort(v); err != nil {
-				bad = append(bad, fmt.Sprintf("%s: not host:port: %q", flag, v))
-			}
+	if _, _, err := net.SplitHostPort(o.Store); err != nil {
+		bad = append(bad, fmt.Sprintf("--store: not host:port: %q", o.Store))
+	}
+	for _, v := range o.Admins {
+		if _, _, err := net.SplitHostPort(v); err != nil {
+			bad = append(bad, fmt.Sprintf("--admin: not host:port: %q", v))
 		}
 	}
 	if o.Output != formatTable && o.Output != formatJSON {
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	stderrors "errors"
 	"fmt"
 	"io"
@@ -11,58 +12,36 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel"
 
+	"bluebellport.example/shared/bbcli"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
 )
 
-// Exit codes of the program.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // Main runs the program with the arguments and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	opts := &Options{}
-	code := -1
-	app := kingpin.New("bluebellport", "One instance of a fleet of routers for prepaid token budgets.")
-	app.Version(bbunit.Version)
-	app.UsageWriter(stdout).ErrorWriter(stderr)
-	app.Terminate(func(c int) { code = c })
+	app := bbcli.New("bluebellport", "One instance of a fleet of routers for prepaid token budgets.", stdout, stderr)
 	serve := app.Command("serve", "Take requests until told to stop.")
 	for _, g := range opts.groups() {
 		g.flags(serve)
 	}
-	_, err := app.Parse(args)
-	if code >= 0 {
+	if _, code, ok := bbcli.Parse(app, args, stderr, opts.Check); !ok {
 		return code
 	}
-	if err != nil {
-		fmt.Fprintf(stderr, "bluebellport: %s\n", err)
-		return exitUsage
-	}
-	if bad := opts.Check(); len(bad) > 0 {
-		for _, line := range bad {
-			fmt.Fprintf(stderr, "bluebellport: %s\n", line)
-		}
-		return exitUsage
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := Serve(ctx, opts, stderr); err != nil {
 		fmt.Fprintf(stderr, "bluebellport: %s\n", err)
-		return exitFailed
+		return bbcli.ExitFailed
 	}
-	return exitOK
+	return bbcli.ExitOK
 }
 
 // Serve runs an instance until ctx ends, and then stops it without cutting a
@@ -155,9 +134,9 @@
 // taking requests while the balancer learns that the instance leaves, then
 // refuses new ones, ends the open ones whole, and hands back what it holds.
 func listen(ctx context.Context, p Parts, f *Front, a *admin, leave func(), drain func(context.Context)) error {
-	callers, err := net.Listen("tcp", p.Opts.Front.Listen)
+	callers, err := listenCallers(&p.Opts.Front)
 	if err != nil {
-		return errors.Annotate(err, "--listen")
+		return err
 	}
 	operators, err := net.Listen("tcp", p.Opts.Front.Admin)
 	if err != nil {
@@ -187,6 +166,24 @@
 	return errors.Trace(err)
 }
 
+// listenCallers opens the callers' address, with TLS where the settings name a
+// certificate.
+func listenCallers(o *FrontOptions) (net.Listener, error) {
+	ln, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, errors.Annotate(err, "--listen")
+	}
+	if o.Cert == "" {
+		return ln, nil
+	}
+	cert, err := tls.LoadX509KeyPair(o.Cert, o.Key)
+	if err != nil {
+		_ = ln.Close()
+		return nil, errors.Annotate(err, "--tls-cert, --tls-key")
+	}
+	return tls.NewListener(ln, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}), nil
+}
+
 // treasuryTold is a treasury's status, or why there is none.
 func treasuryTold(s TreasuryStatus, err error) any {
 	if err != nil {
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -1,6 +1,7 @@
 package bbport
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
@@ -85,11 +86,13 @@
 
 // FrontOptions set where callers and operators reach an instance.
 type FrontOptions struct {
-	Listen  string
-	Admin   string
-	Body    int64 // bytes
-	Drain   time.Duration
-	Timeout time.Duration
+	Listen string
+	Admin  string
+	// Cert and Key are PEM files; without them callers speak plain HTTP.
+	Cert, Key string
+	Body      int64 // bytes
+	Drain     time.Duration
+	Timeout   time.Duration
 	// Linger is how long a leaving instance still takes new requests.
 	Linger time.Duration
 	// Silence is how long a target may send nothing before it is asked about.
@@ -102,6 +105,8 @@
 func (o *FrontOptions) flags(cmd *kingpin.CmdClause) {
 	cmd.Flag("listen", "Address for callers.").Envar("BLUEBELLPORT_LISTEN").Default("127.0.0.1:8080").StringVar(&o.Listen)
 	cmd.Flag("admin", "Address for health, metrics and status.").Envar("BLUEBELLPORT_ADMIN").Default("127.0.0.1:8081").StringVar(&o.Admin)
+	cmd.Flag("tls-cert", "Certificate for callers, a PEM file; empty serves plain HTTP.").Envar("BLUEBELLPORT_TLS_CERT").StringVar(&o.Cert)
+	cmd.Flag("tls-key", "Key of --tls-cert, a PEM file.").Envar("BLUEBELLPORT_TLS_KEY").StringVar(&o.Key)
 	cmd.Flag("max-body", "Largest request body, in bytes.").Envar("BLUEBELLPORT_MAX_BODY").Default("1048576").Int64Var(&o.Body)
 	cmd.Flag("drain", "Longest time that a planned stop waits for streams to end.").Envar("BLUEBELLPORT_DRAIN").Default("60s").DurationVar(&o.Drain)
 	cmd.Flag("timeout", "Deadline of a request that sets none.").Envar("BLUEBELLPORT_TIMEOUT").Default("120s").DurationVar(&o.Timeout)
@@ -113,6 +118,13 @@
 func (o *FrontOptions) check() []string {
 	bad := badAddress("--listen", o.Listen, true)
 	bad = append(bad, badAddress("--admin", o.Admin, true)...)
+	if (o.Cert == "") != (o.Key == "") {
+		bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: only one is set: %q, %q", o.Cert, o.Key))
+	} else if o.Cert != "" {
+		if _, err := tls.LoadX509KeyPair(o.Cert, o.Key); err != nil {
+			bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: %s", err))
+		}
+	}
 	if o.Body <= 0 {
 		bad = append(bad, fmt.Sprintf("--max-body: must be above 0, is %d", o.Body))
 	}
