--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -106,7 +106,7 @@
 
 // newBed starts a front whose targets are served by the handlers; a nil handler
 // is a target that cannot be reached.
-func newBed(t *testing.T, targets ...http.HandlerFunc) *bed {
+func newBed(t testing.TB, targets ...http.HandlerFunc) *bed {
 	t.Helper()
 	tk := bbticket.Ticket{
 		Number: 1,
@@ -136,7 +136,7 @@
 	return serveBed(t, (&bbticket.State{}).Apply(tk))
 }
 
-func serveBed(t *testing.T, s *bbticket.State) *bed {
+func serveBed(t testing.TB, s *bbticket.State) *bed {
 	t.Helper()
 	o := &Options{}
 	parseOptions(t, o, "--instance", "i1", "--domain", "d", "--store", "127.0.0.1:1", "--silence", "100ms", "--timeout", "3s", "--late", "1s")
@@ -161,7 +161,7 @@
 	return b
 }
 
-func unusedAddress(t *testing.T) string {
+func unusedAddress(t testing.TB) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -473,7 +473,7 @@
 	is.Equal(got, "whole")
 }
 
-func parseOptions(t *testing.T, o *Options, args ...string) {
+func parseOptions(t testing.TB, o *Options, args ...string) {
 	t.Helper()
 	app := kingpin.New("test", "")
 	cmd := app.Command("serve", "")
--- /dev/null
+++ b/bluebellport/src/hop_test.go
@@ -0,0 +1,76 @@
+package bbport
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// BenchmarkHop is the time that a request takes through an instance, and
+// straight to its target, at several rates of requests in flight. Money and
+// records are fakes; the routing and the HTTP on both sides are real.
+func BenchmarkHop(b *testing.B) {
+	target := func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		_, _ = w.Write([]byte("ok"))
+	}
+	d := newBed(b, target)
+	d.money.left = 1 << 50
+	direct := "http://" + d.parts.Board.State.Load().ByService["desk"][0].Address + "/x"
+	for _, open := range []int{1, 16, 64} {
+		for name, url := range map[string]string{"direct": direct, "through": d.url + "/services/desk/x"} {
+			b.Run(fmt.Sprintf("%s/open=%d", name, open), func(b *testing.B) {
+				h := hammer(b, url, open)
+				b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-us")
+				b.ReportMetric(float64(h.ValueAtQuantile(95)), "p95-us")
+				b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-us")
+			})
+		}
+	}
+	if d.money.used < 0 || bbunit.Tokens(d.money.open) < 0 {
+		b.Fatal("reservations do not add up")
+	}
+}
+
+// hammer sends b.N requests with so many in flight and returns their times in
+// microseconds.
+func hammer(b *testing.B, url string, open int) *hdrhistogram.Histogram {
+	var mu sync.Mutex
+	all := hdrhistogram.New(1, 60_000_000, 3)
+	var wg sync.WaitGroup
+	client := &fasthttp.Client{MaxConnsPerHost: open + 1}
+	left := make(chan struct{}, b.N)
+	for range b.N {
+		left <- struct{}{}
+	}
+	close(left)
+	b.ResetTimer()
+	for range open {
+		wg.Go(func() {
+			h := hdrhistogram.New(1, 60_000_000, 3)
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI(url)
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			for range left {
+				started := time.Now()
+				if err := client.Do(req, resp); err != nil || resp.StatusCode() != http.StatusOK {
+					b.Errorf("status %d, %v", resp.StatusCode(), err)
+					return
+				}
+				_ = h.RecordValue(time.Since(started).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(h)
+		})
+	}
+	wg.Wait()
+	return all
+}
