Add stand-ins for the platform, a model engine and a plain service

Cause: the path is proved with separate processes, which need the key-value service, the list of instances and targets, each with its faults. Ruled out: silencing only streams: idle connections of a pool must go silent too, so the listener drops what passes on connections open at that moment (but on the one that asks, whose answer was first lost by it: the test hung). Change: bluebellstand store, list, platform, engine, plain; answers are a function of the prompt; runs are recorded.

--- /dev/null
+++ b/bluebellstand/src/core_test.go
@@ -0,0 +1,56 @@
+package bbstand
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+)
+
+// startPart serves a part on loopback and returns its base URL.
+func startPart(t *testing.T, mount func(*fiber.App, *listener)) string {
+	l, err := listen("127.0.0.1:0")
+	is.New(t).NoErr(err)
+	app := fiber.New(fiber.Config{DisableStartupMessage: true, Immutable: true, UnescapePath: true, ErrorHandler: answerError})
+	mount(app, l)
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = app.Listener(l) })
+	t.Cleanup(func() {
+		_ = app.ShutdownWithTimeout(stopTime / 10)
+		wg.Wait()
+	})
+	return "http://" + l.Addr().String()
+}
+
+func TestBadSettings(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = taken.Close() }()
+	cases := []struct {
+		args string
+		code int
+		want []string
+	}{
+		{"", exitUsage, []string{"no command"}},
+		{"engine --slots 0 --listen x --interval 0s", exitUsage, []string{`--listen: not host:port: "x"`, "--slots: must be 1", "--interval: must be above 0"}},
+		{"platform --store a --list b --read-rate=-1", exitUsage, []string{`--store: not host:port: "a"`, `--list: not host:port: "b"`, "--read-rate"}},
+		{"plain --delay=-1s --queue=-1", exitUsage, []string{"--delay", "--queue"}},
+		{"plain --delay soon", exitUsage, []string{"soon"}},
+		{"bogus", exitUsage, []string{"bogus"}},
+		{"plain --listen " + taken.Addr().String(), exitFailed, []string{"address already in use"}},
+	}
+	for _, c := range cases {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			var out, errs bytes.Buffer
+			is.Equal(Main(strings.Fields(c.args), &out, &errs), c.code)
+			for _, w := range c.want {
+				is.True(strings.Contains(errs.String(), w))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bluebellstand/src/engine_admin.go
@@ -0,0 +1,65 @@
+package bbstand
+
+import (
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// EngineFault is the body of POST /admin/fault of an engine.
+type EngineFault struct {
+	// Silent silences the connections that are open now, for good.
+	Silent bool `json:"silent"`
+	// Leaving refuses new requests.
+	Leaving bool `json:"leaving"`
+	// FreezeMS stops all generation for that many milliseconds.
+	FreezeMS int `json:"freezems"`
+}
+
+// TargetCounts tells how many requests a target took and refused.
+type TargetCounts struct {
+	Ran   int    `json:"ran"`
+	Waits int    `json:"waiting"`
+	Runs  int    `json:"running"`
+	Made  int    `json:"tokens"`
+	Fence uint64 `json:"fence"`
+}
+
+func (e *engine) mountAdmin(app *fiber.App, l *listener) {
+	app.Get("/admin/ran", func(c *fiber.Ctx) error { return c.JSON(e.list()) })
+	app.Get("/admin/counts", func(c *fiber.Ctx) error { return c.JSON(e.counts()) })
+	app.Get("/admin/orders", func(c *fiber.Ctx) error {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return c.JSON(e.orders.obeyed)
+	})
+	app.Post("/admin/fault", func(c *fiber.Ctx) error {
+		var f EngineFault
+		if err := strict(c, &f); err != nil {
+			return err
+		}
+		e.setFault(f)
+		if f.Silent {
+			l.mute(c.Context().Conn())
+		}
+		return c.JSON(f)
+	})
+}
+
+func (e *engine) setFault(f EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = f.Leaving
+	e.frozen = time.Now().Add(time.Duration(f.FreezeMS) * time.Millisecond)
+	e.loads.note(time.Now(), e.load())
+}
+
+func (e *engine) counts() TargetCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := TargetCounts{Ran: len(e.ran), Waits: len(e.waiting), Runs: e.running, Fence: e.orders.highest}
+	for _, j := range e.ran {
+		n.Made += j.made
+	}
+	return n
+}
--- /dev/null
+++ b/bluebellstand/src/list.go
@@ -0,0 +1,143 @@
+package bbstand
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+)
+
+// Instance is one entry of the list of instances.
+type Instance struct {
+	ID      string `json:"id"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+	// Since is in milliseconds since the epoch.
+	Since int64 `json:"since"`
+}
+
+// ListFault is the body of POST /admin/fault of the list.
+type ListFault struct {
+	Down   bool `json:"down"`
+	SlowMS int  `json:"slowms"`
+	LagMS  int  `json:"lagms"`
+	Silent bool `json:"silent"`
+}
+
+// States of an instance.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+// instances is the list, as the changes that made it.
+type instances struct {
+	mu      sync.Mutex
+	changes []instanceChange
+	fault   ListFault
+}
+
+type instanceChange struct {
+	at   time.Time
+	inst Instance
+	gone bool
+}
+
+func (i *instances) change(inst Instance, gone bool, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	inst.Since = now.UnixMilli()
+	i.changes = append(i.changes, instanceChange{at: now, inst: inst, gone: gone})
+}
+
+// at returns the list as it was at a time, sorted by id.
+func (i *instances) at(t time.Time) []Instance {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	byID := map[string]Instance{}
+	for _, c := range i.changes {
+		switch {
+		case c.at.After(t):
+		case c.gone:
+			delete(byID, c.inst.ID)
+		default:
+			byID[c.inst.ID] = c.inst
+		}
+	}
+	out := make([]Instance, 0, len(byID))
+	for _, inst := range byID {
+		out = append(out, inst)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+func (i *instances) setFault(f ListFault) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.fault = f
+}
+
+func (i *instances) faults() ListFault {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.fault
+}
+
+func (o *ListOptions) run(ctx context.Context, s streams) error { return serve(ctx, s, o.part()) }
+
+func (o *ListOptions) part() part {
+	list := &instances{fault: ListFault{LagMS: int(o.Lag.Milliseconds())}}
+	return part{name: "list", addr: o.Listen, stop: func() {}, mount: func(app *fiber.App, l *listener) {
+		app.Get("/v1/instances", list.get)
+		app.Post("/v1/instances", list.post)
+		app.Delete("/v1/instances/:id", func(c *fiber.Ctx) error {
+			list.change(Instance{ID: c.Params("id")}, true, time.Now())
+			return c.SendStatus(http.StatusNoContent)
+		})
+		app.Post("/admin/fault", func(c *fiber.Ctx) error {
+			f := ListFault{LagMS: int(o.Lag.Milliseconds())}
+			if err := strict(c, &f); err != nil {
+				return err
+			}
+			if f.Silent {
+				l.mute(c.Context().Conn())
+			}
+			list.setFault(f)
+			return c.JSON(f)
+		})
+	}}
+}
+
+func (i *instances) get(c *fiber.Ctx) error {
+	f := i.faults()
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	if f.Down {
+		return fiber.NewError(http.StatusServiceUnavailable, "down")
+	}
+	return c.JSON(i.at(time.Now().Add(-time.Duration(f.LagMS) * time.Millisecond)))
+}
+
+func (i *instances) post(c *fiber.Ctx) error {
+	inst := Instance{State: stateLive}
+	if err := strict(c, &inst); err != nil {
+		return err
+	}
+	switch {
+	case inst.ID == "":
+		return fiber.NewError(http.StatusBadRequest, "id: must not be empty")
+	case inst.Domain == "":
+		return fiber.NewError(http.StatusBadRequest, "domain: must not be empty")
+	case len(badAddress("address", inst.Address)) > 0:
+		return fiber.NewError(http.StatusBadRequest, badAddress("address", inst.Address)[0])
+	case inst.State != stateLive && inst.State != stateLeaving:
+		return fiber.NewError(http.StatusBadRequest, "state: must be live or leaving")
+	}
+	i.change(inst, false, time.Now())
+	return c.JSON(inst)
+}
--- /dev/null
+++ b/bluebellstand/src/options.go
@@ -0,0 +1,164 @@
+package bbstand
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// flag declares a flag with its environment variable.
+func flag(cmd *kingpin.CmdClause, name, value, help string) *kingpin.FlagClause {
+	env := "BLUEBELLSTAND_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	f := cmd.Flag(name, help).Envar(env)
+	if value != "" {
+		f = f.Default(value)
+	}
+	return f
+}
+
+// StoreOptions set the stand-in of the key-value service.
+type StoreOptions struct {
+	Listen              string
+	ReadRate, WriteRate float64 // calls a second
+	Progress            time.Duration
+}
+
+func (o *StoreOptions) flags(cmd *kingpin.CmdClause) {
+	flag(cmd, "store", "127.0.0.1:2379", "Address of the key-value service.").StringVar(&o.Listen)
+	flag(cmd, "read-rate", "0", "Reads a second that are served; 0 does not limit.").Float64Var(&o.ReadRate)
+	flag(cmd, "write-rate", "0", "Writes a second that are served; 0 does not limit.").Float64Var(&o.WriteRate)
+	flag(cmd, "progress", "5s", "Time between the notices on a silent watch.").DurationVar(&o.Progress)
+}
+
+func (o *StoreOptions) check() []string {
+	bad := badAddress("--store", o.Listen)
+	bad = append(bad, badNumber("--read-rate", o.ReadRate, 0)...)
+	bad = append(bad, badNumber("--write-rate", o.WriteRate, 0)...)
+	return append(bad, badDuration("--progress", o.Progress)...)
+}
+
+// ListOptions set the stand-in of the list of instances.
+type ListOptions struct {
+	Listen string
+	Lag    time.Duration
+}
+
+func (o *ListOptions) flags(cmd *kingpin.CmdClause) {
+	flag(cmd, "list", "127.0.0.1:2380", "Address of the list of instances.").StringVar(&o.Listen)
+	flag(cmd, "list-lag", "0s", "How far the list is behind.").DurationVar(&o.Lag)
+}
+
+func (o *ListOptions) check() []string {
+	return append(badAddress("--list", o.Listen), badNumber("--list-lag", o.Lag.Seconds(), 0)...)
+}
+
+// PlatformOptions set both stand-ins of the platform.
+type PlatformOptions struct {
+	Store StoreOptions
+	List  ListOptions
+}
+
+func (o *PlatformOptions) flags(cmd *kingpin.CmdClause) {
+	o.Store.flags(cmd)
+	o.List.flags(cmd)
+}
+
+func (o *PlatformOptions) check() []string { return append(o.Store.check(), o.List.check()...) }
+
+// EngineOptions set the stand-in of a model engine.
+type EngineOptions struct {
+	Listen   string
+	Model    string
+	Slots    int
+	Queue    int
+	Interval time.Duration // between tokens
+	Prefill  time.Duration // for each prompt token
+	Answer   int           // tokens, when the prompt tells no other number
+	LoadLag  time.Duration
+	EventLag time.Duration
+	EventGap int
+	Cache    int // prompts
+	Linger   time.Duration
+	Fence    bool
+	Crash    string
+}
+
+func (o *EngineOptions) flags(cmd *kingpin.CmdClause) {
+	flag(cmd, "listen", "127.0.0.1:8000", "Address of the engine.").StringVar(&o.Listen)
+	flag(cmd, "model", "", "Only model that is served; empty serves any.").StringVar(&o.Model)
+	flag(cmd, "slots", "8", "Requests that run at once.").IntVar(&o.Slots)
+	flag(cmd, "queue", "16", "Requests that wait for a slot at most.").IntVar(&o.Queue)
+	flag(cmd, "interval", "5ms", "Time between two tokens.").DurationVar(&o.Interval)
+	flag(cmd, "prefill", "100us", "Time for each prompt token before the first answer token.").DurationVar(&o.Prefill)
+	flag(cmd, "answer", "20", "Tokens of an answer whose prompt tells no other number.").IntVar(&o.Answer)
+	flag(cmd, "load-lag", "0s", "How far the reported load is behind.").DurationVar(&o.LoadLag)
+	flag(cmd, "event-lag", "1s", "How far the cache events are behind.").DurationVar(&o.EventLag)
+	flag(cmd, "event-gap", "0", "Every n-th cache event is lost; 0 loses none.").IntVar(&o.EventGap)
+	flag(cmd, "cache", "64", "Prompts whose prefix is cached.").IntVar(&o.Cache)
+	flag(cmd, "linger", "10s", "How long a stream without a reader goes on.").DurationVar(&o.Linger)
+	flag(cmd, "fence", "", "Refuse orders with an old fencing number.").BoolVar(&o.Fence)
+	flag(cmd, "crash", "", "Word in a prompt that crashes the engine; empty never does.").StringVar(&o.Crash)
+}
+
+func (o *EngineOptions) check() []string {
+	bad := badAddress("--listen", o.Listen)
+	bad = append(bad, badNumber("--slots", float64(o.Slots), 1)...)
+	bad = append(bad, badNumber("--queue", float64(o.Queue), 0)...)
+	bad = append(bad, badDuration("--interval", o.Interval)...)
+	bad = append(bad, badNumber("--prefill", o.Prefill.Seconds(), 0)...)
+	bad = append(bad, badNumber("--answer", float64(o.Answer), 1)...)
+	bad = append(bad, badNumber("--load-lag", o.LoadLag.Seconds(), 0)...)
+	bad = append(bad, badNumber("--event-lag", o.EventLag.Seconds(), 0)...)
+	bad = append(bad, badNumber("--event-gap", float64(o.EventGap), 0)...)
+	bad = append(bad, badNumber("--cache", float64(o.Cache), 0)...)
+	return append(bad, badNumber("--linger", o.Linger.Seconds(), 0)...)
+}
+
+// PlainOptions set the stand-in of a plain service.
+type PlainOptions struct {
+	Listen string
+	Slots  int
+	Queue  int
+	Delay  time.Duration
+}
+
+func (o *PlainOptions) flags(cmd *kingpin.CmdClause) {
+	flag(cmd, "listen", "127.0.0.1:8100", "Address of the service.").StringVar(&o.Listen)
+	flag(cmd, "slots", "32", "Requests that run at once.").IntVar(&o.Slots)
+	flag(cmd, "queue", "64", "Requests that wait for a slot at most.").IntVar(&o.Queue)
+	flag(cmd, "delay", "2ms", "Time that a request takes.").DurationVar(&o.Delay)
+}
+
+func (o *PlainOptions) check() []string {
+	bad := badAddress("--listen", o.Listen)
+	bad = append(bad, badNumber("--slots", float64(o.Slots), 1)...)
+	bad = append(bad, badNumber("--queue", float64(o.Queue), 0)...)
+	return append(bad, badNumber("--delay", o.Delay.Seconds(), 0)...)
+}
+
+// badAddress returns a line when the flag's value is not host:port.
+func badAddress(flag, v string) []string {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		return []string{fmt.Sprintf("%s: not host:port: %q", flag, v)}
+	}
+	return nil
+}
+
+// badDuration returns a line when the flag's value is not above zero.
+func badDuration(flag string, d time.Duration) []string {
+	if d <= 0 {
+		return []string{fmt.Sprintf("%s: must be above 0, is %s", flag, d)}
+	}
+	return nil
+}
+
+// badNumber returns a line when the flag's value is below least.
+func badNumber(flag string, v, least float64) []string {
+	if v < least {
+		return []string{fmt.Sprintf("%s: must be %v at least, is %v", flag, least, v)}
+	}
+	return nil
+}
--- /dev/null
+++ b/bluebellstand/src/store.go
@@ -0,0 +1,68 @@
+package bbstand
+
+import (
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"bluebellport.example/shared/bbstore"
+)
+
+// StoreFault is the body of POST /admin/fault of the store: the faults that are
+// in force from then on. Times are in milliseconds.
+type StoreFault struct {
+	Down      bool    `json:"down"`
+	SlowMS    int     `json:"slowms"`
+	Lose      int     `json:"lose"`
+	LoseEvery int     `json:"loseevery"`
+	Drop      int     `json:"drop"`
+	LateMS    int     `json:"latems"`
+	ReadRate  float64 `json:"readrate"`
+	WriteRate float64 `json:"writerate"`
+	// Silent silences the connections that are open now, for good.
+	Silent bool `json:"silent"`
+}
+
+func (f *StoreFault) faults() bbstore.Faults {
+	return bbstore.Faults{
+		Down:      f.Down,
+		Slow:      time.Duration(f.SlowMS) * time.Millisecond,
+		LoseNext:  f.Lose,
+		LoseEvery: f.LoseEvery,
+		DropNext:  f.Drop,
+		Late:      time.Duration(f.LateMS) * time.Millisecond,
+		ReadRate:  f.ReadRate,
+		WriteRate: f.WriteRate,
+	}
+}
+
+func (o *StoreOptions) run(ctx context.Context, s streams) error { return serve(ctx, s, o.part()) }
+
+func (o *StoreOptions) part() part {
+	m := bbstore.NewMem()
+	m.SetFaults(bbstore.Faults{ReadRate: o.ReadRate, WriteRate: o.WriteRate})
+	server, stop := bbstore.NewServer(m, o.Progress)
+	return part{name: "store", addr: o.Listen, stop: stop, mount: func(app *fiber.App, l *listener) {
+		app.Post("/v3/*", func(c *fiber.Ctx) error {
+			server.Handle(c.Context())
+			return nil
+		})
+		app.Get("/admin/counts", func(c *fiber.Ctx) error { return c.JSON(m.Counts()) })
+		app.Post("/admin/fault", func(c *fiber.Ctx) error {
+			f := StoreFault{ReadRate: o.ReadRate, WriteRate: o.WriteRate}
+			if err := strict(c, &f); err != nil {
+				return err
+			}
+			if f.Silent {
+				l.mute(c.Context().Conn())
+			}
+			m.SetFaults(f.faults())
+			return c.JSON(f)
+		})
+	}}
+}
+
+func (o *PlatformOptions) run(ctx context.Context, s streams) error {
+	return serve(ctx, s, o.Store.part(), o.List.part())
+}
--- /dev/null
+++ b/bluebellstand/src/text.go
@@ -0,0 +1,89 @@
+package bbstand
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// words are what answers are made of.
+var words = strings.Fields("street permit crew trench closure copy counter school month reading heat pipe till page desk map sign draft order date block line north south")
+
+// lengthWord, before a number in a prompt, sets how many tokens the answer has.
+const lengthWord = "--tokens"
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// PromptTokens returns how many tokens the messages count for.
+func PromptTokens(messages []Message) int {
+	n := 0
+	for _, m := range messages {
+		n += len(strings.Fields(m.Content))
+	}
+	return n
+}
+
+// AnswerTokens returns the whole answer to the messages, token by token: a
+// function of model and messages alone. usual is its length when the last
+// message has no "--tokens N".
+func AnswerTokens(model string, messages []Message, usual int) []string {
+	key := model
+	n := usual
+	for _, m := range messages {
+		key += "\x00" + m.Role + "\x00" + m.Content
+		n = lengthOf(m.Content, n)
+	}
+	out := make([]string, n)
+	for i := range out {
+		h := xxhash.Sum64String(key + "\x00" + strconv.Itoa(i))
+		out[i] = words[h%uint64(len(words))] + strconv.FormatUint(h>>32%1000, 10)
+		if i > 0 {
+			out[i] = " " + out[i]
+		}
+	}
+	return out
+}
+
+// AnswerText returns the answer to the messages, cut after most tokens when
+// most is above 0.
+func AnswerText(model string, messages []Message, usual, most int) string {
+	tokens := AnswerTokens(model, messages, usual)
+	if most > 0 && most < len(tokens) {
+		tokens = tokens[:most]
+	}
+	return strings.Join(tokens, "")
+}
+
+func lengthOf(text string, usual int) int {
+	f := strings.Fields(text)
+	for i := 0; i+1 < len(f); i++ {
+		if n, err := strconv.Atoi(f[i+1]); f[i] == lengthWord && err == nil && n > 0 {
+			return n
+		}
+	}
+	return usual
+}
+
+// after returns the tokens that follow a partial answer, and false when the
+// partial answer is not how the answer begins. A token cut in two goes on with
+// its rest.
+func after(tokens []string, partial string) ([]string, bool) {
+	for i, t := range tokens {
+		if len(partial) < len(t) {
+			if !strings.HasPrefix(t, partial) {
+				return nil, false
+			}
+			return append([]string{t[len(partial):]}, tokens[i+1:]...), true
+		}
+		if !strings.HasPrefix(partial, t) {
+			return nil, false
+		}
+		partial = partial[len(t):]
+	}
+	return nil, partial == ""
+}
