--- /dev/null
+++ b/bluebellctl/src/core.go
@@ -0,0 +1,63 @@
+// Package bbctl is the operators' command: it puts change tickets in force and
+// shows what is in force, drawn, spent and billed.
+package bbctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbcli"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbticket"
+)
+
+// errUsage marks input that the operator has to mend.
+const errUsage = errors.ConstError("bad input")
+
+// command is one parsed command, ready to run.
+type command func(ctx context.Context, e *env) error
+
+// env is what commands work with.
+type env struct {
+	opts  *Options
+	store bbstore.Store
+	out   io.Writer
+	info  io.Writer // progress, for people
+}
+
+// Main runs the program with the arguments and returns its exit code:
+//
+//	arguments -> options, command -> store and instances -> table or JSON
+func Main(args []string, stdout, stderr io.Writer) int {
+	opts := &Options{}
+	app := bbcli.New("bluebellctl", "Steer and watch a fleet of bluebellport instances.", stdout, stderr)
+	opts.flags(app)
+	commands := map[string]command{}
+	ticketCommands(app, commands)
+	budgetCommands(app, commands)
+	statusCommands(app, commands)
+	name, code, ok := bbcli.Parse(app, args, stderr, opts.Check)
+	if !ok {
+		return code
+	}
+	store, closeStore := bbstore.NewClient(opts.Store, bbstore.ClientOptions{})
+	defer closeStore()
+	ctx, cancel := context.WithTimeout(context.Background(), opts.Timeout)
+	defer cancel()
+	return report(commands[name](ctx, &env{opts: opts, store: store, out: stdout, info: stderr}), stderr)
+}
+
+// report prints the error and returns the exit code for it.
+func report(err error, stderr io.Writer) int {
+	if err == nil {
+		return bbcli.ExitOK
+	}
+	fmt.Fprintf(stderr, "bluebellctl: %s\n", err)
+	if errors.Is(err, errUsage) || errors.Is(err, bbticket.ErrInvalid) {
+		return bbcli.ExitUsage
+	}
+	return bbcli.ExitFailed
+}
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -1,12 +1,16 @@
 package bbport
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -69,6 +73,9 @@
 	if o.Domain == "" {
 		bad = append(bad, "--domain: must not be empty")
 	}
+	if _, err := logrus.ParseLevel(o.LogLevel); err != nil {
+		bad = append(bad, fmt.Sprintf("--log-level: %q: panic, fatal, error, warning, info, debug or trace", o.LogLevel))
+	}
 	bad = append(bad, badAddress("--store", o.Store, true)...)
 	bad = append(bad, badAddress("--list", o.List, false)...)
 	return append(bad, badAddress("--trace-otlp", o.TraceOTLP, false)...)
@@ -79,58 +86,208 @@
 
 // FrontOptions set where callers and operators reach an instance.
 type FrontOptions struct {
-	Listen  string
-	Admin   string
-	Body    int64 // bytes
-	Drain   time.Duration
-	Timeout time.Duration
+	Listen string
+	Admin  string
+	// Cert and Key are PEM files; without them callers speak plain HTTP.
+	Cert, Key string
+	Body      int64 // bytes
+	Drain     time.Duration
+	Timeout   time.Duration
+	// Linger is how long a leaving instance still takes new requests.
+	Linger time.Duration
+	// Silence is how long a target may send nothing before it is asked about.
+	Silence time.Duration
+	// Late is how long after its deadline the answer to a request that may not
+	// be repeated is still waited for.
+	Late time.Duration
 }
 
 func (o *FrontOptions) flags(cmd *kingpin.CmdClause) {
 	cmd.Flag("listen", "Address for callers.").Envar("BLUEBELLPORT_LISTEN").Default("127.0.0.1:8080").StringVar(&o.Listen)
 	cmd.Flag("admin", "Address for health, metrics and status.").Envar("BLUEBELLPORT_ADMIN").Default("127.0.0.1:8081").StringVar(&o.Admin)
+	cmd.Flag("tls-cert", "Certificate for callers, a PEM file; empty serves plain HTTP.").Envar("BLUEBELLPORT_TLS_CERT").StringVar(&o.Cert)
+	cmd.Flag("tls-key", "Key of --tls-cert, a PEM file.").Envar("BLUEBELLPORT_TLS_KEY").StringVar(&o.Key)
 	cmd.Flag("max-body", "Largest request body, in bytes.").Envar("BLUEBELLPORT_MAX_BODY").Default("1048576").Int64Var(&o.Body)
 	cmd.Flag("drain", "Longest time that a planned stop waits for streams to end.").Envar("BLUEBELLPORT_DRAIN").Default("60s").DurationVar(&o.Drain)
 	cmd.Flag("timeout", "Deadline of a request that sets none.").Envar("BLUEBELLPORT_TIMEOUT").Default("120s").DurationVar(&o.Timeout)
+	cmd.Flag("linger", "How long a leaving instance still takes requests while the balancer learns of it.").Envar("BLUEBELLPORT_LINGER").Default("3s").DurationVar(&o.Linger)
+	cmd.Flag("silence", "How long a target may send nothing before it is asked about over a fresh connection.").Envar("BLUEBELLPORT_SILENCE").Default("2s").DurationVar(&o.Silence)
+	cmd.Flag("late", "How long past its deadline the answer to a request that may not be repeated is waited for.").Envar("BLUEBELLPORT_LATE").Default("60s").DurationVar(&o.Late)
 }
 
 func (o *FrontOptions) check() []string {
 	bad := badAddress("--listen", o.Listen, true)
 	bad = append(bad, badAddress("--admin", o.Admin, true)...)
+	if (o.Cert == "") != (o.Key == "") {
+		bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: only one is set: %q, %q", o.Cert, o.Key))
+	} else if o.Cert != "" {
+		if _, err := tls.LoadX509KeyPair(o.Cert, o.Key); err != nil {
+			bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: %s", err))
+		}
+	}
 	if o.Body <= 0 {
 		bad = append(bad, fmt.Sprintf("--max-body: must be above 0, is %d", o.Body))
 	}
 	bad = append(bad, badDuration("--drain", o.Drain)...)
+	bad = append(bad, badDuration("--silence", o.Silence)...)
+	bad = append(bad, badDuration("--late", o.Late)...)
+	if o.Linger < 0 || o.Linger >= o.Drain {
+		bad = append(bad, fmt.Sprintf("--linger: must be from 0 to below --drain (%s), is %s", o.Drain, o.Linger))
+	}
 	return append(bad, badDuration("--timeout", o.Timeout)...)
 }
 
 // PeerOptions set how instances reach each other.
-type PeerOptions struct{}
-
-func (o *PeerOptions) flags(_ *kingpin.CmdClause) {}
+type PeerOptions struct {
+	Listen    string
+	Advertise string // empty: the address listened on
+	Period    time.Duration
+	Suspicion time.Duration
+	Cert      string // files in PEM; all three or none
+	Key       string
+	CA        string
+}
 
-func (o *PeerOptions) check() []string { return nil }
+func (o *PeerOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("peer", "Address for other instances.").Envar("BLUEBELLPORT_PEER").Default("127.0.0.1:8082").StringVar(&o.Listen)
+	cmd.Flag("peer-advertise", "Address that other instances connect to; empty is the one of --peer.").Envar("BLUEBELLPORT_PEER_ADVERTISE").StringVar(&o.Advertise)
+	cmd.Flag("gossip-period", "Time between two rounds of gossip.").Envar("BLUEBELLPORT_GOSSIP_PERIOD").Default("1s").DurationVar(&o.Period)
+	cmd.Flag("suspicion", "Silence after which an instance is taken out of the view.").Envar("BLUEBELLPORT_SUSPICION").Default("5s").DurationVar(&o.Suspicion)
+	cmd.Flag("peer-cert", "Certificate shown to other instances, a PEM file; turns mutual TLS on.").Envar("BLUEBELLPORT_PEER_CERT").StringVar(&o.Cert)
+	cmd.Flag("peer-key", "Private key of --peer-cert, a PEM file.").Envar("BLUEBELLPORT_PEER_KEY").StringVar(&o.Key)
+	cmd.Flag("peer-ca", "Certificates that other instances' must be signed by, a PEM file.").Envar("BLUEBELLPORT_PEER_CA").StringVar(&o.CA)
+}
 
-// MoneyOptions set how budget shares are drawn.
-type MoneyOptions struct{}
+func (o *PeerOptions) check() []string {
+	bad := badAddress("--peer", o.Listen, true)
+	bad = append(bad, badAdvertise(o.Advertised())...)
+	bad = append(bad, badDuration("--gossip-period", o.Period)...)
+	if o.Suspicion < 3*o.Period {
+		bad = append(bad, fmt.Sprintf("--suspicion: must be at least 3 times --gossip-period, is %s", o.Suspicion))
+	}
+	if _, err := o.tlsConfig(); err != nil {
+		bad = append(bad, err.Error())
+	}
+	return bad
+}
 
-func (o *MoneyOptions) flags(_ *kingpin.CmdClause) {}
+// Advertised returns the address that other instances connect to.
+func (o *PeerOptions) Advertised() string {
+	if o.Advertise != "" {
+		return o.Advertise
+	}
+	return o.Listen
+}
 
-func (o *MoneyOptions) check() []string { return nil }
+// badAdvertise returns a line when others could not connect to the address.
+func badAdvertise(v string) []string {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || a.Addr().IsUnspecified() {
+		return []string{fmt.Sprintf("--peer-advertise: not an IP number and port that others can reach: %q", v)}
+	}
+	return nil
+}
 
 // RecordOptions set how claims and bills are kept.
-type RecordOptions struct{}
+type RecordOptions struct {
+	Retention    time.Duration
+	ClaimPeriod  time.Duration
+	BillPeriod   time.Duration
+	ClaimTimeout time.Duration
+	Takeover     time.Duration
+	Queue        int     // records
+	Writes       float64 // a second
+	AnswerKeep   time.Duration
+	AnswerGrace  time.Duration
+	AnswerMost   int64 // bytes
+	AnswerTotal  int64 // bytes
+}
 
-func (o *RecordOptions) flags(_ *kingpin.CmdClause) {}
+func (o *RecordOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("record-retention", "How long request ids are remembered.").Envar("BLUEBELLPORT_RECORD_RETENTION").Default("24h").DurationVar(&o.Retention)
+	cmd.Flag("claim-period", "Longest wait of a claim for others to share its write.").Envar("BLUEBELLPORT_CLAIM_PERIOD").Default("50ms").DurationVar(&o.ClaimPeriod)
+	cmd.Flag("bill-period", "Longest wait of a bill for others to share its write.").Envar("BLUEBELLPORT_BILL_PERIOD").Default("200ms").DurationVar(&o.BillPeriod)
+	cmd.Flag("claim-timeout", "Longest wait for a claim to be written before the request is refused.").Envar("BLUEBELLPORT_CLAIM_TIMEOUT").Default("2s").DurationVar(&o.ClaimTimeout)
+	cmd.Flag("record-takeover", "How long an instance is missing before its peers submit its records.").Envar("BLUEBELLPORT_RECORD_TAKEOVER").Default("5s").DurationVar(&o.Takeover)
+	cmd.Flag("record-queue", "Unacknowledged bills above which new work is refused.").Envar("BLUEBELLPORT_RECORD_QUEUE").Default("100000").IntVar(&o.Queue)
+	cmd.Flag("record-writes", "Most writes of bills a second to the key-value service.").Envar("BLUEBELLPORT_RECORD_WRITES").Default("20").Float64Var(&o.Writes)
+	cmd.Flag("answer-keep", "How long an answer is kept for repeated requests.").Envar("BLUEBELLPORT_ANSWER_KEEP").Default("10m").DurationVar(&o.AnswerKeep)
+	cmd.Flag("answer-grace", "How long a request goes on when all its callers have left.").Envar("BLUEBELLPORT_ANSWER_GRACE").Default("2s").DurationVar(&o.AnswerGrace)
+	cmd.Flag("answer-max", "Bytes of one answer that are buffered for repeated requests.").Envar("BLUEBELLPORT_ANSWER_MAX").Default("1048576").Int64Var(&o.AnswerMost)
+	cmd.Flag("answer-total", "Bytes of all kept answers.").Envar("BLUEBELLPORT_ANSWER_TOTAL").Default("67108864").Int64Var(&o.AnswerTotal)
+}
 
-func (o *RecordOptions) check() []string { return nil }
+func (o *RecordOptions) check() []string {
+	bad := badDuration("--claim-period", o.ClaimPeriod)
+	bad = append(bad, badDuration("--bill-period", o.BillPeriod)...)
+	bad = append(bad, badDuration("--record-takeover", o.Takeover)...)
+	bad = append(bad, badDuration("--answer-keep", o.AnswerKeep)...)
+	bad = append(bad, badDuration("--answer-grace", o.AnswerGrace)...)
+	if o.Retention < retentionLeast {
+		bad = append(bad, fmt.Sprintf("--record-retention: must be at least %s, is %s", retentionLeast, o.Retention))
+	}
+	if o.ClaimTimeout <= o.ClaimPeriod {
+		bad = append(bad, fmt.Sprintf("--claim-timeout: must be above --claim-period (%s), is %s", o.ClaimPeriod, o.ClaimTimeout))
+	}
+	if o.Queue <= 0 {
+		bad = append(bad, fmt.Sprintf("--record-queue: must be above 0, is %d", o.Queue))
+	}
+	if !(o.Writes > 0) {
+		bad = append(bad, fmt.Sprintf("--record-writes: must be above 0, is %g", o.Writes))
+	}
+	if o.AnswerMost <= 0 {
+		bad = append(bad, fmt.Sprintf("--answer-max: must be above 0, is %d", o.AnswerMost))
+	}
+	if o.AnswerTotal < o.AnswerMost {
+		bad = append(bad, fmt.Sprintf("--answer-total: must be at least --answer-max (%d), is %d", o.AnswerMost, o.AnswerTotal))
+	}
+	return bad
+}
 
 // RouteOptions set how targets are chosen, limited and retried.
-type RouteOptions struct{}
+type RouteOptions struct {
+	CircuitFails   int
+	CircuitOpen    time.Duration
+	CircuitLongest time.Duration
+	CircuitProbe   time.Duration
+	SlowStart      time.Duration
+	Spill          time.Duration
+}
+
+func (o *RouteOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("circuit-fails", "Failures in a row that open a target's circuit.").Envar("BLUEBELLPORT_CIRCUIT_FAILS").Default("3").IntVar(&o.CircuitFails)
+	cmd.Flag("circuit-open", "How long a circuit stays open at first; each failed probe doubles it.").Envar("BLUEBELLPORT_CIRCUIT_OPEN").Default("1s").DurationVar(&o.CircuitOpen)
+	cmd.Flag("circuit-longest", "Longest time that a circuit stays open.").Envar("BLUEBELLPORT_CIRCUIT_LONGEST").Default("30s").DurationVar(&o.CircuitLongest)
+	cmd.Flag("circuit-probe", "How long the probe of a half-open circuit may take before another follows.").Envar("BLUEBELLPORT_CIRCUIT_PROBE").Default("10s").DurationVar(&o.CircuitProbe)
+	cmd.Flag("slow-start", "How long a new target takes to get its full share.").Envar("BLUEBELLPORT_SLOW_START").Default("10s").DurationVar(&o.SlowStart)
+	cmd.Flag("spill", "Expected wait above which requests go to another failure domain.").Envar("BLUEBELLPORT_SPILL").Default("250ms").DurationVar(&o.Spill)
+}
 
-func (o *RouteOptions) flags(_ *kingpin.CmdClause) {}
+func (o *RouteOptions) check() []string {
+	var bad []string
+	if o.CircuitFails < 1 {
+		bad = append(bad, fmt.Sprintf("--circuit-fails: must be at least 1, is %d", o.CircuitFails))
+	}
+	bad = append(bad, badDuration("--circuit-open", o.CircuitOpen)...)
+	bad = append(bad, badDuration("--circuit-longest", o.CircuitLongest)...)
+	bad = append(bad, badDuration("--circuit-probe", o.CircuitProbe)...)
+	bad = append(bad, badDuration("--slow-start", o.SlowStart)...)
+	return append(bad, badDuration("--spill", o.Spill)...)
+}
 
-func (o *RouteOptions) check() []string { return nil }
+// choice returns the rule by which targets are chosen.
+func (o *RouteOptions) choice() bbroute.ChoiceRule {
+	return bbroute.ChoiceRule{
+		Circuit: bbroute.CircuitRule{
+			Fails:   o.CircuitFails,
+			Open:    o.CircuitOpen,
+			Longest: o.CircuitLongest,
+			Probe:   o.CircuitProbe,
+		},
+		SlowStart: o.SlowStart,
+		Spill:     o.Spill,
+	}
+}
 
 // badAddress returns a line when the flag's value is not host:port.
 func badAddress(flag, v string, needed bool) []string {
