Add a load generator that checks every answer

Cause: the proof under failure needs callers that know the right answer to each request, retry with the same key, and record what they were told. Change: bluebellstand load (table or JSON, records as JSON lines), ask, get and post; engines record the name that a prompt gives, since the ids that they see are the instance's own. The command line uses bbcli. Shown by: go test -race ./bluebellstand/src passes; crossed, cut and refused answers are told apart in a table.

--- a/bluebellstand/src/core.go
+++ b/bluebellstand/src/core.go
@@ -8,20 +8,12 @@
 	"fmt"
 	"io"
 	"os/signal"
-	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
-	"bluebellport.example/shared/bbunit"
-)
-
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
+	"bluebellport.example/shared/bbcli"
 )
 
 // command is one subcommand with its settings.
@@ -44,39 +36,35 @@
 //
 //	arguments -> options -> check -> parts -> listeners -> ready ... SIGTERM -> stop
 func Main(args []string, stdout, stderr io.Writer) int {
-	app := kingpin.New("bluebellstand", "Stand-ins for the platform and the targets, and a load generator.")
-	app.UsageWriter(stdout).ErrorWriter(stderr).Version(bbunit.Version)
-	terminated := -1
-	app.Terminate(func(code int) {
-		if terminated < 0 {
-			terminated = code
-		}
-	})
+	app := bbcli.New("bluebellstand", "Stand-ins for the platform and the targets, and a load generator.", stdout, stderr)
 	commands := newCommands(app)
-	if len(args) == 0 {
-		fmt.Fprintln(stderr, "bluebellstand: no command given, try --help")
-		return exitUsage
-	}
-	name, err := app.Parse(args)
-	if terminated >= 0 {
-		return terminated
+	chosen := func() []string {
+		if c := commands[firstCommand(app, args)]; c != nil {
+			return c.check()
+		}
+		return nil
 	}
-	if err != nil {
-		fmt.Fprintln(stderr, "bluebellstand:", err)
-		return exitUsage
+	name, code, ok := bbcli.Parse(app, args, stderr, chosen)
+	if !ok {
+		return code
 	}
 	c := commands[name]
-	if bad := c.check(); len(bad) > 0 {
-		fmt.Fprintln(stderr, "bluebellstand:", strings.Join(bad, "\nbluebellstand: "))
-		return exitUsage
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := c.run(ctx, streams{out: stdout, log: newLog(stderr)}); err != nil {
 		fmt.Fprintln(stderr, "bluebellstand:", err)
-		return exitFailed
+		return bbcli.ExitFailed
+	}
+	return bbcli.ExitOK
+}
+
+// firstCommand returns the command that the arguments choose, or "".
+func firstCommand(app *kingpin.Application, args []string) string {
+	ctx, err := app.ParseContext(args)
+	if err != nil || ctx.SelectedCommand == nil {
+		return ""
 	}
-	return exitOK
+	return ctx.SelectedCommand.FullCommand()
 }
 
 func newCommands(app *kingpin.Application) map[string]command {
@@ -90,6 +78,10 @@
 	add("platform", "Serve the key-value service and the list of instances.", &PlatformOptions{})
 	add("engine", "Serve a model engine.", &EngineOptions{})
 	add("plain", "Serve a plain service.", &PlainOptions{})
+	add("load", "Send requests to instances and check every answer.", &LoadOptions{})
+	add("ask", "Send one request to an instance and print the answer.", &AskOptions{})
+	add("get", "Get a path, and try until it is there.", &GetOptions{})
+	add("post", "Post JSON to a path, as to the admin part of a stand-in.", &PostOptions{})
 	return out
 }
 
--- a/bluebellstand/src/engine.go
+++ b/bluebellstand/src/engine.go
@@ -23,7 +23,7 @@
 
 // States of a request.
 const (
-	stateQueued    = "queued"
+	stateWaiting   = "waiting"
 	stateRunning   = "running"
 	stateDone      = "done"
 	stateCancelled = "cancelled"
@@ -32,6 +32,8 @@
 // Ran is one run of a request.
 type Ran struct {
 	Request string `json:"request"`
+	// Name is what the prompt has after "--name".
+	Name string `json:"name"`
 	// Tokens is how many were generated so far.
 	Tokens int    `json:"tokens"`
 	Prompt int    `json:"prompt"`
@@ -43,6 +45,7 @@
 // job is one request in an engine.
 type job struct {
 	id       string
+	name     string
 	model    string
 	prompt   int // tokens
 	priority int
@@ -119,13 +122,14 @@
 }
 
 func (e *engine) newJob(id string, priority int, r *chatRequest) (*job, error) {
-	j := &job{id: id, model: r.Model, prompt: PromptTokens(r.Messages), priority: priority, state: stateQueued}
+	j := &job{id: id, model: r.Model, prompt: PromptTokens(r.Messages), priority: priority, state: stateWaiting}
 	messages, partial := r.Messages, ""
 	if r.Continue {
 		last := len(messages) - 1
 		messages, partial = messages[:last], messages[last].Content
 	}
 	for _, m := range r.Messages {
+		j.name = wordAfter(m.Content, nameWord, j.name)
 		j.crash = j.crash || e.opts.Crash != "" && strings.Contains(m.Content, e.opts.Crash)
 	}
 	var ok bool
@@ -294,7 +298,7 @@
 	defer e.mu.Unlock()
 	out := make([]Ran, len(e.ran))
 	for i, j := range e.ran {
-		out[i] = Ran{Request: j.id, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMilli()}
+		out[i] = Ran{Request: j.id, Name: j.name, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMilli()}
 	}
 	return out
 }
--- /dev/null
+++ b/bluebellstand/src/load_report.go
@@ -0,0 +1,109 @@
+package bbstand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Refused counts the refusals of one kind.
+type Refused struct {
+	Status  int    `json:"status"`
+	Outcome string `json:"outcome"`
+	Title   string `json:"title"`
+	Count   int    `json:"count"`
+}
+
+// Spread is how a time is spread, in milliseconds.
+type Spread struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// LoadReport sums results up.
+type LoadReport struct {
+	Sent    int       `json:"sent"`
+	Done    int       `json:"done"`
+	Retried int       `json:"retried"`
+	Refused []Refused `json:"refused"`
+	Lost    int       `json:"lost"`
+	Cut     int       `json:"cut"`
+	Wrong   int       `json:"wrong"`
+	Tokens  int       `json:"tokens"`
+	// Latency and First are of the requests that are done.
+	Latency Spread `json:"latency"`
+	First   Spread `json:"first"`
+
+	total, first *hdrhistogram.Histogram
+}
+
+// NewLoadReport returns an empty report.
+func NewLoadReport() *LoadReport {
+	most := time.Hour.Microseconds()
+	return &LoadReport{Refused: []Refused{}, total: hdrhistogram.New(1, most, 3), first: hdrhistogram.New(1, most, 3)}
+}
+
+// Add counts one result.
+func (l *LoadReport) Add(r LoadResult) {
+	l.Sent++
+	if r.Attempts > 1 {
+		l.Retried++
+	}
+	switch {
+	case r.Cut:
+		l.Cut++
+	case r.Outcome == outcomeLost:
+		l.Lost++
+	case r.Wrong:
+		l.Wrong++
+	case r.Outcome == "done":
+		l.Done++
+		l.Tokens += r.Tokens
+		_ = l.total.RecordValue(r.Total.Microseconds())
+		_ = l.first.RecordValue(r.First.Microseconds())
+	default:
+		l.refuse(r)
+	}
+	l.Latency, l.First = spread(l.total), spread(l.first)
+}
+
+func (l *LoadReport) refuse(r LoadResult) {
+	for i := range l.Refused {
+		f := &l.Refused[i]
+		if f.Status == r.Status && f.Outcome == r.Outcome && f.Title == r.Title {
+			f.Count++
+			return
+		}
+	}
+	l.Refused = append(l.Refused, Refused{Status: r.Status, Outcome: r.Outcome, Title: r.Title, Count: 1})
+	sort.Slice(l.Refused, func(a, b int) bool {
+		x, y := l.Refused[a], l.Refused[b]
+		return x.Status < y.Status || x.Status == y.Status && x.Outcome+x.Title < y.Outcome+y.Title
+	})
+}
+
+func spread(h *hdrhistogram.Histogram) Spread {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Spread{P50: ms(50), P95: ms(95), P99: ms(99)}
+}
+
+func (l *LoadReport) print(w io.Writer, format string) error {
+	if format == "json" {
+		return json.NewEncoder(w).Encode(l)
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(t, "SENT\tDONE\tRETRIED\tLOST\tCUT\tWRONG\tTOKENS\n%d\t%d\t%d\t%d\t%d\t%d\t%d\n", l.Sent, l.Done, l.Retried, l.Lost, l.Cut, l.Wrong, l.Tokens)
+	for _, r := range l.Refused {
+		fmt.Fprintf(t, "refused\t%d\t%s\t%s\t%d\n", r.Status, r.Outcome, r.Title, r.Count)
+	}
+	fmt.Fprintf(t, "TIME (MS)\tP50\tP95\tP99\n")
+	fmt.Fprintf(t, "answer\t%.1f\t%.1f\t%.1f\n", l.Latency.P50, l.Latency.P95, l.Latency.P99)
+	fmt.Fprintf(t, "first byte\t%.1f\t%.1f\t%.1f\n", l.First.P50, l.First.P95, l.First.P99)
+	return t.Flush()
+}
--- /dev/null
+++ b/bluebellstand/src/load_request.go
@@ -0,0 +1,88 @@
+package bbstand
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+)
+
+//go:generate enumer -type=LoadKind -trimprefix=Load -transform=kebab -text -json -output=loadkind_enumer.go
+
+// LoadKind is a kind of request.
+type LoadKind int
+
+// Kinds of request.
+const (
+	// LoadWhole is a chat with one whole answer.
+	LoadWhole LoadKind = iota
+	// LoadStream is a chat with a streamed answer.
+	LoadStream
+	// LoadRead is an idempotent request to a plain service.
+	LoadRead
+	// LoadWrite is a request to a plain service that may not be repeated.
+	LoadWrite
+)
+
+// loadRequest is one request with the answer that it must get.
+type loadRequest struct {
+	n      int
+	id     string
+	kind   LoadKind
+	key    int // place among the keys
+	secret string
+	method string
+	path   string
+	body   []byte
+	// want is the text of a chat's answer.
+	want string
+	// plain is the answer of a plain service, without its run.
+	plain PlainAnswer
+}
+
+// request makes the n-th request.
+func (o *LoadOptions) request(n int, random *rand.Rand) *loadRequest {
+	r := &loadRequest{n: n, id: fmt.Sprintf("%s-%d-%d", o.Prefix, o.Seed, n), key: random.IntN(len(o.Keys))}
+	r.secret = o.Keys[r.key]
+	plain, write, stream := random.Float64() < o.PlainShare, random.Float64() < o.WriteShare, random.Float64() < o.Streamed
+	switch {
+	case plain && write:
+		r.kind, r.method, r.body = LoadWrite, http.MethodPost, []byte("close the street for "+r.id)
+	case plain:
+		r.kind, r.method = LoadRead, http.MethodGet
+	case stream:
+		r.kind = LoadStream
+	}
+	if plain {
+		path := "/closures/" + r.id
+		r.path = "/services/" + o.Plain + path
+		r.plain = NewPlainAnswer(r.method, path, r.body, 0)
+		return r
+	}
+	prompt := fmt.Sprintf("Draft a permit %s %s %s %d", nameWord, r.id, lengthWord, o.Tokens)
+	r.chat(o.Service, prompt, o.Tokens)
+	return r
+}
+
+type streamOptions struct {
+	Usage bool `json:"include_usage"`
+}
+
+type loadChat struct {
+	Model     string         `json:"model"`
+	Messages  []Message      `json:"messages"`
+	MaxTokens int            `json:"max_tokens"`
+	Stream    bool           `json:"stream,omitempty"`
+	Options   *streamOptions `json:"stream_options,omitempty"`
+}
+
+// chat makes r a chat with the prompt.
+func (r *loadRequest) chat(service, prompt string, most int) {
+	c := loadChat{Model: service, Messages: []Message{{Role: "user", Content: prompt}}, MaxTokens: most}
+	if r.kind == LoadStream {
+		c.Stream, c.Options = true, &streamOptions{Usage: true}
+	}
+	r.method, r.path = http.MethodPost, "/v1/chat/completions"
+	r.body, _ = json.Marshal(c)
+	r.want = AnswerText(service, c.Messages, 1, most)
+}
--- /dev/null
+++ b/bluebellstand/src/load_send.go
@@ -0,0 +1,248 @@
+package bbstand
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// outcomeLost means that the connection broke or the time ran out before an
+// answer came: the caller knows nothing.
+const outcomeLost = "lost"
+
+// LoadResult is how one request ended.
+type LoadResult struct {
+	ID       string   `json:"id"`
+	Kind     LoadKind `json:"kind"`
+	Key      int      `json:"key"`
+	Status   int      `json:"status"`
+	Outcome  string   `json:"outcome"` // of RFC 9457 answers, "done" or "lost"
+	Title    string   `json:"title,omitempty"`
+	Attempts int      `json:"attempts"`
+	// Cut tells that an answer began and did not end.
+	Cut bool `json:"cut,omitempty"`
+	// Wrong tells that an answer is whole and not the right one.
+	Wrong bool `json:"wrong,omitempty"`
+	// Tokens is what the answer's usage says.
+	Tokens int `json:"tokens"`
+	// Start is when the request was due, in milliseconds since the epoch.
+	Start int64 `json:"start"`
+	// NotRun holds when the caller was told "not-run", likewise.
+	NotRun []int64 `json:"notrun,omitempty"`
+	// First and Total are times since the request was due, in nanoseconds.
+	First time.Duration `json:"first"`
+	Total time.Duration `json:"total"`
+	text  string
+	retry time.Duration
+}
+
+// sender sends requests to instances in turn.
+type sender struct {
+	timeout time.Duration
+	clients []*fasthttp.HostClient
+}
+
+func newSender(instances []string, timeout time.Duration) (*sender, func()) {
+	s := &sender{timeout: timeout}
+	for _, a := range instances {
+		s.clients = append(s.clients, &fasthttp.HostClient{
+			Addr:                      a,
+			MaxConns:                  1 << 16,
+			MaxIdemponentCallAttempts: 1,
+			StreamResponseBody:        true,
+			MaxResponseBodySize:       1 << 30,
+		})
+	}
+	return s, func() {
+		for _, c := range s.clients {
+			c.CloseIdleConnections()
+		}
+	}
+}
+
+// end sends the request, again to the next instance while that can help and
+// retries are left, and returns how it ended.
+func (s *sender) end(r *loadRequest, retries int, due time.Time) LoadResult {
+	out := LoadResult{ID: r.id, Kind: r.kind, Key: r.key, Start: due.UnixMilli()}
+	for out.Attempts = 1; ; out.Attempts++ {
+		s.send(s.clients[(r.n+out.Attempts-1)%len(s.clients)], r, &out, due)
+		if out.Outcome == "not-run" {
+			out.NotRun = append(out.NotRun, time.Now().UnixMilli())
+		}
+		if !out.again() || out.Attempts > retries {
+			break
+		}
+		time.Sleep(out.retry)
+	}
+	out.Total = time.Since(due)
+	return out
+}
+
+// again tells whether sending the request once more can help.
+func (l *LoadResult) again() bool {
+	return l.Outcome == outcomeLost || l.Cut || l.retry > 0
+}
+
+// send sends the request once and sets out by the answer.
+func (s *sender) send(c *fasthttp.HostClient, r *loadRequest, out *LoadResult, due time.Time) {
+	out.Status, out.Outcome, out.Title, out.Cut, out.Wrong, out.Tokens, out.text, out.retry = 0, outcomeLost, "", false, false, 0, "", 0
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(r.method)
+	req.SetRequestURI("http://" + c.Addr + r.path)
+	req.Header.Set("Authorization", "Bearer "+r.secret)
+	req.Header.Set(headerKey, r.id)
+	req.Header.Set("X-Request-Deadline-Ms", strconv.FormatInt(s.timeout.Milliseconds(), 10))
+	if r.body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBody(r.body)
+	}
+	if err := c.DoTimeout(req, resp, s.timeout); err != nil {
+		out.Title, out.retry = err.Error(), 100*time.Millisecond
+		return
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	out.Status = resp.StatusCode()
+	out.read(r, resp, due)
+}
+
+func (l *LoadResult) read(r *loadRequest, resp *fasthttp.Response, due time.Time) {
+	body := &firstByte{r: resp.BodyStream(), due: due}
+	if resp.BodyStream() == nil {
+		body.r = bytes.NewReader(resp.Body())
+	}
+	var err error
+	switch {
+	case l.Status != http.StatusOK:
+		err = l.readProblem(body)
+		if s, e := strconv.Atoi(string(resp.Header.Peek(headerRetry))); e == nil {
+			l.retry = time.Duration(s) * time.Second
+		}
+		if l.Outcome == "unknown" && l.retry == 0 {
+			l.retry = time.Second
+		}
+	case r.kind == LoadStream:
+		err = l.readStream(body)
+	case r.kind == LoadWhole:
+		err = l.readWhole(body)
+	default:
+		l.Wrong, err = wrongPlain(r, body)
+	}
+	l.First = body.first
+	if err != nil {
+		l.Cut, l.Outcome, l.Title = l.Status == http.StatusOK, outcomeLost, err.Error()
+		return
+	}
+	if l.Status == http.StatusOK {
+		l.Outcome = "done"
+		l.Wrong = l.Wrong || l.text != r.want
+	}
+}
+
+// firstByte notes when the first byte came.
+type firstByte struct {
+	r     io.Reader
+	due   time.Time
+	first time.Duration
+}
+
+// Read reads on.
+func (f *firstByte) Read(b []byte) (int, error) {
+	n, err := f.r.Read(b)
+	if n > 0 && f.first == 0 {
+		f.first = time.Since(f.due)
+	}
+	return n, err
+}
+
+type problemAnswer struct {
+	Title   string `json:"title"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+}
+
+func (l *LoadResult) readProblem(r io.Reader) error {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	p := problemAnswer{Outcome: "none"}
+	if json.Unmarshal(b, &p) != nil {
+		p.Title = string(b)
+	}
+	l.Outcome, l.Title, l.text = p.Outcome, p.Title, string(b)
+	return nil
+}
+
+func (l *LoadResult) readWhole(r io.Reader) error {
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	var a chatAnswer
+	if err := json.Unmarshal(b, &a); err != nil {
+		return err
+	}
+	if len(a.Choices) == 1 && a.Choices[0].Message != nil {
+		l.text = a.Choices[0].Message.Content
+	}
+	if a.Usage != nil {
+		l.Tokens = a.Usage.Total
+	}
+	return nil
+}
+
+// readStream reads server-sent events up to [DONE].
+func (l *LoadResult) readStream(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return nil
+		}
+		var a chatAnswer
+		if err := json.Unmarshal([]byte(data), &a); err != nil {
+			return err
+		}
+		for _, c := range a.Choices {
+			if c.Delta != nil {
+				l.text += c.Delta.Content
+			}
+		}
+		if a.Usage != nil {
+			l.Tokens = a.Usage.Total
+		}
+	}
+	if s.Err() != nil {
+		return s.Err()
+	}
+	return errors.New("stream ended early")
+}
+
+// wrongPlain tells whether the answer is another request's.
+func wrongPlain(r *loadRequest, body io.Reader) (bool, error) {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		return false, err
+	}
+	var a PlainAnswer
+	if err := json.Unmarshal(b, &a); err != nil {
+		return false, err
+	}
+	ran := a.Run
+	a.Run = 0
+	return a != r.plain || (r.kind == LoadWrite) != (ran > 0), nil
+}
--- /dev/null
+++ b/bluebellstand/src/load_test.go
@@ -0,0 +1,105 @@
+package bbstand
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/matryer/is"
+)
+
+func testLoad(urls ...string) LoadOptions {
+	o := LoadOptions{
+		Keys: []string{"k"}, Service: "m", Plain: "p", Concurrency: 4,
+		Duration: time.Minute, Tokens: 3, Timeout: 5 * time.Second, Prefix: "t",
+	}
+	for _, u := range urls {
+		o.Instances = append(o.Instances, strings.TrimPrefix(u, "http://"))
+	}
+	return o
+}
+
+func generate(o LoadOptions) (*LoadReport, []LoadResult) {
+	var mu sync.Mutex
+	var all []LoadResult
+	report := NewLoadReport()
+	Generate(context.Background(), o, func(r LoadResult) {
+		mu.Lock()
+		defer mu.Unlock()
+		report.Add(r)
+		all = append(all, r)
+	})
+	return report, all
+}
+
+func TestLoadAgainstEngine(t *testing.T) {
+	is := is.New(t)
+	e, url := testEngine(t, func(o *EngineOptions) { o.Slots = 4 })
+	o := testLoad(url)
+	o.Count, o.Streamed = 20, 0.5
+	report, _ := generate(o)
+	is.Equal(report.Done, 20)
+	is.Equal(len(e.list()), 20)
+	is.True(strings.HasPrefix(e.list()[0].Name, "t-0-"))
+	is.Equal(report.Tokens, 20*(7+3)) // prompt and answer
+}
+
+func TestLoadTellsAnswersApart(t *testing.T) {
+	const chunk = `{"choices":[{"delta":{"content":"%s"}}]}`
+	whole := func(text string) string { return fmt.Sprintf(`{"choices":[{"message":{"content":%q}}]}`, text) }
+	cases := []struct {
+		name   string
+		kind   LoadKind
+		status int
+		body   string
+		want   LoadResult
+	}{
+		{"right", LoadWhole, 200, whole("right"), LoadResult{Status: 200, Outcome: "done"}},
+		{"crossed", LoadWhole, 200, whole("other"), LoadResult{Status: 200, Outcome: "done", Wrong: true}},
+		{"not JSON", LoadWhole, 200, `{"cho`, LoadResult{Status: 200, Outcome: outcomeLost, Cut: true}},
+		{"stream", LoadStream, 200, "data: " + fmt.Sprintf(chunk, "right") + "\n\ndata: [DONE]\n\n", LoadResult{Status: 200, Outcome: "done"}},
+		{"stream cut", LoadStream, 200, "data: " + fmt.Sprintf(chunk, "right") + "\n\n", LoadResult{Status: 200, Outcome: outcomeLost, Cut: true}},
+		{"refused", LoadWhole, 402, `{"title":"budget exhausted","outcome":"not-run"}`, LoadResult{Status: 402, Outcome: "not-run", Title: "budget exhausted"}},
+		{"run of another", LoadWrite, 200, `{"path":"/other","run":1}`, LoadResult{Status: 200, Outcome: "done", Wrong: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			url := startPart(t, func(app *fiber.App, _ *listener) {
+				app.All("/*", func(ctx *fiber.Ctx) error { return ctx.Status(c.status).SendString(c.body) })
+			})
+			s, stop := newSender(testLoad(url).Instances, time.Second)
+			defer stop()
+			r := &loadRequest{kind: c.kind, method: http.MethodPost, path: "/", want: "right"}
+			if c.kind == LoadWrite {
+				r.want, r.plain = "", PlainAnswer{Path: "/mine"}
+			}
+			got := s.end(r, 0, time.Now())
+			is.Equal(got.Status, c.want.Status)
+			is.Equal(got.Outcome, c.want.Outcome)
+			is.Equal(got.Cut, c.want.Cut)
+			is.Equal(got.Wrong, c.want.Wrong)
+			is.Equal(len(got.NotRun) == 1, c.want.Outcome == "not-run")
+		})
+	}
+}
+
+func TestLoadRetriesAtTheNextInstance(t *testing.T) {
+	is := is.New(t)
+	broken := startPart(t, func(app *fiber.App, _ *listener) { app.All("/*", hangUp) })
+	_, url := testEngine(t, nil)
+	o := testLoad(broken, url)
+	o.Count, o.Retries = 4, 1
+	report, all := generate(o)
+	is.Equal(report.Done, 4)
+	is.Equal(report.Retried, 2)
+	o.Retries = 0
+	report, _ = generate(o)
+	is.Equal(report.Lost, 2)
+	is.Equal(len(all), 4)
+}
--- a/bluebellstand/src/text.go
+++ b/bluebellstand/src/text.go
@@ -13,6 +13,10 @@
 // lengthWord, before a number in a prompt, sets how many tokens the answer has.
 const lengthWord = "--tokens"
 
+// nameWord, before a word in a prompt, names the request in what an engine
+// records, whatever ids it had on its way.
+const nameWord = "--name"
+
 // Message is one message of a chat.
 type Message struct {
 	Role    string `json:"role"`
@@ -60,13 +64,21 @@
 }
 
 func lengthOf(text string, usual int) int {
+	if n, err := strconv.Atoi(wordAfter(text, lengthWord, "")); err == nil && n > 0 {
+		return n
+	}
+	return usual
+}
+
+// wordAfter returns the word that follows mark in the text, or none.
+func wordAfter(text, mark, none string) string {
 	f := strings.Fields(text)
 	for i := 0; i+1 < len(f); i++ {
-		if n, err := strconv.Atoi(f[i+1]); f[i] == lengthWord && err == nil && n > 0 {
-			return n
+		if f[i] == mark {
+			return f[i+1]
 		}
 	}
-	return usual
+	return none
 }
 
 // after returns the tokens that follow a partial answer, and false when the
