--- a/bluebellstand/src/load_send.go
+++ b/bluebellstand/src/load_send.go
@@ -135,7 +135,7 @@
 	case r.kind == LoadWhole:
 		err = l.readWhole(body)
 	default:
-		l.Wrong, err = wrongPlain(r, body)
+		err = l.readPlain(r, body)
 	}
 	l.First = body.first
 	if err != nil {
@@ -144,7 +144,7 @@
 	}
 	if l.Status == http.StatusOK {
 		l.Outcome = "done"
-		l.Wrong = l.Wrong || l.text != r.want
+		l.Wrong = l.Wrong || r.want != "" && l.text != r.want
 	}
 }
 
@@ -232,17 +232,18 @@
 	return errors.New("stream ended early")
 }
 
-// wrongPlain tells whether the answer is another request's.
-func wrongPlain(r *loadRequest, body io.Reader) (bool, error) {
+// readPlain tells also whether the answer is another request's.
+func (l *LoadResult) readPlain(r *loadRequest, body io.Reader) error {
 	b, err := io.ReadAll(body)
 	if err != nil {
-		return false, err
+		return err
 	}
 	var a PlainAnswer
 	if err := json.Unmarshal(b, &a); err != nil {
-		return false, err
+		return err
 	}
 	ran := a.Run
 	a.Run = 0
-	return a != r.plain || (r.kind == LoadWrite) != (ran > 0), nil
+	l.text, l.Wrong = string(b), a != r.plain || (r.kind == LoadWrite) != (ran > 0)
+	return nil
 }
