--- a/shared/bbjournal/book.go
+++ b/shared/bbjournal/book.go
@@ -52,6 +52,7 @@
 
 	loaded bool
 	begun  time.Time
+	read   time.Time // the head is known to have been the head then
 	head   leaf
 	sealed map[uint64]LeafNumber
 	old    map[LeafNumber]*sealedLeaf
@@ -75,7 +76,7 @@
 // Begin starts a commit: what was read before it may have changed since. After
 // a long rest the partition is listed anew, lest a deleted number is used again.
 func (b *Book) Begin(now time.Time) {
-	if now.Sub(b.begun) > b.Retention/2 {
+	if now.Sub(b.read) > b.Retention/2 {
 		b.loaded = false
 	}
 	b.begun = now
@@ -94,16 +95,14 @@
 	}
 	b.sealed, b.old, b.open = map[uint64]LeafNumber{}, map[LeafNumber]*sealedLeaf{}, map[LeafNumber]*leaf{}
 	b.head = leaf{number: 1, value: &bbwire.Leaf{}, fresh: true}
-	for i, l := range leaves {
-		last := i == len(leaves)-1
-		switch {
-		case l.value.Sealed:
+	for _, l := range leaves {
+		if l.value.Sealed {
 			b.seal(l)
-		case last:
-			b.setHead(l)
+		} else {
+			b.setHead(l) // the last one is the head, whatever came before
 		}
 	}
-	b.loaded = true
+	b.loaded, b.read = true, b.begun
 	return nil
 }
 
@@ -169,6 +168,7 @@
 		b.seeSealed(l)
 		return nil
 	}
+	b.read = b.begun
 	switch {
 	case e.Rev == 0 && b.head.rev != 0:
 		b.loaded = false // sealed by others and deleted since
@@ -209,8 +209,10 @@
 	case w.Number != b.head.number:
 		b.seeSealed(l)
 	case w.leaf.Sealed:
+		b.read = b.begun
 		b.seal(l)
 	default:
+		b.read = b.begun
 		b.setHead(l)
 	}
 }
