Drive the real programs under faults and audit what they did

Cause: what callers are told, what targets ran and what is billed must agree under every fault, with real processes. Change: e2e builds the programs once, starts a fleet on loopback with TCP relays that can go silent for chosen callers, brings a fault about under load, and compares the callers' answers, the stand-ins' records, bills and budgets.

--- a/bluebellstand/src/engine.go
+++ b/bluebellstand/src/engine.go
@@ -75,6 +75,7 @@
 	waiting []*job
 	jobs    map[string]*job
 	ran     []*job
+	refused int
 	cache   prefixCache
 	loads   loadHistory
 	orders  orders
@@ -106,9 +107,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
+		e.refused++
 		return nil, errLeaving
 	}
 	if e.running >= e.opts.Slots && len(e.waiting) >= e.opts.Queue {
+		e.refused++
 		return nil, errFull
 	}
 	j.cached = e.cache.use(r.Model, r.Messages, j.at)
--- a/bluebellstand/src/engine_admin.go
+++ b/bluebellstand/src/engine_admin.go
@@ -18,7 +18,8 @@
 
 // TargetCounts tells how many requests a target took and refused.
 type TargetCounts struct {
-	Ran   int    `json:"ran"`
+	Ran     int `json:"ran"`
+	Refused int `json:"refused"`
 	Waits int    `json:"waiting"`
 	Runs  int    `json:"running"`
 	Made  int    `json:"tokens"`
@@ -57,7 +58,7 @@
 func (e *engine) counts() TargetCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	n := TargetCounts{Ran: len(e.ran), Waits: len(e.waiting), Runs: e.running, Fence: e.orders.highest}
+	n := TargetCounts{Ran: len(e.ran), Refused: e.refused, Waits: len(e.waiting), Runs: e.running, Fence: e.orders.highest}
 	for _, j := range e.ran {
 		n.Made += j.made
 	}
--- a/bluebellstand/src/load_send.go
+++ b/bluebellstand/src/load_send.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,8 @@
 	Outcome  string   `json:"outcome"` // of RFC 9457 answers, "done" or "lost"
 	Title    string   `json:"title,omitempty"`
 	Attempts int      `json:"attempts"`
+	// Broken is how many attempts got a connection and no whole answer on it.
+	Broken int `json:"broken"`
 	// Cut tells that an answer began and did not end.
 	Cut bool `json:"cut,omitempty"`
 	// Wrong tells that an answer is whole and not the right one.
@@ -42,6 +45,20 @@
 	Total time.Duration `json:"total"`
 	text  string
 	retry time.Duration
+	err   error
+}
+
+const (
+	errDial         = errors.ConstError("no connection")
+	instanceTimeout = 2 * time.Second
+)
+
+func dialInstance(addr string, _ time.Duration) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", addr, instanceTimeout)
+	if err != nil {
+		return nil, errors.WithType(err, errDial)
+	}
+	return c, nil
 }
 
 // sender sends requests to instances in turn.
@@ -55,6 +72,7 @@
 	for _, a := range instances {
 		s.clients = append(s.clients, &fasthttp.HostClient{
 			Addr:                      a,
+			DialTimeout:               dialInstance,
 			MaxConns:                  1 << 16,
 			MaxIdemponentCallAttempts: 1,
 			StreamResponseBody:        true,
@@ -74,6 +92,9 @@
 	out := LoadResult{ID: r.id, Kind: r.kind, Key: r.key, Start: due.UnixMilli()}
 	for out.Attempts = 1; ; out.Attempts++ {
 		s.send(s.clients[(r.n+out.Attempts-1)%len(s.clients)], r, &out, due)
+		if out.Outcome == outcomeLost && !errors.Is(out.err, errDial) {
+			out.Broken++
+		}
 		if out.Outcome == "not-run" {
 			out.NotRun = append(out.NotRun, time.Now().UnixMilli())
 		}
@@ -93,7 +114,7 @@
 
 // send sends the request once and sets out by the answer.
 func (s *sender) send(c *fasthttp.HostClient, r *loadRequest, out *LoadResult, due time.Time) {
-	out.Status, out.Outcome, out.Title, out.Cut, out.Wrong, out.Tokens, out.text, out.retry = 0, outcomeLost, "", false, false, 0, "", 0
+	out.Status, out.Outcome, out.Title, out.Cut, out.Wrong, out.Tokens, out.text, out.retry, out.err = 0, outcomeLost, "", false, false, 0, "", 0, nil
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -107,7 +128,7 @@
 		req.SetBody(r.body)
 	}
 	if err := c.DoTimeout(req, resp, s.timeout); err != nil {
-		out.Title, out.retry = err.Error(), 100*time.Millisecond
+		out.err, out.Title, out.retry = err, err.Error(), 100*time.Millisecond
 		return
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
--- a/bluebellstand/src/plain.go
+++ b/bluebellstand/src/plain.go
@@ -58,6 +58,7 @@
 	running int
 	ran     []PlainRan
 	writes  int
+	refused int
 	fault   PlainFault
 }
 
@@ -120,9 +121,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.fault.Leaving {
+		p.refused++
 		return errLeaving
 	}
 	if p.waiting+p.running >= p.opts.Slots+p.opts.Queue {
+		p.refused++
 		return errFull
 	}
 	p.waiting++
@@ -193,5 +196,5 @@
 func (p *plain) counts() TargetCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return TargetCounts{Ran: len(p.ran), Waits: p.waiting, Runs: p.running}
+	return TargetCounts{Ran: len(p.ran), Refused: p.refused, Waits: p.waiting, Runs: p.running}
 }
--- /dev/null
+++ b/e2e/audit_test.go
@@ -0,0 +1,274 @@
+package bbe2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	bbstand "bluebellport.example/bluebellstand/src"
+	"bluebellport.example/shared/bbjournal"
+	"bluebellport.example/shared/bbledger"
+	"bluebellport.example/shared/bbwire"
+)
+
+// settleTimeout is how long bills may take to be written after the last answer.
+const settleTimeout = 15 * time.Second
+
+// requestKey names a request.
+type requestKey struct {
+	account string
+	id      string
+}
+
+// runOf is one run of a request as a stand-in recorded it.
+type runOf struct {
+	at    int64 // in milliseconds since the epoch
+	write bool
+}
+
+// audit compares what callers were told, what the stand-ins ran and what was
+// billed.
+type audit struct {
+	fleet   *fleet
+	results []bbstand.LoadResult
+	runs    map[string][]runOf
+	bills   map[requestKey][]*bbwire.Record
+}
+
+// verdict is one row of the table of faults.
+type verdict struct {
+	requests, done, refused, lost int
+	cut, wrong                    int
+	overspend                     int64
+	falseRefusals                 int
+	billedTwice, notBilled        int
+	ranTwice, wronglyNotRun       int
+	billed, settled, stuck        int64
+}
+
+const verdictHead = "| fault | requests | done | refused | lost | cut | wrong | overspend | false refusals | billed twice | not billed | ran twice | wrongly told not-run | billed | settled | stuck |"
+
+func (v verdict) row(name string) string {
+	return fmt.Sprintf("| %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d |", name,
+		v.requests, v.done, v.refused, v.lost, v.cut, v.wrong, v.overspend, v.falseRefusals,
+		v.billedTwice, v.notBilled, v.ranTwice, v.wronglyNotRun, v.billed, v.settled, v.stuck)
+}
+
+// faulty returns the columns that must be zero and are not.
+func (v verdict) faulty() string {
+	var bad []string
+	for _, c := range []struct {
+		name string
+		n    int64
+	}{
+		{"wrong answers", int64(v.wrong)},
+		{"overspend", v.overspend},
+		{"billed twice", int64(v.billedTwice)},
+		{"not billed", int64(v.notBilled)},
+		{"ran twice", int64(v.ranTwice)},
+		{"wrongly told not-run", int64(v.wronglyNotRun)},
+	} {
+		if c.n != 0 {
+			bad = append(bad, fmt.Sprintf("%s: %d", c.name, c.n))
+		}
+	}
+	return strings.Join(bad, ", ")
+}
+
+// newAudit waits until every answered request is billed, or no longer than
+// settleTimeout, and reads all records.
+func newAudit(f *fleet, results []bbstand.LoadResult) *audit {
+	a := &audit{fleet: f, results: results, runs: map[string][]runOf{}}
+	for end := time.Now().Add(settleTimeout); ; time.Sleep(500 * time.Millisecond) {
+		a.readBills()
+		if a.notBilled() == 0 || time.Now().After(end) {
+			break
+		}
+	}
+	for _, x := range f.targets {
+		if !x.ended() {
+			a.readRuns(x)
+		}
+	}
+	return a
+}
+
+func (a *audit) readRuns(x *target) {
+	if x.service == engineService {
+		var ran []bbstand.Ran
+		get(a.fleet.t, x.address, "/admin/ran", &ran)
+		for _, r := range ran {
+			a.runs[r.Name] = append(a.runs[r.Name], runOf{at: r.At})
+		}
+		return
+	}
+	var ran []bbstand.PlainRan
+	get(a.fleet.t, x.address, "/admin/ran", &ran)
+	for _, r := range ran {
+		a.runs[r.Request] = append(a.runs[r.Request], runOf{at: r.At, write: r.Run > 0})
+	}
+}
+
+func (a *audit) readBills() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	a.bills = map[requestKey][]*bbwire.Record{}
+	list, _, err := a.fleet.client.List(ctx, bbjournal.Prefix)
+	if err != nil {
+		return
+	}
+	for _, e := range list {
+		var l bbwire.Leaf
+		if err := proto.Unmarshal(e.Value, &l); err != nil {
+			a.fleet.t.Fatalf("%s: %s", e.Key, err)
+		}
+		for _, r := range l.Records {
+			if r.Kind == bbwire.Record_BILL {
+				k := requestKey{r.Account, r.Request}
+				a.bills[k] = append(a.bills[k], r)
+			}
+		}
+	}
+}
+
+func (a *audit) key(r *bbstand.LoadResult) requestKey {
+	return requestKey{string(a.fleet.customers[r.Key].account), r.ID}
+}
+
+func (a *audit) notBilled() int {
+	n := 0
+	for i := range a.results {
+		if r := &a.results[i]; r.Outcome == "done" && len(a.bills[a.key(r)]) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// verdict sums the audit up.
+func (a *audit) verdict() verdict {
+	v := verdict{requests: len(a.results), notBilled: a.notBilled()}
+	for i := range a.results {
+		a.judge(&a.results[i], &v)
+	}
+	for _, l := range a.bills {
+		if len(l) > 1 {
+			v.billedTwice++
+		}
+		for _, r := range l {
+			v.billed += r.Amount
+		}
+	}
+	a.judgeBudgets(&v)
+	return v
+}
+
+// judge counts one result.
+func (a *audit) judge(r *bbstand.LoadResult, v *verdict) {
+	switch {
+	case r.Cut:
+		v.cut++
+	case r.Outcome == "lost":
+		v.lost++
+	case r.Outcome == "done":
+		v.done++
+	default:
+		v.refused++
+	}
+	if r.Wrong {
+		v.wrong++
+	}
+	writes := 0
+	for _, run := range a.runs[r.ID] {
+		if run.write {
+			writes++
+		}
+	}
+	if writes > 1 {
+		v.ranTwice++
+	}
+	for _, told := range r.NotRun {
+		if a.ranBefore(r.ID, told) {
+			v.wronglyNotRun++
+			break
+		}
+	}
+}
+
+func (a *audit) ranBefore(id string, at int64) bool {
+	for _, run := range a.runs[id] {
+		if run.at <= at {
+			return true
+		}
+	}
+	return false
+}
+
+// cost returns what a request costs by what its caller got.
+func cost(r *bbstand.LoadResult) int64 {
+	if r.Kind == bbstand.LoadRead || r.Kind == bbstand.LoadWrite {
+		return callPrice
+	}
+	return int64(r.Tokens)
+}
+
+// judgeBudgets compares each customer's paid tokens with what was answered and
+// with what was billed, and looks for refusals while there was money.
+func (a *audit) judgeBudgets(v *verdict) {
+	for k, c := range a.fleet.customers {
+		var answered, billed int64
+		for i := range a.results {
+			if r := &a.results[i]; r.Key == k && r.Outcome == "done" {
+				answered += cost(r)
+			}
+		}
+		for key, l := range a.bills {
+			for _, r := range l {
+				if key.account == string(c.account) {
+					billed += r.Amount
+				}
+			}
+		}
+		spent := max(answered, billed)
+		v.overspend += max(0, spent-int64(c.paid))
+		for i := range a.results {
+			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.spentBefore(k, r) >= mostCost(r) {
+				v.falseRefusals++
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	list, err := bbledger.Show(ctx, a.fleet.client)
+	if err != nil {
+		a.fleet.t.Errorf("budgets: %s", err)
+	}
+	for _, b := range list {
+		v.settled += int64(b.Spent)
+		v.stuck += int64(b.Stuck)
+	}
+}
+
+// mostCost is the most that a request of the kind could have cost.
+func mostCost(r *bbstand.LoadResult) int64 {
+	if r.Kind == bbstand.LoadRead || r.Kind == bbstand.LoadWrite {
+		return callPrice
+	}
+	return 120
+}
+
+// spentBefore returns what the customer's requests that were due before the
+// refusal cost.
+func (a *audit) spentBefore(key int, refused *bbstand.LoadResult) int64 {
+	until := refused.Start + refused.Total.Milliseconds()
+	var n int64
+	for i := range a.results {
+		if r := &a.results[i]; r.Key == key && r.Outcome == "done" && r.Start <= until {
+			n += cost(r)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/e2e/client_test.go
@@ -0,0 +1,60 @@
+package bbe2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	bbstand "bluebellport.example/bluebellstand/src"
+)
+
+func smallFleet() fleetOptions {
+	o := defaultFleet()
+	o.perDomain = 1
+	return o
+}
+
+// TestPublishedClient completes a plain and a streamed call with a client
+// library that knows nothing of the fleet.
+func TestPublishedClient(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, smallFleet())
+	c := openai.NewClient(
+		option.WithBaseURL("http://"+f.instances[0].listen+"/v1/"),
+		option.WithAPIKey(f.customers[0].key),
+		option.WithMaxRetries(0),
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	const prompt = "Which conditions apply to Storgatan? --tokens 12"
+	params := openai.ChatCompletionNewParams{
+		Model:    engineService,
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	}
+	want := bbstand.AnswerText(engineService, []bbstand.Message{{Role: "user", Content: prompt}}, 0, 0)
+
+	a, err := c.Chat.Completions.New(ctx, params)
+	is.NoErr(err)
+	is.Equal(a.Choices[0].Message.Content, want)
+	is.Equal(a.Choices[0].FinishReason, "stop")
+	is.Equal(a.Usage.CompletionTokens, int64(12))
+
+	params.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+	s := c.Chat.Completions.NewStreaming(ctx, params)
+	var acc openai.ChatCompletionAccumulator
+	for s.Next() {
+		acc.AddChunk(s.Current())
+	}
+	is.NoErr(s.Err())
+	is.Equal(acc.Choices[0].Message.Content, want)
+	is.Equal(acc.Usage.CompletionTokens, int64(12))
+
+	list, err := c.Models.List(ctx)
+	is.NoErr(err)
+	is.Equal(list.Data[0].ID, engineService)
+	f.stop()
+}
--- /dev/null
+++ b/e2e/main_test.go
@@ -0,0 +1,40 @@
+package bbe2e
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+var faults = flag.Bool("faults", false, "run all rows of TestFaults, not only the short ones")
+
+// binaries is the directory that the programs are built into.
+var binaries string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "bbe2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "./bluebellport", "./bluebellctl", "./bluebellstand")
+	build.Dir = ".."
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %s\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// program returns the path of a built program.
+func program(name string) string { return filepath.Join(binaries, name) }
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,165 @@
+package bbe2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	readyTimeout = 15 * time.Second
+	stopTimeout  = 30 * time.Second
+)
+
+// process is one running program with its log in a file.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+}
+
+// startProcess runs a program, which is killed at the end of the test at the
+// latest.
+func startProcess(t *testing.T, name, prog string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(program(prog), args...), done: make(chan struct{})}
+	p.log = filepath.Join(t.TempDir(), "log")
+	f, err := os.Create(p.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		_ = f.Close()
+		close(p.done)
+	}()
+	t.Cleanup(p.kill)
+	return p
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process without a chance to clean up.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// ended tells whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop asks the process to stop and checks that it ends with 0.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(stopTimeout):
+		p.t.Errorf("%s did not stop within %s\n%s", p.name, stopTimeout, p.tail())
+		p.kill()
+		return
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		p.t.Errorf("%s ended with %d\n%s", p.name, code, p.tail())
+	}
+}
+
+// tail returns the last lines of the log.
+func (p *process) tail() string {
+	b, _ := os.ReadFile(p.log)
+	lines := strings.Split(string(b), "\n")
+	return strings.Join(lines[max(0, len(lines)-20):], "\n")
+}
+
+// command runs a program to its end and returns its output and exit code.
+func command(t *testing.T, prog string, args ...string) (string, int) {
+	t.Helper()
+	c := exec.Command(program(prog), args...)
+	out, err := c.CombinedOutput()
+	if c.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(out), c.ProcessState.ExitCode()
+}
+
+// freeAddress returns an address on loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// waitFor waits until the address answers GET path with 200.
+func waitFor(t *testing.T, address, path string) {
+	t.Helper()
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		r, err := http.Get("http://" + address + path)
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatalf("http://%s%s was not ready within %s", address, path, readyTimeout)
+}
+
+// get reads JSON from the address.
+func get(t *testing.T, address, path string, out any) {
+	t.Helper()
+	r, err := http.Get("http://" + address + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
+		t.Fatalf("http://%s%s: %s", address, path, err)
+	}
+}
+
+// post sends JSON to the address, which must take it.
+func post(t *testing.T, address, path string, in any) {
+	t.Helper()
+	b, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(r.Body)
+		t.Fatal(fmt.Sprintf("http://%s%s: %d %s", address, path, r.StatusCode, text))
+	}
+}
