--- a/bluebellport/src/chat.go
+++ b/bluebellport/src/chat.go
@@ -48,8 +48,9 @@
 	if err := json.Unmarshal(body, c); err != nil {
 		return nil, errors.WithType(errors.Annotate(err, "body"), errRequest)
 	}
+	limit := "max_completion_tokens"
 	if c.Output == nil {
-		c.Output = c.MaxTokens
+		c.Output, limit = c.MaxTokens, "max_tokens"
 	}
 	switch {
 	case c.Model == "":
@@ -57,7 +58,7 @@
 	case len(c.Messages) == 0:
 		return nil, badRequest("messages: must not be empty")
 	case c.Output != nil && (*c.Output < 1 || *c.Output > maxOutput):
-		return nil, badRequest("max_completion_tokens: must be from 1 to %d, is %d", maxOutput, *c.Output)
+		return nil, badRequest("%s: must be from 1 to %d, is %d", limit, maxOutput, *c.Output)
 	case c.Choices != nil && (*c.Choices < 1 || *c.Choices > maxChoices):
 		return nil, badRequest("n: must be from 1 to %d, is %d", maxChoices, *c.Choices)
 	}
--- a/bluebellstand/src/engine_admin.go
+++ b/bluebellstand/src/engine_admin.go
@@ -18,12 +18,12 @@
 
 // TargetCounts tells how many requests a target took and refused.
 type TargetCounts struct {
-	Ran     int `json:"ran"`
-	Refused int `json:"refused"`
-	Waits int    `json:"waiting"`
-	Runs  int    `json:"running"`
-	Made  int    `json:"tokens"`
-	Fence uint64 `json:"fence"`
+	Ran     int    `json:"ran"`
+	Refused int    `json:"refused"`
+	Waits   int    `json:"waiting"`
+	Runs    int    `json:"running"`
+	Made    int    `json:"tokens"`
+	Fence   uint64 `json:"fence"`
 }
 
 func (e *engine) mountAdmin(app *fiber.App, l *listener) {
--- a/e2e/audit_test.go
+++ b/e2e/audit_test.go
@@ -234,6 +234,7 @@
 		}
 		spent := max(answered, billed)
 		v.overspend += max(0, spent-int64(c.paid))
+		a.fleet.t.Logf("%s: paid %d, answered %d, billed %d", c.budget, c.paid, answered, billed)
 		for i := range a.results {
 			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.spentBefore(k, r) >= mostCost(r) {
 				v.falseRefusals++
@@ -247,6 +248,7 @@
 		a.fleet.t.Errorf("budgets: %s", err)
 	}
 	for _, b := range list {
+		a.fleet.t.Logf("%s: drawn %d, spent %d, stuck %d, rest %d", b.Budget, b.Drawn, b.Spent, b.Stuck, b.Rest)
 		v.settled += int64(b.Spent)
 		v.stuck += int64(b.Stuck)
 	}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -28,6 +28,8 @@
 	cmd  *exec.Cmd
 	log  string
 	done chan struct{}
+	// killed tells that the process was not meant to end with 0.
+	killed bool
 }
 
 // startProcess runs a program, which is killed at the end of the test at the
@@ -58,6 +60,7 @@
 
 // kill ends the process without a chance to clean up.
 func (p *process) kill() {
+	p.killed = true
 	p.signal(syscall.SIGKILL)
 	<-p.done
 }
