Leave nothing stuck when the whole fleet stops; read bills from bluebellctl

Ruled out: a longer wait for surrenders alone, since a gone instance answers nothing. Change: a report reaches the job that closes its holder; a grantee whose report leaves nothing is settled without its surrender; a drained instance repeats its reports and answers for half a second more.

--- /dev/null
+++ b/bluebellctl/src/bill.go
@@ -0,0 +1,94 @@
+package bbctl
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbjournal"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// billCommands declares the commands on records of requests.
+func billCommands(app *kingpin.Application, commands map[string]command) {
+	b := app.Command("bill", "Show bills, claims and unknown outcomes within their retention.")
+	var account, request string
+	var unknown, totals bool
+	list := b.Command("list", "List records, oldest first.")
+	list.Flag("account", "Only those of this client account.").StringVar(&account)
+	list.Flag("unknown", "Only requests whose end was not seen.").BoolVar(&unknown)
+	list.Flag("totals", "One line a client account.").BoolVar(&totals)
+	commands[list.FullCommand()] = func(ctx context.Context, e *env) error {
+		return listBills(ctx, e, bbjournal.Filter{Account: bbunit.AccountID(account), Unknown: unknown}, totals)
+	}
+	show := b.Command("show", "Show the record of one request.")
+	show.Arg("request", "Request id, as the caller's Idempotency-Key names it.").Required().StringVar(&request)
+	show.Flag("account", "Client account of the request; without it all records are read.").StringVar(&account)
+	commands[show.FullCommand()] = func(ctx context.Context, e *env) error {
+		return showBill(ctx, e, bbjournal.Filter{Account: bbunit.AccountID(account), Request: bbunit.RequestID(request)})
+	}
+}
+
+// bill is one record, as operators read it.
+type bill struct {
+	Kind    string           `json:"kind"`
+	Made    time.Time        `json:"made"`
+	Account bbunit.AccountID `json:"account"`
+	Request bbunit.RequestID `json:"request"`
+	Service bbunit.ServiceID `json:"service"`
+	Target  bbunit.TargetID  `json:"target"`
+	Budget  bbunit.BudgetID  `json:"budget"`
+	Tokens  bbunit.Tokens    `json:"tokens"`
+	Owner   string           `json:"owner"`
+}
+
+func billOf(r *bbwire.Record) bill {
+	return bill{
+		Kind: strings.ToLower(r.Kind.String()), Made: time.UnixMilli(r.Made).UTC(),
+		Account: bbunit.AccountID(r.Account), Request: bbunit.RequestID(r.Request),
+		Service: bbunit.ServiceID(r.Service), Target: bbunit.TargetID(r.Target),
+		Budget: bbunit.BudgetID(r.Budget), Tokens: bbunit.Tokens(r.Amount), Owner: r.Owner,
+	}
+}
+
+func listBills(ctx context.Context, e *env, f bbjournal.Filter, totals bool) error {
+	list, err := bbjournal.Read(ctx, e.store, f)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if totals {
+		sums := bbjournal.Totals(list)
+		var cells [][]any
+		for _, t := range sums {
+			cells = append(cells, []any{t.Account, t.Bills, t.Tokens, t.Claims, t.Unknown, t.Doubtful})
+		}
+		return e.show(sums, []string{"ACCOUNT", "BILLS", "TOKENS", "CLAIMS", "UNKNOWN", "DOUBTFUL"}, cells)
+	}
+	return e.showBills(list)
+}
+
+func showBill(ctx context.Context, e *env, f bbjournal.Filter) error {
+	list, err := bbjournal.Read(ctx, e.store, f)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if len(list) == 0 {
+		return errors.WithType(errors.Errorf("request: no record: %q", f.Request), errUsage)
+	}
+	return e.showBills(list)
+}
+
+func (e *env) showBills(list []*bbwire.Record) error {
+	bills := make([]bill, 0, len(list))
+	var cells [][]any
+	for _, r := range list {
+		b := billOf(r)
+		bills = append(bills, b)
+		cells = append(cells, []any{b.Made.Format(time.RFC3339), b.Kind, b.Account, b.Request, b.Service, b.Target, b.Budget, b.Tokens})
+	}
+	return e.show(bills, []string{"MADE", "KIND", "ACCOUNT", "REQUEST", "SERVICE", "TARGET", "BUDGET", "TOKENS"}, cells)
+}
--- a/bluebellctl/src/core.go
+++ b/bluebellctl/src/core.go
@@ -38,6 +38,7 @@
 	commands := map[string]command{}
 	ticketCommands(app, commands)
 	budgetCommands(app, commands)
+	billCommands(app, commands)
 	statusCommands(app, commands)
 	name, code, ok := bbcli.Parse(app, args, stderr, opts.Check)
 	if !ok {
--- a/bluebellport/src/money_constants.go
+++ b/bluebellport/src/money_constants.go
@@ -7,6 +7,8 @@
 	pageTimeout = 2 * time.Second
 	// drainPoll is how often a drain looks whether all money is returned.
 	drainPoll = 20 * time.Millisecond
+	// drainStay is how long a drained instance goes on answering keepers.
+	drainStay = 500 * time.Millisecond
 	// visitAfter is when pages are read after the fleet changed: later than an
 	// instance must be gone for its holders to be closed.
 	visitAfter = 2500 * time.Millisecond
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -141,8 +141,18 @@
 }
 
 // Drain returns all money that no request has reserved, closes the holders of
-// this instance and waits until the page says so or ctx ends.
+// this instance and waits until the page says so or ctx ends. Then it stays for
+// drainStay, to repeat its reports and to answer the keepers that close holders
+// at the same time.
 func (t *Treasury) Drain(ctx context.Context) error {
+	if err := t.drain(ctx); err != nil {
+		return err
+	}
+	wait(ctx, drainStay)
+	return nil
+}
+
+func (t *Treasury) drain(ctx context.Context) error {
 	t.closing.Store(true)
 	t.box.put(func() {
 		t.purse.Drain()
--- a/bluebellport/src/treasury_test.go
+++ b/bluebellport/src/treasury_test.go
@@ -203,3 +203,38 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// TestTreasuryAllStopAtOnce: a planned stop of the whole fleet leaves nothing
+// stuck, since an instance that has returned its money stays to say so.
+func TestTreasuryAllStopAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, member("a1", "a"), member("a2", "a"), member("a3", "a"), member("b1", "b"), member("b2", "b"))
+	budgets := []bbunit.BudgetID{"b", "c", "d", "e"}
+	want := map[bbunit.BudgetID]bbunit.Tokens{}
+	for _, b := range budgets {
+		f.pay(b, 10000)
+		for id := range f.money {
+			s, _, _ := f.spend(id, b, 10, 50, 7)
+			want[b] += s
+		}
+	}
+	ctx := drainCtx(t)
+	var wg sync.WaitGroup
+	for id, m := range f.money {
+		wg.Go(func() {
+			if err := m.Drain(ctx); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+			f.net.mu.Lock()
+			delete(f.net.bus, id) // it is gone once its drain has ended
+			f.net.mu.Unlock()
+		})
+	}
+	wg.Wait()
+	for _, b := range budgets {
+		s := f.status(b)
+		is.Equal(s.Stuck, bbunit.Tokens(0))
+		is.Equal(s.Drawn, bbunit.Tokens(0))
+		is.Equal(s.Settled, want[b])
+	}
+}
--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -119,7 +119,8 @@
 	--service permit-assist --plain closure-desk --plain-share 0.3 --count 60 --rate 30
 
 sleep 2
-run "$bin/bluebellctl" bill list
+run "$bin/bluebellctl" bill list --totals
+run "$bin/bluebellctl" bill show book-1
 run "$bin/bluebellctl" budget show
 
 stop "$targets"
--- a/shared/bbledger/close.go
+++ b/shared/bbledger/close.go
@@ -185,6 +185,20 @@
 	}
 }
 
+// reportClosing merges a grantee's report into the job that closes its holder,
+// for a grantee that leaves before it is asked to surrender.
+func (k *Keeper) reportClosing(s *bbwire.Slice) {
+	j := k.jobs[bbunit.HolderID(s.Holder)]
+	if j == nil {
+		return
+	}
+	for _, m := range j.marks {
+		if m.Budget == s.Budget && m.Grantee == s.Grantee && s.Spent >= 0 && s.Returned >= 0 && s.Spent+s.Returned <= m.Granted {
+			m.Spent, m.Returned = max(m.Spent, s.Spent), max(m.Returned, s.Returned)
+		}
+	}
+}
+
 // ready tells whether the job's write may be made: every grantee answered, or
 // those that can be reached had their time.
 func (k *Keeper) ready(j *job) bool {
@@ -235,6 +249,10 @@
 				continue
 			}
 			most = s.Granted - s.Returned
+		} else if m.Granted == m.Spent+m.Returned {
+			// By its own report the grantee has nothing left of this holder.
+			e.Settled += m.Spent
+			continue
 		}
 		if most > 0 {
 			e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(j.holder), Grantee: m.Grantee, Amount: most})
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -232,7 +232,11 @@
 func (k *Keeper) ask(e Ask) {
 	seen := map[bbunit.BudgetID]bbunit.Tokens{}
 	for _, s := range e.Msg.Slices {
-		if s.Holder != string(k.holder) || s.Grantee != e.From.String() {
+		if s.Grantee != e.From.String() {
+			continue
+		}
+		if s.Holder != string(k.holder) {
+			k.reportClosing(s)
 			continue
 		}
 		b := bbunit.BudgetID(s.Budget)
--- a/shared/bbledger/purse.go
+++ b/shared/bbledger/purse.go
@@ -137,7 +137,7 @@
 			pot.surrenderSurplus(pot.Free())
 		}
 		if report {
-			b.report(pot)
+			b.report(pot, p.draining)
 		}
 		if !p.draining {
 			p.want(now, v, pot, &b)
@@ -265,10 +265,11 @@
 	return b.to[to]
 }
 
-// report adds the slices that changed, each to the instance that holds it.
-func (b *asks) report(pot *Pot) {
+// report adds the slices that changed, or all of them, each to the instance
+// that holds it.
+func (b *asks) report(pot *Pot, all bool) {
 	for _, s := range pot.slices {
-		if s.changed {
+		if s.changed || all {
 			s.changed = false
 			m := b.need(HolderPeer(s.holder).ID)
 			m.Slices = append(m.Slices, pot.wire(s, b.self))
