Show that each column of the audit finds its fault

Cause: a table of zeros proves little unless each column can be seen to rise. Change: the audit is computed from plain records, and a table test feeds it each fault. A planned stop must leave nothing stuck and all bills settled.

--- a/e2e/audit_test.go
+++ b/e2e/audit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -32,10 +33,10 @@
 // audit compares what callers were told, what the stand-ins ran and what was
 // billed.
 type audit struct {
-	fleet   *fleet
-	results []bbstand.LoadResult
-	runs    map[string][]runOf
-	bills   map[requestKey][]*bbwire.Record
+	customers []customer
+	results   []bbstand.LoadResult
+	runs      map[string][]runOf
+	bills     map[requestKey][]*bbwire.Record
 }
 
 // verdict is one row of the table of faults.
@@ -81,49 +82,49 @@
 // newAudit waits until every answered request is billed, or no longer than
 // settleTimeout, and reads all records.
 func newAudit(f *fleet, results []bbstand.LoadResult) *audit {
-	a := &audit{fleet: f, results: results, runs: map[string][]runOf{}}
+	a := &audit{customers: f.customers, results: results, runs: map[string][]runOf{}}
 	for end := time.Now().Add(settleTimeout); ; time.Sleep(500 * time.Millisecond) {
-		a.readBills()
+		a.readBills(f)
 		if a.notBilled() == 0 || time.Now().After(end) {
 			break
 		}
 	}
 	for _, x := range f.targets {
 		if !x.ended() {
-			a.readRuns(x)
+			a.readRuns(f.t, x)
 		}
 	}
 	return a
 }
 
-func (a *audit) readRuns(x *target) {
+func (a *audit) readRuns(t *testing.T, x *target) {
 	if x.service == engineService {
 		var ran []bbstand.Ran
-		get(a.fleet.t, x.address, "/admin/ran", &ran)
+		get(t, x.address, "/admin/ran", &ran)
 		for _, r := range ran {
 			a.runs[r.Name] = append(a.runs[r.Name], runOf{at: r.At})
 		}
 		return
 	}
 	var ran []bbstand.PlainRan
-	get(a.fleet.t, x.address, "/admin/ran", &ran)
+	get(t, x.address, "/admin/ran", &ran)
 	for _, r := range ran {
 		a.runs[r.Request] = append(a.runs[r.Request], runOf{at: r.At, write: r.Run > 0})
 	}
 }
 
-func (a *audit) readBills() {
+func (a *audit) readBills(f *fleet) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	a.bills = map[requestKey][]*bbwire.Record{}
-	list, _, err := a.fleet.client.List(ctx, bbjournal.Prefix)
+	list, _, err := f.client.List(ctx, bbjournal.Prefix)
 	if err != nil {
 		return
 	}
 	for _, e := range list {
 		var l bbwire.Leaf
 		if err := proto.Unmarshal(e.Value, &l); err != nil {
-			a.fleet.t.Fatalf("%s: %s", e.Key, err)
+			f.t.Fatalf("%s: %s", e.Key, err)
 		}
 		for _, r := range l.Records {
 			if r.Kind == bbwire.Record_BILL {
@@ -135,7 +136,7 @@
 }
 
 func (a *audit) key(r *bbstand.LoadResult) requestKey {
-	return requestKey{string(a.fleet.customers[r.Key].account), r.ID}
+	return requestKey{string(a.customers[r.Key].account), r.ID}
 }
 
 func (a *audit) notBilled() int {
@@ -218,40 +219,55 @@
 // judgeBudgets compares each customer's paid tokens with what was answered and
 // with what was billed, and looks for refusals while there was money.
 func (a *audit) judgeBudgets(v *verdict) {
-	for k, c := range a.fleet.customers {
-		var answered, billed int64
+	for k, c := range a.customers {
+		v.overspend += max(0, max(a.answered(k), a.billed(c))-int64(c.paid))
 		for i := range a.results {
-			if r := &a.results[i]; r.Key == k && r.Outcome == "done" {
-				answered += cost(r)
+			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.spentBefore(k, r) >= mostCost(r) {
+				v.falseRefusals++
 			}
 		}
-		for key, l := range a.bills {
-			for _, r := range l {
-				if key.account == string(c.account) {
-					billed += r.Amount
-				}
-			}
+	}
+}
+
+// answered returns what the customer's answered requests cost.
+func (a *audit) answered(key int) int64 {
+	var n int64
+	for i := range a.results {
+		if r := &a.results[i]; r.Key == key && r.Outcome == "done" {
+			n += cost(r)
 		}
-		spent := max(answered, billed)
-		v.overspend += max(0, spent-int64(c.paid))
-		a.fleet.t.Logf("%s: paid %d, answered %d, billed %d", c.budget, c.paid, answered, billed)
-		for i := range a.results {
-			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.spentBefore(k, r) >= mostCost(r) {
-				v.falseRefusals++
+	}
+	return n
+}
+
+// billed returns what the customer was billed.
+func (a *audit) billed(c customer) int64 {
+	var n int64
+	for k, l := range a.bills {
+		for _, r := range l {
+			if k.account == string(c.account) {
+				n += r.Amount
 			}
 		}
 	}
+	return n
+}
+
+// readBudgets reads what the pages of budgets say.
+func (a *audit) readBudgets(f *fleet) (settled, stuck int64) {
+	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	list, err := bbledger.Show(ctx, a.fleet.client)
+	list, err := bbledger.Show(ctx, f.client)
 	if err != nil {
-		a.fleet.t.Errorf("budgets: %s", err)
+		f.t.Errorf("budgets: %s", err)
 	}
 	for _, b := range list {
-		a.fleet.t.Logf("%s: drawn %d, spent %d, stuck %d, rest %d", b.Budget, b.Drawn, b.Spent, b.Stuck, b.Rest)
-		v.settled += int64(b.Spent)
-		v.stuck += int64(b.Stuck)
+		f.t.Logf("%s: paid %d, drawn %d, spent %d, stuck %d, rest %d", b.Budget, b.Paid, b.Drawn, b.Spent, b.Stuck, b.Rest)
+		settled += int64(b.Spent)
+		stuck += int64(b.Stuck)
 	}
+	return settled, stuck
 }
 
 // mostCost is the most that a request of the kind could have cost.
@@ -274,3 +290,56 @@
 	}
 	return n
 }
+
+// TestAudit shows that each column finds its fault.
+func TestAudit(t *testing.T) {
+	done := func(id string, kind bbstand.LoadKind, tokens int) bbstand.LoadResult {
+		return bbstand.LoadResult{ID: id, Kind: kind, Status: 200, Outcome: "done", Tokens: tokens, Start: 100}
+	}
+	bill := func(amounts ...int64) []*bbwire.Record {
+		var out []*bbwire.Record
+		for _, n := range amounts {
+			out = append(out, &bbwire.Record{Amount: n})
+		}
+		return out
+	}
+	refused := bbstand.LoadResult{ID: "a", Status: 402, Outcome: "not-run", Start: 100, NotRun: []int64{200}}
+	cases := []struct {
+		name   string
+		result bbstand.LoadResult
+		runs   []runOf
+		bills  []*bbwire.Record
+		want   verdict
+	}{
+		{"sound", done("a", bbstand.LoadWrite, 0), []runOf{{150, true}}, bill(10), verdict{done: 1}},
+		{"wrong answer", bbstand.LoadResult{ID: "a", Outcome: "done", Tokens: 5, Wrong: true}, nil, bill(5), verdict{done: 1, wrong: 1}},
+		{"cut", bbstand.LoadResult{ID: "a", Outcome: "lost", Cut: true}, nil, nil, verdict{cut: 1}},
+		{"answered above paid", done("a", bbstand.LoadWhole, 1005), nil, bill(5), verdict{done: 1, overspend: 5}},
+		{"billed above paid", done("a", bbstand.LoadWhole, 5), nil, bill(1007), verdict{done: 1, overspend: 7}},
+		{"billed twice", done("a", bbstand.LoadWhole, 5), nil, bill(5, 5), verdict{done: 1, billedTwice: 1}},
+		{"not billed", done("a", bbstand.LoadWhole, 5), nil, nil, verdict{done: 1, notBilled: 1}},
+		{"ran twice", done("a", bbstand.LoadWrite, 0), []runOf{{150, true}, {160, true}}, bill(10), verdict{done: 1, ranTwice: 1}},
+		{"read twice", done("a", bbstand.LoadRead, 0), []runOf{{150, false}, {160, false}}, bill(10), verdict{done: 1}},
+		{"refused with money left", refused, nil, nil, verdict{refused: 1, falseRefusals: 1}},
+		{"told not-run after it ran", refused, []runOf{{199, false}}, nil, verdict{refused: 1, falseRefusals: 1, wronglyNotRun: 1}},
+		{"told not-run before it ran", refused, []runOf{{201, false}}, nil, verdict{refused: 1, falseRefusals: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := &audit{
+				customers: []customer{{account: "x", paid: 1000}},
+				results:   []bbstand.LoadResult{c.result},
+				runs:      map[string][]runOf{"a": c.runs},
+				bills:     map[requestKey][]*bbwire.Record{},
+			}
+			if c.bills != nil {
+				a.bills[requestKey{"x", "a"}] = c.bills
+			}
+			got := a.verdict()
+			got.requests, got.billed = 0, 0
+			if got != c.want {
+				t.Errorf("%+v, not %+v", got, c.want)
+			}
+		})
+	}
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -107,6 +107,7 @@
 	wg.Wait()
 	r.audit = newAudit(r.fleet, r.results)
 	r.verdict = r.audit.verdict()
+	r.verdict.settled, r.verdict.stuck = r.audit.readBudgets(r.fleet)
 	if row.check != nil {
 		row.check(r)
 	}
@@ -141,11 +142,9 @@
 // allHandedBack fails when instances that stopped as planned left money that is
 // neither settled nor free.
 func allHandedBack(r *faultRun) {
-	var v verdict
-	r.audit.readBills()
-	r.audit.judgeBudgets(&v)
-	if v.stuck != 0 || v.settled != r.verdict.billed {
-		r.t.Errorf("after a planned stop %d tokens are settled and %d stuck; %d were billed", v.settled, v.stuck, r.verdict.billed)
+	settled, stuck := r.audit.readBudgets(r.fleet)
+	if stuck != 0 || settled != r.verdict.billed {
+		r.t.Errorf("after a planned stop %d tokens are settled and %d stuck; %d were billed", settled, stuck, r.verdict.billed)
 	}
 }
 
