Print what callers were told in each row of faults

Shown by: go test ./e2e -run TestFaults/none -v: 200 requests, 32 refused with 'budget exhausted' although 684 of the 2,000 tokens paid were never spent: slices of four instances, each too small for a chat. Left to the money part.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -108,6 +108,7 @@
 	r.audit = newAudit(r.fleet, r.results)
 	r.verdict = r.audit.verdict()
 	r.verdict.settled, r.verdict.stuck = r.audit.readBudgets(r.fleet)
+	r.logRefusals()
 	if row.check != nil {
 		row.check(r)
 	}
@@ -130,6 +131,19 @@
 	return out
 }
 
+// logRefusals prints how often callers were told what.
+func (r *faultRun) logRefusals() {
+	report := bbstand.NewLoadReport()
+	for _, x := range r.results {
+		x.Title = fmt.Sprintf("%s (%s)", x.Title, x.Kind)
+		report.Add(x)
+	}
+	for _, x := range report.Refused {
+		r.t.Logf("refused %d times: %d %s, %s", x.Count, x.Status, x.Outcome, x.Title)
+	}
+	r.t.Logf("answers: p50 %.0f ms, p99 %.0f ms; retried: %d", report.Latency.P50, report.Latency.P99, report.Retried)
+}
+
 // allDone fails on refusals other than those of the spent budget.
 func allDone(r *faultRun) {
 	for _, x := range r.results {
@@ -189,13 +203,17 @@
 
 // cutPeers cuts the instances of the two failure domains off each other.
 func (r *faultRun) cutPeers() {
+	silenced := 0
 	for _, i := range r.instances {
 		for _, other := range r.instances {
 			if other.domain != i.domain {
-				i.relay.cut(other.id)
+				silenced += i.relay.cut(other.id)
 			}
 		}
 	}
+	if silenced == 0 {
+		r.t.Errorf("the cut silenced no connection between instances")
+	}
 }
 
 func (r *faultRun) healPeers() {
--- a/e2e/relay_test.go
+++ b/e2e/relay_test.go
@@ -164,8 +164,9 @@
 }
 
 // cut silences the connections of the callers, or of all, for good, and those
-// that they open until it is healed.
-func (r *relay) cut(callers ...string) {
+// that they open until it is healed. It returns how many were open.
+func (r *relay) cut(callers ...string) int {
+	silenced := 0
 	if len(callers) == 0 {
 		callers = []string{""}
 	}
@@ -176,9 +177,11 @@
 		for c := range r.conns {
 			if name == "" || c.caller == name {
 				c.silence()
+				silenced++
 			}
 		}
 	}
+	return silenced
 }
 
 // heal lets new connections pass again; silent ones are closed.
