--- a/bluebellport/src/claim_test.go
+++ b/bluebellport/src/claim_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 
+	"bluebellport.example/shared/bbjournal"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbwire"
 )
@@ -134,10 +135,8 @@
 	n := f.awayFrom(home)
 	home.store.hold()
 	release := home.bus.hold()
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	defer cancel()
 	release()
-	_, first := n.Claim(ctx, n.rec("r"))
+	first := n.claimFor(300*time.Millisecond, "r")
 	home.store.release()
 	return []error{first, f.nodes["b1"].request("r", 5), n.request("r", 5)}
 }
@@ -194,3 +193,91 @@
 	is.True(n.request("", 1) != nil)
 	is.Equal(len(f.standing()), 0)
 }
+
+// nothingStands waits until the request has no record and checks that none comes.
+func (f *recordFleet) nothingStands(id string) {
+	f.t.Helper()
+	for end := time.Now().Add(5 * time.Second); len(f.standing()[id]) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s stands: %v", id, f.standing()[id])
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	if rs := f.standing()[id]; len(rs) > 0 {
+		f.t.Fatalf("%s came to stand: %v", id, rs)
+	}
+}
+
+// claimFor gives a claim up after d.
+func (n *recordNode) claimFor(d time.Duration, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	_, err := n.Claim(ctx, n.rec(id))
+	return err
+}
+
+func TestGivenUpClaimIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 1, 1)
+	n := f.nodes["a1"]
+	n.store.hold()
+	is.True(errors.Is(n.claimFor(100*time.Millisecond, "r"), ErrNoClaim))
+	n.store.release() // the write under way lands
+	is.NoErr(n.Drain(context.Background()))
+	f.nothingStands("r")
+	f.kill("a1") // no one is left to ask
+	is.NoErr(f.nodes["b1"].request("r", 5))
+}
+
+// TestGivenUpClaimWrittenByThePausedHomeIsWithdrawn has the home get the claim
+// after its owner gave it up and withdrew it past the home.
+func TestGivenUpClaimWrittenByThePausedHomeIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 2)
+	home := f.homeOf("r", "a")
+	n := f.awayFrom(home)
+	release := home.bus.hold()
+	is.True(errors.Is(n.claimFor(100*time.Millisecond, "r"), ErrNoClaim))
+	is.NoErr(n.Drain(context.Background())) // withdrawn past the home
+	release()
+	for end := time.Now().Add(5 * time.Second); home.count.writes.Count() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(home.count.writes.Count() > 0)
+	f.nothingStands("r")
+}
+
+func TestHomeDropsAClaimThatWaitedTooLong(t *testing.T) {
+	is := is.New(t)
+	o := testRecordOptions()
+	o.ClaimTimeout = 100 * time.Millisecond
+	f := newRecordFleet(t, o, 2)
+	home := f.homeOf("r", "a")
+	l := home.lanes[bbjournal.PartitionOf("acc", "r")]
+	l.busy.Store(true) // as if paused
+	r := home.rec("r")
+	r.Owner = "gone#1/1"
+	home.takeBatch("gone", &bbwire.Envelope{Body: &bbwire.Envelope_Batch{Batch: &bbwire.Batch{Records: []*bbwire.Record{r}}}})
+	time.Sleep(200 * time.Millisecond)
+	l.busy.Store(false)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(len(f.standing()), 0)
+}
+
+func TestFullRefusesClaimsAtOnce(t *testing.T) {
+	is := is.New(t)
+	o := testRecordOptions()
+	o.Queue = 10
+	f := newRecordFleet(t, o, 1)
+	f.mem.SetFaults(bbstore.Faults{Down: true})
+	n := f.nodes["a1"]
+	for i := range 10 {
+		n.bill(fmt.Sprint("other", i), 1)
+	}
+	begun := time.Now()
+	is.True(errors.Is(n.request("r", 5), ErrNoClaim))
+	is.True(time.Since(begun) < o.ClaimTimeout/4)
+	f.mem.SetFaults(bbstore.Faults{})
+	is.NoErr(n.Drain(context.Background()))
+	is.NoErr(n.request("r", 5))
+}
--- a/shared/bbjournal/book_test.go
+++ b/shared/bbjournal/book_test.go
@@ -404,7 +404,7 @@
 			},
 			"bill":    func(*rapid.T) { m.bill(m.pick("sent")) },
 			"unknown": func(*rapid.T) { m.unknown(m.pick("sent")) },
-			"read": func(t *rapid.T) {
+			"read": func(*rapid.T) {
 				try := m.newTry("i0") // idempotent: not claimed
 				try.state = "sent"
 				m.bill(try)
