Find silent sessions by unanswered calls and test the wire's faults

Cause: a session that goes silent was found only by its heartbeat, after 2 to 4 s. The state that grows from tickets is a core of its own (replica), checked by a property: whatever order tickets and whole states come in, what is in force is what the log had.

--- a/bluebellport/src/bus_test.go
+++ b/bluebellport/src/bus_test.go
@@ -37,6 +37,30 @@
 	})
 }
 
+func TestOnlyTheInstanceAskedAnswers(t *testing.T) {
+	is := is.New(t)
+	var d dispatcher
+	sent := make(chan uint64, 1)
+	done := make(chan *bbwire.Envelope, 1)
+	go func() {
+		r, _ := d.call(context.Background(), "b", askEnvelope(1), func(q *bbwire.Envelope) error {
+			sent <- q.Seq
+			return nil
+		})
+		done <- r
+	}()
+	seq := <-sent
+	reply := func(s string) *bbwire.Envelope {
+		r := tellEnvelope(s)
+		r.Seq, r.Reply = seq, true
+		return r
+	}
+	is.True(errors.Is(d.deliver("c", reply("crossed"), nil), errNoWaiter))
+	is.NoErr(d.deliver("b", reply("own"), nil))
+	is.Equal(string((<-done).GetTickettell().State), "own")
+	is.True(errors.Is(d.deliver("b", reply("late"), nil), errNoWaiter))
+}
+
 // busContract holds for every Bus.
 func busContract(t *testing.T, pair func(t *testing.T) busPair) {
 	answerAll := func(_ bbunit.InstanceID, _ *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("ok") }
--- a/bluebellport/src/follower.go
+++ b/bluebellport/src/follower.go
@@ -35,8 +35,8 @@
 	log   *bbticket.Log
 	clog  logrus.FieldLogger
 
-	mu                sync.Mutex // guards history and the writing of Board.State
-	past              history
+	mu                sync.Mutex // guards replica, known and the writing of Board.State
+	replica           replica
 	known             bool          // the state in force was read from the service or a peer
 	wanted            atomic.Uint64 // highest number that a peer spoke of
 	wantedAt          atomic.Int64  // when wanted rose, in ns since the epoch
@@ -61,6 +61,7 @@
 		number:  metrics.GetOrRegisterGauge("ticket.number", p.Metrics),
 		dropped: metrics.GetOrRegisterCounter("ticket.dropped", p.Metrics),
 	}
+	f.replica = newReplica(p.Board.State.Load())
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Ticketask{}}, f.onAsk)
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Tickettell{}}, f.onTell)
@@ -156,56 +157,43 @@
 	f.takeTickets(tickets, "")
 }
 
-// takeTickets puts tickets in force as far as they join on without a gap; the
-// rest is held until the gap is filled. from is empty for the service.
+// takeTickets puts tickets in force as far as they follow on, and asks for what
+// lies between. from is empty for the service.
 func (f *Follower) takeTickets(tickets []bbticket.Ticket, from bbunit.InstanceID) {
-	f.mu.Lock()
-	was := f.parts.Board.State.Load()
-	next := was
-	f.past.hold(was.Number, tickets)
-	for {
-		t, ok := f.past.next(next.Number)
-		if !ok {
-			break
-		}
-		next = next.Apply(t)
-	}
-	f.publish(next)
-	f.known = f.known || from == "" || next.Number > 0
-	gap := f.past.waiting()
-	f.mu.Unlock()
-	if next.Number > was.Number {
-		f.tell(was.Number, from)
-	}
-	if gap && from != "" {
+	if f.take(from, func(r *replica) bool { return r.tickets(tickets) }) && from != "" {
 		f.ask(from)
 	}
 }
 
-// takeState joins a whole state, object by object, if it is newer.
+// takeState joins a whole state. from is empty for the service.
 func (f *Follower) takeState(s *bbticket.State, from bbunit.InstanceID) {
+	f.take(from, func(r *replica) bool { return r.whole(s) })
+}
+
+// take changes the replica, publishes the state and passes on what is new; it
+// returns whether tickets are held beyond a gap.
+func (f *Follower) take(from bbunit.InstanceID, change func(r *replica) bool) bool {
 	f.mu.Lock()
-	was := f.parts.Board.State.Load()
-	if s.Number > was.Number {
-		f.past.reset()
-		f.publish(was.Join(s))
+	was := f.replica.state.Number
+	rose := change(&f.replica)
+	if rose {
+		f.publish(f.replica.state)
 	}
-	f.known = f.known || from == "" || s.Number > 0
+	f.known = f.known || from == "" || f.replica.state.Number > 0
+	gap := f.replica.gap()
 	f.mu.Unlock()
-	if s.Number > was.Number {
-		f.tell(was.Number, from)
+	if rose {
+		f.tell(was, from)
 	}
+	return gap
 }
 
-// publish replaces Board.State unless that would go back. f.mu is held.
-func (f *Follower) publish(next *bbticket.State) {
-	if next.Number <= f.parts.Board.State.Load().Number {
-		return
-	}
-	f.parts.Board.State.Store(next)
+// publish replaces Board.State. f.mu is held.
+func (f *Follower) publish(s *bbticket.State) {
+	f.parts.Board.State.Store(s)
 	f.rose.Store(time.Now().UnixNano())
-	f.number.Update(int64(next.Number))
-	f.clog.WithField("ticket", next.Number).Info("ticket in force")
+	f.number.Update(int64(s.Number))
+	f.clog.WithField("ticket", s.Number).Info("ticket in force")
 }
 
 // ready marks the instance ready once it knows a state that is no older than
--- /dev/null
+++ b/bluebellport/src/follower_replica_test.go
@@ -0,0 +1,116 @@
+package bbport
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+)
+
+// TestReplicaOnlyGoesForward tells a replica tickets and whole states in any
+// order: whatever it has in force is what the log had at that number.
+func TestReplicaOnlyGoesForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log, states := drawLog(t)
+		r := newReplica(states[0])
+		last := len(states) - 1
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			was := r.state.Number
+			if rapid.Bool().Draw(t, "whole") {
+				r.whole(decoded(t, states[rapid.IntRange(0, last).Draw(t, "state")]))
+			} else {
+				r.tickets(rapid.SliceOfN(rapid.SampledFrom(log), 1, 5).Draw(t, "tickets"))
+			}
+			if r.state.Number < was {
+				t.Fatalf("went back from %d to %d", was, r.state.Number)
+			}
+			sameState(t, r.state, states[r.state.Number])
+			checkKept(t, &r)
+		}
+		r.tickets(log)
+		sameState(t, r.state, states[last])
+		if r.gap() {
+			t.Fatal("tickets are held at the end of the log")
+		}
+	})
+}
+
+// drawLog returns a log of tickets and the state after each.
+func drawLog(t *rapid.T) ([]bbticket.Ticket, []*bbticket.State) {
+	var log []bbticket.Ticket
+	states := []*bbticket.State{{}}
+	for i := range rapid.IntRange(1, 12).Draw(t, "log") {
+		n := bbunit.TicketNumber(i + 1)
+		ticket := bbticket.Ticket{Number: n}
+		for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(0, 3), 1, 3, rapid.ID).Draw(t, "accounts") {
+			ticket.Accounts = append(ticket.Accounts, bbticket.Account{
+				ID: bbunit.AccountID(fmt.Sprint(id)), Priority: bbunit.Priority(n), Gone: rapid.Bool().Draw(t, "gone"),
+			})
+		}
+		log = append(log, ticket)
+		states = append(states, states[i].Apply(ticket))
+	}
+	return log, states
+}
+
+// decoded is the state as another instance gets it.
+func decoded(t *rapid.T, s *bbticket.State) *bbticket.State {
+	out := &bbticket.State{}
+	b, err := json.Marshal(s)
+	if err == nil {
+		err = json.Unmarshal(b, out)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func sameState(t *rapid.T, got, want *bbticket.State) {
+	g, _ := json.Marshal(got.Accounts)
+	w, _ := json.Marshal(want.Accounts)
+	if got.Number != want.Number || string(g) != string(w) {
+		t.Fatalf("in force at %d: %s, the log had %s", got.Number, g, w)
+	}
+}
+
+// checkKept checks that what would be passed on is what the asker lacks.
+func checkKept(t *rapid.T, r *replica) {
+	for n := range r.state.Number {
+		raw, ok := r.after(n)
+		if !ok {
+			continue
+		}
+		tickets, err := decodeTickets(raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, ticket := range tickets {
+			if ticket.Number != n+bbunit.TicketNumber(i)+1 {
+				t.Fatalf("asked above %d, got %d in place %d", n, ticket.Number, i)
+			}
+		}
+		if len(tickets) != int(r.state.Number-n) {
+			t.Fatalf("asked above %d of %d, got %d", n, r.state.Number, len(tickets))
+		}
+	}
+}
+
+func TestReplicaBoundsWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(&bbticket.State{})
+	r.tickets([]bbticket.Ticket{testTicket(maxHeld + 1), testTicket(2), testTicket(1 << 40)})
+	is.Equal(len(r.held), 1) // those too far ahead are asked for again
+	for n := 1; n <= 3*maxKept; n++ {
+		r.tickets([]bbticket.Ticket{testTicket(n)})
+	}
+	is.Equal(len(r.kept), maxKept)
+	is.Equal(r.state.Number, bbunit.TicketNumber(3*maxKept))
+	_, ok := r.after(1)
+	is.True(!ok)
+}
--- a/bluebellport/src/follower_spread.go
+++ b/bluebellport/src/follower_spread.go
@@ -85,7 +85,7 @@
 // they are not at hand.
 func (f *Follower) ticketsAfter(after uint64) *bbwire.Envelope {
 	f.mu.Lock()
-	raw, ok := f.past.after(bbunit.TicketNumber(after), f.parts.Board.State.Load().Number)
+	raw, ok := f.replica.after(bbunit.TicketNumber(after))
 	f.mu.Unlock()
 	if !ok {
 		return nil
--- a/bluebellport/src/peer.go
+++ b/bluebellport/src/peer.go
@@ -138,7 +138,25 @@
 // Call sends e and waits for its answer up to the deadline of ctx; ErrPeer when
 // none came, and then it is not known whether e arrived.
 func (p *Peers) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
-	return p.call(ctx, to, e, func(q *bbwire.Envelope) error { return p.Send(to, q) })
+	r, err := p.call(ctx, to, e, func(q *bbwire.Envelope) error { return p.Send(to, q) })
+	if err != nil && ctx.Err() != nil {
+		p.doubt(to)
+	}
+	return r, err
+}
+
+// doubt checks the session with an instance that left a question unanswered: it
+// may have gone silent while new ones work.
+func (p *Peers) doubt(id bbunit.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.links.Load(id)
+	if !ok || p.ctx.Err() != nil {
+		return
+	}
+	if s := v.(*link).current(); s != nil {
+		v.(*link).check(s)
+	}
 }
 
 // Handle sets the handler of one kind of body.
--- a/bluebellport/src/peer_link.go
+++ b/bluebellport/src/peer_link.go
@@ -124,17 +124,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range l.sessions {
-		if !o.closed() && !o.doubt.Swap(true) {
-			l.peers.wg.Go(func() {
-				if o.probe() {
-					o.doubt.Store(false)
-				}
-			})
-		}
+		l.check(o)
 	}
 	l.sessions = append(l.sessions, s)
 }
 
+// check probes a session beside the caller, unless that is under way.
+func (l *link) check(s *session) {
+	if s.closed() || s.doubt.Swap(true) {
+		return
+	}
+	l.peers.wg.Go(func() {
+		if s.probe() {
+			s.doubt.Store(false)
+		}
+	})
+}
+
 // remove drops a session that ended.
 func (l *link) remove(s *session) {
 	l.mu.Lock()
--- a/bluebellport/src/peer_node_test.go
+++ b/bluebellport/src/peer_node_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -85,7 +86,15 @@
 // startNode starts an instance, puts it on the list and stops it at the end.
 func startNode(t testing.TB, id, domain string, l *listFake, store bbstore.Store) *testNode {
 	t.Helper()
-	n := &testNode{id: bbunit.InstanceID(id), parts: testParts(id, domain, l.srv.Listener.Addr().String(), store)}
+	n := startParts(t, testParts(id, domain, l.srv.Listener.Addr().String(), store))
+	l.add(id, domain, n.address())
+	return n
+}
+
+// startParts starts an instance and stops it at the end.
+func startParts(t testing.TB, p Parts) *testNode {
+	t.Helper()
+	n := &testNode{id: p.Opts.Self.ID(), parts: p}
 	peers, stopPeers, err := NewPeers(n.parts)
 	if err != nil {
 		t.Fatal(err)
@@ -101,10 +110,11 @@
 		})
 	}
 	t.Cleanup(n.stop)
-	l.add(id, domain, peers.Address())
 	return n
 }
 
+func (n *testNode) address() string { return n.view().Self.Address }
+
 // kill stops the instance without a word to the others.
 func (n *testNode) kill() {
 	n.peers.members.mu.Lock()
@@ -135,3 +145,84 @@
 	}
 	return time.Since(start)
 }
+
+// tcpProxy passes connections on; freeze makes those that are open silent for
+// good, while new ones work.
+type tcpProxy struct {
+	ln     net.Listener
+	mu     sync.Mutex
+	target string
+	frozen *atomic.Bool
+	conns  []net.Conn
+}
+
+func newProxy(t testing.TB) *tcpProxy {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &tcpProxy{ln: ln, frozen: &atomic.Bool{}}
+	t.Cleanup(func() {
+		_ = ln.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, c := range p.conns {
+			_ = c.Close()
+		}
+	})
+	go p.run()
+	return p
+}
+
+func (p *tcpProxy) run() {
+	for {
+		in, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		target := p.target
+		p.mu.Unlock()
+		out, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		p.mu.Lock()
+		frozen := p.frozen
+		p.conns = append(p.conns, in, out)
+		p.mu.Unlock()
+		go pass(in, out, frozen)
+		go pass(out, in, frozen)
+	}
+}
+
+func pass(from, to net.Conn, frozen *atomic.Bool) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil && !frozen.Load() {
+			_ = to.Close()
+		}
+		if err != nil {
+			return
+		}
+		if frozen.Load() {
+			continue
+		}
+		_, _ = to.Write(b[:n])
+	}
+}
+
+func (p *tcpProxy) setTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
+func (p *tcpProxy) freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen.Store(true)
+	p.frozen = &atomic.Bool{}
+}
--- a/bluebellport/src/peer_test.go
+++ b/bluebellport/src/peer_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/matryer/is"
 
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
 )
 
 func TestPeersContract(t *testing.T) {
@@ -80,3 +83,160 @@
 	}
 	return v.(*link)
 }
+
+// pairOf starts two instances that see each other.
+func pairOf(t *testing.T) (a, b *testNode, l *listFake) {
+	l = newListFake(t)
+	store := bbstore.NewMem()
+	a, b = startNode(t, "a", "d1", l, store), startNode(t, "b", "d1", l, store)
+	within(t, 5*time.Second, "a and b see each other", func() bool { return a.sees("b") && b.sees("a") })
+	b.peers.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("ok") })
+	return a, b, l
+}
+
+func answers(from *testNode, to bbunit.InstanceID) bool {
+	_, err := busCall(from.peers, to, askEnvelope(1), 300*time.Millisecond)
+	return err == nil
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	l, store, proxy := newListFake(t), bbstore.NewMem(), newProxy(t)
+	b := testParts("b", "d1", l.srv.Listener.Addr().String(), store)
+	b.Opts.Peer.Suspicion = time.Minute // b does not connect by itself
+	pa := testParts("a", "d1", l.srv.Listener.Addr().String(), store)
+	pa.Opts.Peer.Suspicion = time.Minute // nor does a probe
+	a := startParts(t, pa)
+	l.add("a", "d1", a.address())
+	v := *b.Board.View.Load()
+	v.Self.Address = proxy.ln.Addr().String()
+	b.Board.View.Store(&v)
+	nb := startParts(t, b)
+	proxy.setTarget(nb.peers.Address())
+	l.add("b", "d1", proxy.ln.Addr().String())
+	nb.peers.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("ok") })
+	within(t, 5*time.Second, "an answer through the proxy", func() bool { return answers(a, "b") })
+	for range 2 {
+		proxy.freeze()
+		is.True(!answers(a, "b"))
+		took := within(t, keepAliveTimeout, "an answer over a fresh connection", func() bool { return answers(a, "b") })
+		t.Logf("answered again %s after the connection went silent", took.Round(10*time.Millisecond))
+		is.True(a.sees("b")) // the instance itself is not suspected
+	}
+}
+
+func TestLeavingIsToldAtOnceAndDeathIsSeen(t *testing.T) {
+	is := is.New(t)
+	l, store := newListFake(t), bbstore.NewMem()
+	var nodes []*testNode
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		nodes = append(nodes, startNode(t, id, "d"+string('1'+id[0]%2), l, store))
+	}
+	all := func(ok func(n *testNode) bool) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if !ok(n) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	within(t, 5*time.Second, "six members", all(func(n *testNode) bool { return len(n.view().Members) == 6 }))
+	leaver := nodes[0]
+	leaver.peers.Leave()
+	is.True(!leaver.sees("a")) // Self is not home to anything any more
+	nodes = nodes[1:]
+	took := within(t, 2*time.Second, "leaving known", all(func(n *testNode) bool { return !n.sees("a") }))
+	t.Logf("leaving known everywhere after %s, with the list unchanged", took)
+	nodes[0].kill()
+	nodes = nodes[1:]
+	took = within(t, 15*testSuspicion, "death known", all(func(n *testNode) bool { return !n.sees("b") }))
+	t.Logf("death known everywhere after %s, with the list unchanged", took)
+	l.setDown(true)
+	time.Sleep(2 * testSuspicion)
+	is.True(nodes[0].sees("f")) // the list's outage changes nothing
+}
+
+func TestNewLifeOfAnInstance(t *testing.T) {
+	is := is.New(t)
+	a, b, l := pairOf(t)
+	old := b.view().Self.Inc
+	b.kill()
+	p := testParts("b", "d1", l.srv.Listener.Addr().String(), bbstore.NewMem())
+	p.Opts.Peer.Listen = b.peers.Address() // the same name at the same address
+	n := startParts(t, p)
+	n.peers.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("new") })
+	within(t, 5*time.Second, "the new life in view", func() bool {
+		m, ok := a.view().Find("b")
+		return ok && m.Inc == n.view().Self.Inc
+	})
+	r, err := busCall(a.peers, "b", askEnvelope(1), time.Second)
+	is.NoErr(err)
+	is.Equal(r.Inc, uint64(n.view().Self.Inc))
+	is.True(r.Inc != uint64(old))
+}
+
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	is := is.New(t)
+	a, b, l := pairOf(t)
+	var mistaken atomic.Int64
+	b.peers.Handle(tellEnvelope(""), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope {
+		mistaken.Add(1)
+		return nil
+	})
+	l.add("c", "d1", b.address()) // the list is behind: b has the address now
+	within(t, 5*time.Second, "c is listed", func() bool { return a.sees("c") })
+	for range 5 {
+		_ = a.peers.Send("c", tellEnvelope("for c"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	within(t, 5*time.Second, "c is found to be gone", func() bool { return !a.sees("c") && a.sees("b") })
+	_, err := busCall(a.peers, "c", askEnvelope(1), time.Second)
+	is.True(errors.Is(err, ErrPeer))
+	is.True(answers(a, "b"))
+	is.Equal(mistaken.Load(), int64(0))
+}
+
+func TestSendDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pairOf(t)
+	stall := make(chan struct{})
+	b.peers.Handle(tellEnvelope(""), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope {
+		<-stall
+		return nil
+	})
+	defer close(stall)
+	big := tellEnvelope(string(make([]byte, 1<<20)))
+	start := time.Now()
+	refused := 0
+	for range 4 * linkQueue {
+		if a.peers.Send("b", big) != nil {
+			refused++
+		}
+	}
+	is.True(time.Since(start) < time.Second)
+	is.True(refused > 0)
+	is.True(a.peers.full.Count() > 0)
+}
+
+func TestBothConnectAtOnce(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pairOf(t)
+	for range 20 {
+		for _, n := range []*testNode{a, b} {
+			if l := n.peers.linkTo("a"); n == b && l != nil {
+				l.closeAll()
+			}
+		}
+		done := make(chan bool, 2)
+		go func() { done <- within(t, 3*time.Second, "a asks b", func() bool { return answers(a, "b") }) > 0 }()
+		go func() { done <- b.peers.Send("a", tellEnvelope("x")) == nil }()
+		is.True(<-done)
+		<-done
+	}
+	within(t, 5*time.Second, "both prefer one session", func() bool {
+		x, y := a.peers.linkTo("b").current(), b.peers.linkTo("a").current()
+		return x != nil && y != nil && x.mux.RemoteAddr().String() == y.mux.LocalAddr().String()
+	})
+}
--- /dev/null
+++ b/bluebellport/src/session_test.go
@@ -0,0 +1,177 @@
+package bbport
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// rawPeer is a session whose frames the test writes itself.
+func rawPeer(t *testing.T, address string) *session {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hello := &bbwire.Hello{Instance: "raw", Inc: 1, Domain: "d1", Address: "127.0.0.1:1"}
+	s, err := newSession(context.Background(), conn, true, hello, &bytes.Buffer{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+// frame is a length and bytes.
+func frame(size uint64, body []byte) []byte {
+	return append(binary.AppendUvarint(nil, size), body...)
+}
+
+func TestMalformedFrames(t *testing.T) {
+	garbage := bytes.Repeat([]byte{0xff}, 64)
+	unknown, _ := proto.Marshal(&bbwire.Envelope{Seq: 1, Reply: false})
+	unknown = append(unknown, 0xa2, 0x3f, 0x01, 'x') // field 1012, which no version has
+	gossip, _ := proto.Marshal(&bbwire.Envelope{Body: &bbwire.Envelope_Gossip{Gossip: &bbwire.Gossip{
+		Members: []*bbwire.Member{{Instance: "x", Inc: 1, Domain: "d", Address: "nowhere", Beat: 1}, nil},
+	}}})
+	many := &bbwire.Gossip{}
+	for i := range maxReports + 1 {
+		many.Members = append(many.Members, &bbwire.Member{
+			Instance: fmt.Sprint("flood", i), Inc: 1, Domain: "d1", Address: "127.0.0.1:1", Beat: 1,
+		})
+	}
+	flood, _ := proto.Marshal(&bbwire.Envelope{Body: &bbwire.Envelope_Gossip{Gossip: many}})
+	ticket, _ := proto.Marshal(&bbwire.Envelope{Body: &bbwire.Envelope_Tickettell{Tickettell: &bbwire.TicketTell{
+		Tickets: [][]byte{[]byte(`{"number":`), []byte(`{}`)},
+	}}})
+	state, _ := proto.Marshal(&bbwire.Envelope{Body: &bbwire.Envelope_Tickettell{Tickettell: &bbwire.TicketTell{State: []byte(`[]`)}}})
+	nameless, _ := proto.Marshal(&bbwire.Envelope{Body: &bbwire.Envelope_Tickettell{Tickettell: &bbwire.TicketTell{
+		Tickets: [][]byte{[]byte(`{}`)},
+	}}})
+	late, _ := proto.Marshal(&bbwire.Envelope{Seq: 77, Reply: true, Body: &bbwire.Envelope_Ticketask{}})
+	cases := map[string]struct {
+		frame  []byte
+		closed bool // the framing is lost: the session ends
+		silent bool // expected in normal work, not counted
+	}{
+		"garbage":               {frame: frame(64, garbage)},
+		"empty":                 {frame: frame(0, nil)},
+		"unknown body":          {frame: frame(uint64(len(unknown)), unknown)},
+		"oversized":             {frame: frame(maxEnvelope+1, make([]byte, maxEnvelope+1))},
+		"malformed member":      {frame: frame(uint64(len(gossip)), gossip)},
+		"too many members":      {frame: frame(uint64(len(flood)), flood)},
+		"malformed ticket":      {frame: frame(uint64(len(ticket)), ticket)},
+		"ticket of no number":   {frame: frame(uint64(len(nameless)), nameless)},
+		"malformed state":       {frame: frame(uint64(len(state)), state)},
+		"answer to nothing":     {frame: frame(uint64(len(late)), late), silent: true},
+		"impossible length":     {frame: frame(1<<60, nil), closed: true},
+		"overflowing length":    {frame: bytes.Repeat([]byte{0xff}, 400), closed: true},
+		"garbage without end":   {frame: bytes.Repeat(frame(2, []byte{0xff, 0xff}), maxMalformed+1), closed: true},
+		"some garbage in a row": {frame: bytes.Repeat(frame(2, []byte{0xff, 0xff}), maxMalformed)},
+	}
+	l := newListFake(t)
+	n := startNode(t, "n", "d1", l, bbstore.NewMem())
+	other := startNode(t, "o", "d1", l, bbstore.NewMem())
+	n.peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Loads{}}, func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope {
+		return &bbwire.Envelope{Body: &bbwire.Envelope_Loads{Loads: &bbwire.Loads{}}}
+	})
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			was := n.peers.count.Count() + n.follower.dropped.Count()
+			s := rawPeer(t, n.peers.Address())
+			_, err := s.out.Write(c.frame)
+			is.NoErr(err)
+			if c.closed {
+				within(t, 3*time.Second, "session closed", s.closed)
+				s = rawPeer(t, n.peers.Address())
+			}
+			is.NoErr(s.write(&bbwire.Envelope{Seq: 5, Body: &bbwire.Envelope_Loads{Loads: &bbwire.Loads{}}}))
+			is.True(hears(s, 5)) // the session, or a new one, still serves
+			if !c.silent {
+				is.True(n.peers.count.Count()+n.follower.dropped.Count() > was)
+			}
+			is.Equal(n.number(), bbunit.TicketNumber(0))
+			is.True(!n.sees("flood0"))
+		})
+	}
+	within(t, 3*time.Second, "the others are not harmed", func() bool { return other.sees("n") && n.sees("o") })
+}
+
+// hears reads until the answer to seq comes.
+func hears(s *session, seq uint64) bool {
+	_ = s.in.SetReadDeadline(time.Now().Add(3 * time.Second))
+	for {
+		e := &bbwire.Envelope{}
+		if err := protodelim.UnmarshalFrom(byteReader{s.in}, e); err != nil {
+			return false
+		}
+		if e.Reply && e.Seq == seq {
+			return true
+		}
+	}
+}
+
+func TestBadHellos(t *testing.T) {
+	cases := map[string]*bbwire.Hello{
+		"none":            nil,
+		"no instance":     {Inc: 1, Domain: "d", Address: "127.0.0.1:1"},
+		"long instance":   {Instance: strings.Repeat("x", 200), Inc: 1, Domain: "d", Address: "127.0.0.1:1"},
+		"no domain":       {Instance: "x", Inc: 1, Address: "127.0.0.1:1"},
+		"no incarnation":  {Instance: "x", Domain: "d", Address: "127.0.0.1:1"},
+		"address by name": {Instance: "x", Inc: 1, Domain: "d", Address: "host:1"},
+		"its own name":    {Instance: "n", Inc: 1, Domain: "d", Address: "127.0.0.1:1"},
+	}
+	n := startNode(t, "n", "d1", newListFake(t), bbstore.NewMem())
+	for name, hello := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			was := n.peers.count.Count()
+			conn, err := net.Dial("tcp", n.peers.Address())
+			is.NoErr(err)
+			s, err := newSession(context.Background(), conn, true, hello, &bytes.Buffer{})
+			if err == nil {
+				defer s.close()
+				within(t, 3*time.Second, "session closed", s.closed)
+			}
+			within(t, 3*time.Second, "refusal counted", func() bool { return n.peers.count.Count() > was })
+			is.Equal(len(n.view().Members), 1)
+		})
+	}
+	t.Run("a connection that says nothing", func(t *testing.T) {
+		is := is.New(t)
+		conn, err := net.Dial("tcp", n.peers.Address())
+		is.NoErr(err)
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		start := time.Now()
+		for err == nil {
+			_, err = conn.Read(make([]byte, 64))
+		}
+		is.True(time.Since(start) < 4*time.Second) // closed by the other end
+	})
+	t.Run("another kind of stream first", func(t *testing.T) {
+		is := is.New(t)
+		conn, err := net.Dial("tcp", n.peers.Address())
+		is.NoErr(err)
+		mux, err := yamux.Client(conn, muxConfig(&bytes.Buffer{}))
+		is.NoErr(err)
+		_, err = openKind(mux, "state")
+		is.NoErr(err)
+		within(t, 3*time.Second, "session closed", mux.IsClosed)
+	})
+}
