--- a/bluebellport/src/follower.go
+++ b/bluebellport/src/follower.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
-	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
@@ -104,9 +103,6 @@
 	}
 	if (first || !known) && time.Since(f.tried) >= wait {
 		f.tried = time.Now()
-		if !known {
-			f.askSome(v)
-		}
 		f.startRead()
 	}
 	f.ready()
@@ -304,15 +300,6 @@
 	f.clog.WithField("peer", from).WithError(err).Warn("ticket message dropped")
 }
 
-// askSome asks a few instances for the state in force.
-func (f *Follower) askSome(v *bbmember.View) {
-	for _, m := range v.Rank(string(v.Self.ID), "", joinAsks+1) {
-		if m.ID != v.Self.ID {
-			f.sendAsk(m.ID)
-		}
-	}
-}
-
 // Fill adds the number in force to a gossip message.
 func (f *Follower) Fill(g *bbwire.Gossip) {
 	g.Number = uint64(f.parts.Board.State.Load().Number)
--- /dev/null
+++ b/bluebellport/src/follower_bench_test.go
@@ -0,0 +1,83 @@
+package bbport
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+const (
+	benchDomains = 4
+	benchTickets = 40
+	benchIdle    = 5 * time.Second
+)
+
+// BenchmarkTicketInForce prints the time from the acceptance of a ticket until
+// the last instance has it in force, and what an idle instance spends for
+// control, against the number of instances.
+func BenchmarkTicketInForce(b *testing.B) {
+	for _, n := range []int{2, 4, 8, 16, 32} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			l, store := newListFake(b), bbstore.NewMem()
+			accept(b, store, 1)
+			nodes := benchFleet(b, n, l, store)
+			idle := idleBytes(nodes)
+			var took []time.Duration
+			for b.Loop() {
+				took = took[:0]
+				for i := range benchTickets {
+					next := int(nodes[0].number()) + 1
+					accept(b, store, next)
+					took = append(took, within(b, 13*time.Second, "in force", numbers(bbunit.TicketNumber(next), nodes...)))
+					time.Sleep(time.Duration(i%5) * 10 * time.Millisecond)
+				}
+			}
+			slices.Sort(took)
+			ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+			b.ReportMetric(ms(took[len(took)/2]), "p50-ms")
+			b.ReportMetric(ms(took[len(took)*95/100]), "p95-ms")
+			b.ReportMetric(ms(took[len(took)-1]), "max-ms")
+			b.ReportMetric(idle, "B/s-idle")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// benchFleet starts instances with the settings' defaults and waits until they
+// see each other.
+func benchFleet(b *testing.B, n int, l *listFake, store bbstore.Store) []*testNode {
+	nodes := make([]*testNode, n)
+	for i := range nodes {
+		id, domain := fmt.Sprintf("i%02d", i), fmt.Sprintf("d%d", i%benchDomains)
+		p := testParts(id, domain, l.srv.Listener.Addr().String(), store)
+		p.Opts.Peer.Period, p.Opts.Peer.Suspicion = time.Second, 5*time.Second
+		nodes[i] = startParts(b, p)
+		l.add(id, domain, nodes[i].address())
+	}
+	within(b, 30*time.Second, "all see all", func() bool {
+		for _, d := range nodes {
+			if len(d.view().Members) != n || d.number() != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+// idleBytes returns what an instance sends and receives in a second.
+func idleBytes(nodes []*testNode) float64 {
+	total := func() (sum int64) {
+		for _, d := range nodes {
+			sum += d.peers.bytesIn.Count() + d.peers.bytesOut.Count()
+		}
+		return sum
+	}
+	was := total()
+	time.Sleep(benchIdle)
+	return float64(total()-was) / benchIdle.Seconds() / float64(len(nodes))
+}
--- a/bluebellport/src/follower_spread.go
+++ b/bluebellport/src/follower_spread.go
@@ -101,10 +101,6 @@
 	if now-was < int64(askPause) || !f.asked.CompareAndSwap(was, now) {
 		return
 	}
-	f.sendAsk(to)
-}
-
-func (f *Follower) sendAsk(to bbunit.InstanceID) {
 	n := uint64(f.parts.Board.State.Load().Number)
 	_ = f.peers.Send(to, &bbwire.Envelope{Body: &bbwire.Envelope_Ticketask{Ticketask: &bbwire.TicketAsk{After: n}}})
 }
--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -58,11 +58,9 @@
 	followPeriod = 250 * time.Millisecond
 	// headPeriod is the time between two reads of the head beside the watch.
 	headPeriod = 5 * time.Second
-	// joinPeriod is the time between two reads of the head, and two rounds of
-	// asking, before any state is known.
+	// joinPeriod is the time between two reads of the head before any state is
+	// known.
 	joinPeriod = time.Second
-	// joinAsks is how many instances are asked in a round.
-	joinAsks = 3
 	// headTimeout bounds one read of the head and of the state.
 	headTimeout = 5 * time.Second
 	// watchLag is how long a watch may be behind a read before it counts as
--- /dev/null
+++ b/bluebellport/src/peer_tls_test.go
@@ -0,0 +1,158 @@
+package bbport
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// testCA signs certificates into files.
+type testCA struct {
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newCA(t *testing.T) *testCA {
+	ca := &testCA{dir: t.TempDir()}
+	ca.key, ca.cert = ca.issue(t, "ca", &x509.Certificate{IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign})
+	return ca
+}
+
+// issue writes NAME.pem and NAME.key.
+func (ca *testCA) issue(t *testing.T, name string, c *x509.Certificate) (*ecdsa.PrivateKey, *x509.Certificate) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SerialNumber, c.Subject = big.NewInt(time.Now().UnixNano()), pkix.Name{CommonName: name}
+	c.NotBefore, c.NotAfter = time.Now().Add(-time.Hour), time.Now().Add(time.Hour)
+	parent, signer := ca.cert, ca.key
+	if parent == nil {
+		parent, signer = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := x509.MarshalECPrivateKey(key)
+	ca.write(t, name+".pem", "CERTIFICATE", der)
+	ca.write(t, name+".key", "EC PRIVATE KEY", raw)
+	cert, _ := x509.ParseCertificate(der)
+	return key, cert
+}
+
+func (ca *testCA) write(t *testing.T, name, kind string, der []byte) {
+	b := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(ca.dir, name), b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// peer issues a certificate for a DNS name and returns the options for it.
+func (ca *testCA) peer(t *testing.T, name, dns string) PeerOptions {
+	ca.issue(t, name, &x509.Certificate{
+		DNSNames:    []string{dns},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	})
+	file := func(s string) string { return filepath.Join(ca.dir, s) }
+	return PeerOptions{
+		Listen: "127.0.0.1:0", Period: testPeriod, Suspicion: testSuspicion,
+		Cert: file(name + ".pem"), Key: file(name + ".key"), CA: file("ca.pem"),
+	}
+}
+
+func TestMutualTLS(t *testing.T) {
+	is := is.New(t)
+	ca, other := newCA(t), newCA(t)
+	l, store := newListFake(t), bbstore.NewMem()
+	start := func(id string, o PeerOptions) *testNode {
+		p := testParts(id, "d1", l.srv.Listener.Addr().String(), store)
+		p.Opts.Peer = o
+		n := startParts(t, p)
+		n.peers.Handle(askEnvelope(0), func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope { return tellEnvelope("ok") })
+		l.add(id, "d1", n.address())
+		return n
+	}
+	a := start("a", ca.peer(t, "a", peerName))
+	start("b", ca.peer(t, "b", peerName))
+	within(t, 5*time.Second, "a asks b", func() bool { return answers(a, "b") })
+	for id, o := range map[string]PeerOptions{
+		"plain":   {Listen: "127.0.0.1:0", Period: testPeriod, Suspicion: testSuspicion},
+		"foreign": other.peer(t, "foreign", peerName),
+		"caller":  ca.peer(t, "caller", "api.example"), // same authority, not for an instance
+	} {
+		n := start(id, o)
+		was := a.peers.count.Count()
+		within(t, 5*time.Second, id+" knows a", func() bool { _, ok := n.peers.members.address("a"); return ok })
+		is.True(!answers(n, "a"))
+		is.True(!answers(a, bbunit.InstanceID(id)))
+		is.True(a.peers.count.Count() > was) // refused, logged and counted
+	}
+	is.True(answers(a, "b"))
+	stranger := other.peer(t, "stranger", peerName)
+	cert, err := tls.LoadX509KeyPair(stranger.Cert, stranger.Key)
+	is.NoErr(err)
+	for name, certs := range map[string][]tls.Certificate{"no certificate": nil, "another authority's": {cert}} {
+		conn, err := tls.Dial("tcp", a.peers.Address(), &tls.Config{InsecureSkipVerify: true, Certificates: certs})
+		if err == nil {
+			_ = conn.SetReadDeadline(time.Now().Add(dialTimeout / 2))
+			_, err = conn.Read(make([]byte, 1))
+		}
+		if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("%s: not refused: %v", name, err)
+		}
+	}
+}
+
+func TestPeerOptionsCheck(t *testing.T) {
+	ca := newCA(t)
+	good := func() PeerOptions {
+		o := ca.peer(t, "x", peerName)
+		o.Listen = "127.0.0.1:8082"
+		return o
+	}
+	cases := map[string]struct {
+		spoil func(o *PeerOptions)
+		want  string
+	}{
+		"good":                 {func(*PeerOptions) {}, ""},
+		"no TLS":               {func(o *PeerOptions) { o.Cert, o.Key, o.CA = "", "", "" }, ""},
+		"address":              {func(o *PeerOptions) { o.Listen = "8082" }, "--peer: "},
+		"advertised by name":   {func(o *PeerOptions) { o.Advertise = "host:1" }, `--peer-advertise: not an IP number and port that others can reach: "host:1"`},
+		"advertised wildcard":  {func(o *PeerOptions) { o.Listen = "0.0.0.0:1" }, "--peer-advertise: "},
+		"period":               {func(o *PeerOptions) { o.Period = 0 }, "--gossip-period: must be above 0"},
+		"suspicion":            {func(o *PeerOptions) { o.Suspicion = o.Period }, "--suspicion: must be at least 3 times"},
+		"key without the rest": {func(o *PeerOptions) { o.Cert, o.CA = "", "" }, "set all three or none"},
+		"no such certificate":  {func(o *PeerOptions) { o.Cert = "nowhere.pem" }, `--peer-cert "nowhere.pem"`},
+		"no such authority":    {func(o *PeerOptions) { o.CA = "nowhere.pem" }, "--peer-ca: "},
+		"empty authority":      {func(o *PeerOptions) { o.CA = o.Key }, "holds no certificate"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := good()
+			c.spoil(&o)
+			bad := strings.Join(o.check(), "\n")
+			is.Equal(c.want == "", bad == "")
+			is.True(strings.Contains(bad, c.want))
+		})
+	}
+}
