Admit by room, limits and poison marks; retry within a budget

Cause: requests beyond the targets' capacity waited at the targets until their deadline, whatever their priority; limits, retries and requests that crash targets had no rule. Change: Gate lets in what the targets have room for (a window for each instance from the reports) and lines the rest up by priority, bounded by length and expected wait; Limiter shares limits by the gossiped usage (GCRA without a lock); RetryBudget and Retry; Poisons joined by union; load polling by the home instance of each target.

--- /dev/null
+++ b/bluebellport/src/admit.go
@@ -0,0 +1,133 @@
+package bbport
+
+import (
+	"sync/atomic"
+	"time"
+
+	"bluebellport.example/shared/bbroute"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Pass is the admission of one request; Done must be called once it ended.
+type Pass struct {
+	Done func()
+}
+
+// Admit lets the request in, or returns a Refusal. It answers at once, but for
+// requests that wait their turn for a place: these wait no longer than they are
+// expected to be served in time, and end when Cancel is closed.
+func (r *Router) Admit(ask Ask) (*Pass, error) {
+	pass, err := r.admit(&ask)
+	if err != nil {
+		r.refused.Inc(1)
+	}
+	return pass, err
+}
+
+func (r *Router) admit(ask *Ask) (*Pass, error) {
+	now, table := r.p.Now(), r.current()
+	g, ok := table.Group(ask.Service)
+	switch {
+	case !ok:
+		return nil, &Refusal{Cause: ErrNoTarget}
+	case r.poison.poisoned(ask.Print):
+		return nil, &Refusal{Cause: ErrPoisoned}
+	case !ask.Deadline.IsZero() && !now.Before(ask.Deadline):
+		return nil, &Refusal{Cause: ErrDeadline}
+	}
+	account, service := table.Account(ask.Account), g.Limiter()
+	if account != nil {
+		if err := account.Enter(now); err != nil {
+			return nil, err
+		}
+	}
+	err := service.Enter(now)
+	if err == nil {
+		if err = r.enter(g, ask, now); err != nil {
+			service.Undo()
+		}
+	}
+	if err != nil {
+		if account != nil {
+			account.Undo()
+		}
+		return nil, err
+	}
+	return newPass(g.Gate(), account, service), nil
+}
+
+// newPass returns what gives the place and the limits back, once.
+func newPass(gate *bbroute.Gate, account, service *bbroute.Limiter) *Pass {
+	var ended atomic.Bool
+	return &Pass{Done: func() {
+		if !ended.CompareAndSwap(false, true) {
+			return
+		}
+		gate.Exit()
+		service.Leave()
+		if account != nil {
+			account.Leave()
+		}
+	}}
+}
+
+// enter takes a place, or lines the request up for one.
+func (r *Router) enter(g *bbroute.Group, ask *Ask, now time.Time) error {
+	gate := g.Gate()
+	if gate.Enter() {
+		return nil
+	}
+	w := &bbroute.Waiter{
+		Priority: ask.Priority,
+		Deadline: ask.Deadline,
+		Service:  gate.Expect(g.Work(ask)),
+		Ready:    make(chan error, 1),
+	}
+	if err := gate.Join(w, now); err != nil {
+		return err
+	}
+	r.lined.Inc(1)
+	select {
+	case err := <-w.Ready:
+		return err
+	case <-ask.Cancel:
+	}
+	if !gate.Leave(w) && <-w.Ready == nil {
+		gate.Exit() // the place came as the caller left
+	}
+	return &Refusal{Cause: ErrCancelled}
+}
+
+// Pick chooses a target that is not among the tried ones, or returns a Refusal.
+func (r *Router) Pick(ask Ask, tried []bbunit.TargetID) (*Attempt, error) {
+	now := r.p.Now()
+	g, ok := r.current().Group(ask.Service)
+	if !ok {
+		return nil, &Refusal{Cause: ErrNoTarget}
+	}
+	crashes := r.poison.crashes(ask.Print)
+	if crashes >= r.poison.rule.Crashes {
+		return nil, &Refusal{Cause: ErrPoisoned}
+	}
+	c := bbroute.Choice{Now: now, Rand: r.seed.Add(seedStep), Tried: tried, Suspect: crashes > 0}
+	place := g.Pick(&ask, &c, &r.rule)
+	if place == nil {
+		return nil, &Refusal{Cause: ErrNoTarget, RetryAfter: r.rule.Circuit.Open}
+	}
+	r.picks.Inc(1)
+	return r.attempt(g, place, &ask, c.Suspect), nil
+}
+
+// PickSame chooses the given target once more, for a DecisionFresh. It returns
+// a Refusal when the target has become unusable.
+func (r *Router) PickSame(ask Ask, id bbunit.TargetID) (*Attempt, error) {
+	g, ok := r.current().Group(ask.Service)
+	if !ok {
+		return nil, &Refusal{Cause: ErrNoTarget}
+	}
+	place := g.Find(id)
+	if place == nil || !place.Enter(r.p.Now(), &r.rule) {
+		return nil, &Refusal{Cause: ErrNoTarget, RetryAfter: r.rule.Circuit.Open}
+	}
+	return r.attempt(g, place, &ask, r.poison.crashes(ask.Print) > 0), nil
+}
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -134,6 +134,13 @@
 	CircuitProbe   time.Duration
 	SlowStart      time.Duration
 	Spill          time.Duration
+	LoadEvery      time.Duration
+	QueueMost      int
+	QueueLongest   time.Duration
+	Tries          int
+	RetryRatio     float64
+	RetryFloor     float64 // retries a second
+	PoisonCrashes  int
 }
 
 func (o *RouteOptions) flags(cmd *kingpin.CmdClause) {
@@ -143,6 +150,13 @@
 	cmd.Flag("circuit-probe", "How long the probe of a half-open circuit may take before another follows.").Envar("BLUEBELLPORT_CIRCUIT_PROBE").Default("10s").DurationVar(&o.CircuitProbe)
 	cmd.Flag("slow-start", "How long a new target takes to get its full share.").Envar("BLUEBELLPORT_SLOW_START").Default("10s").DurationVar(&o.SlowStart)
 	cmd.Flag("spill", "Expected wait above which requests go to another failure domain.").Envar("BLUEBELLPORT_SPILL").Default("250ms").DurationVar(&o.Spill)
+	cmd.Flag("load-every", "How often a target is asked for its load.").Envar("BLUEBELLPORT_LOAD_EVERY").Default("250ms").DurationVar(&o.LoadEvery)
+	cmd.Flag("queue", "Most requests of a service that wait for a place.").Envar("BLUEBELLPORT_QUEUE").Default("256").IntVar(&o.QueueMost)
+	cmd.Flag("queue-longest", "Longest expected wait for a place; requests beyond it are refused at once.").Envar("BLUEBELLPORT_QUEUE_LONGEST").Default("5s").DurationVar(&o.QueueLongest)
+	cmd.Flag("tries", "Most attempts of one request.").Envar("BLUEBELLPORT_TRIES").Default("3").IntVar(&o.Tries)
+	cmd.Flag("retry-ratio", "Retries that each success of a service pays for.").Envar("BLUEBELLPORT_RETRY_RATIO").Default("0.1").Float64Var(&o.RetryRatio)
+	cmd.Flag("retry-floor", "Retries a second that a service has in any case.").Envar("BLUEBELLPORT_RETRY_FLOOR").Default("1").Float64Var(&o.RetryFloor)
+	cmd.Flag("poison-crashes", "Targets that must crash before a request is refused for good.").Envar("BLUEBELLPORT_POISON_CRASHES").Default("2").IntVar(&o.PoisonCrashes)
 }
 
 func (o *RouteOptions) check() []string {
@@ -150,6 +164,23 @@
 	if o.CircuitFails < 1 {
 		bad = append(bad, fmt.Sprintf("--circuit-fails: must be at least 1, is %d", o.CircuitFails))
 	}
+	if o.QueueMost < 0 {
+		bad = append(bad, fmt.Sprintf("--queue: must not be below 0, is %d", o.QueueMost))
+	}
+	if o.Tries < 1 {
+		bad = append(bad, fmt.Sprintf("--tries: must be at least 1, is %d", o.Tries))
+	}
+	if !(o.RetryRatio >= 0 && o.RetryRatio <= 1) {
+		bad = append(bad, fmt.Sprintf("--retry-ratio: must be from 0 to 1, is %g", o.RetryRatio))
+	}
+	if !(o.RetryFloor >= 0 && o.RetryFloor <= 1e6) {
+		bad = append(bad, fmt.Sprintf("--retry-floor: must be from 0 to 1000000, is %g", o.RetryFloor))
+	}
+	if o.PoisonCrashes < 1 || o.PoisonCrashes > 8 {
+		bad = append(bad, fmt.Sprintf("--poison-crashes: must be from 1 to 8, is %d", o.PoisonCrashes))
+	}
+	bad = append(bad, badDuration("--load-every", o.LoadEvery)...)
+	bad = append(bad, badDuration("--queue-longest", o.QueueLongest)...)
 	bad = append(bad, badDuration("--circuit-open", o.CircuitOpen)...)
 	bad = append(bad, badDuration("--circuit-longest", o.CircuitLongest)...)
 	bad = append(bad, badDuration("--circuit-probe", o.CircuitProbe)...)
@@ -171,6 +202,21 @@
 	}
 }
 
+// gate returns the rule of requests that wait.
+func (o *RouteOptions) gate() bbroute.GateRule {
+	return bbroute.GateRule{Most: o.QueueMost, Longest: o.QueueLongest}
+}
+
+// retry returns the rule of retries.
+func (o *RouteOptions) retry() bbroute.RetryRule {
+	return bbroute.RetryRule{Tries: o.Tries, Ratio: o.RetryRatio, Floor: o.RetryFloor}
+}
+
+// poison returns the rule of requests that crash targets.
+func (o *RouteOptions) poison() bbroute.PoisonRule {
+	return bbroute.PoisonRule{Crashes: o.PoisonCrashes, Suspect: suspectKeep, Most: poisonsMost}
+}
+
 // badAddress returns a line when the flag's value is not host:port.
 func badAddress(flag, v string, needed bool) []string {
 	if v == "" && !needed {
--- a/bluebellport/src/parts.go
+++ b/bluebellport/src/parts.go
@@ -110,6 +110,9 @@
 	Sent bool
 	// Crashed tells that the connection broke while the target ran the request.
 	Crashed bool
+	// Reused tells that the connection had been open before the attempt. Unless
+	// the target crashed, such an end does not speak against it.
+	Reused bool
 	// First and Total are times from sending to the first byte and to the end.
 	First, Total time.Duration
 	// Output is how many tokens were generated.
--- /dev/null
+++ b/bluebellport/src/poison.go
@@ -0,0 +1,105 @@
+package bbport
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bluebellport.example/shared/bbroute"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// poisoner remembers which requests crashed targets. Reading takes no lock.
+type poisoner struct {
+	rule   bbroute.PoisonRule
+	table  atomic.Pointer[bbroute.Poisons]
+	proven bbroute.Proven
+
+	mu     sync.Mutex // guards writing the table, and cursor
+	cursor int
+}
+
+func newPoisoner(rule bbroute.PoisonRule) *poisoner {
+	p := &poisoner{rule: rule}
+	p.table.Store(&bbroute.Poisons{})
+	return p
+}
+
+// crashes returns how many targets crashed with the fingerprint in flight.
+func (p *poisoner) crashes(fp uint64) int {
+	if fp == 0 {
+		return 0
+	}
+	return p.table.Load().Crashes(fp)
+}
+
+// poisoned tells that the request is refused for good.
+func (p *poisoner) poisoned(fp uint64) bool { return p.crashes(fp) >= p.rule.Crashes }
+
+// crashed notes that the target crashed with the request in flight. A request
+// that has run whole not long ago is not to blame.
+func (p *poisoner) crashed(fp uint64, t bbunit.TargetID, now time.Time) {
+	if fp != 0 && !p.proven.Has(fp) {
+		p.join(fp, []bbunit.TargetID{t}, now)
+	}
+}
+
+// join adds targets to the fingerprint's and tells whether that was news.
+func (p *poisoner) join(fp uint64, targets []bbunit.TargetID, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next, news := p.table.Load().With(fp, targets, now, &p.rule)
+	if news {
+		p.table.Store(next)
+	}
+	return news
+}
+
+// tick forgets old suspects.
+func (p *poisoner) tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.table.Load(); old.Len() > 0 {
+		p.table.Store(old.Expire(now, &p.rule))
+	}
+}
+
+// fill adds marks: the latest, and in turn the older ones.
+func (p *poisoner) fill(g *bbwire.Gossip) {
+	marks := p.table.Load().Marks()
+	if len(marks) > poisonsTold {
+		p.mu.Lock()
+		latest, older := marks[:poisonsTold/2], marks[poisonsTold/2:]
+		marks = latest[:len(latest):len(latest)]
+		for range poisonsTold / 2 {
+			p.cursor = (p.cursor + 1) % len(older)
+			marks = append(marks, older[p.cursor])
+		}
+		p.mu.Unlock()
+	}
+	for _, m := range marks {
+		names := make([]string, len(m.Targets))
+		for i, t := range m.Targets {
+			names[i] = string(t)
+		}
+		g.Poisons = append(g.Poisons, &bbwire.Poison{Print: m.Print, Crashes: uint32(len(names)), Targets: names})
+	}
+}
+
+// take joins another instance's marks and returns how many it dropped as bad.
+func (p *poisoner) take(poisons []*bbwire.Poison, now time.Time) int {
+	dropped := 0
+	for _, m := range poisons {
+		if m.GetPrint() == 0 || len(m.GetTargets()) == 0 || len(m.Targets) > poisonNames {
+			dropped++
+			continue
+		}
+		targets := make([]bbunit.TargetID, len(m.Targets))
+		for i, t := range m.Targets {
+			targets[i] = bbunit.TargetID(t)
+		}
+		p.join(m.Print, targets, now)
+	}
+	return dropped
+}
--- /dev/null
+++ b/bluebellport/src/route_constants.go
@@ -0,0 +1,41 @@
+package bbport
+
+import "time"
+
+const (
+	// seedStep moves the seed of the choices on (the golden ratio).
+	seedStep = 0x9e3779b97f4a7c15
+	// busyHold is how long a target that refused for lack of room is passed over.
+	busyHold = 250 * time.Millisecond
+	// routeTick is how often windows and shares are set anew.
+	routeTick = 100 * time.Millisecond
+
+	// loadAtOnce is how many targets are asked for their load at a time.
+	loadAtOnce = 16
+	// loadBodyMost is the largest load report, in bytes.
+	loadBodyMost = 4096
+	// loadsMost is the most reports taken from one message.
+	loadsMost = 4096
+
+	// suspectKeep is how long a request that was in a target's crash is watched.
+	suspectKeep = 10 * time.Minute
+	// poisonsMost is the most fingerprints remembered.
+	poisonsMost = 4096
+	// poisonsTold is the most marks told in one message.
+	poisonsTold = 64
+	// poisonNames is the most targets taken for one mark.
+	poisonNames = 64
+	// leavingTold is the most leaving targets told or taken in one message.
+	leavingTold = 1024
+
+	// usageKeep is how long another instance's usage counts.
+	usageKeep = 15 * time.Second
+	// usageMost is the most limits told in one message.
+	usageMost = 64
+	// usageRateMost is the largest believable rate, in requests a second.
+	usageRateMost = 1e6
+	// usageRateLeast is the rate below which usage is not worth telling.
+	usageRateLeast = 0.01
+	// usageOpenMost is the largest believable number of requests in flight.
+	usageOpenMost = 1 << 20
+)
--- a/bluebellport/src/router.go
+++ b/bluebellport/src/router.go
@@ -1,15 +1,18 @@
 package bbport
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
 
 	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
 )
 
 // Ask is what a request asks of the router.
@@ -31,97 +34,153 @@
 	ErrBusy      = bbroute.ErrBusy
 )
 
-// Router lets requests in and chooses their targets. Admit, Pick and what they
-// return take no lock.
+// Router lets requests in and chooses their targets. Pick, Retry and the ends of
+// requests take no lock, nor does Admit unless the request must wait for a place.
 type Router struct {
 	p        Parts
 	rule     bbroute.ChoiceRule
+	retry    bbroute.RetryRule
 	table    atomic.Pointer[bbroute.Table]
 	building atomic.Bool
 	seed     atomic.Uint64
+	poison   *poisoner
+	limits   *limiter
+	poller   *loadPoller
+	routerMetrics
+}
+
+// routerMetrics are what the router counts.
+type routerMetrics struct {
+	picks, failures, opened, retries, exhausted metrics.Counter
+	refused, dropped, lined                     metrics.Counter
+}
 
-	picks    metrics.Counter
-	failures metrics.Counter
-	opened   metrics.Counter
+func newRouterMetrics(r metrics.Registry) routerMetrics {
+	c := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("route."+name, r) }
+	return routerMetrics{
+		picks: c("picks"), failures: c("attempts.failed"), opened: c("circuits.opened"),
+		retries: c("retries"), exhausted: c("retries.exhausted"),
+		refused: c("refused"), dropped: c("messages.dropped"), lined: c("lined-up"),
+	}
 }
 
 // NewRouter returns a router over the board's state, and a function that stops
 // it.
 func NewRouter(p Parts) (*Router, func()) {
+	r := newRouter(p, newHTTPProber(p.Now))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { r.every(ctx, routeTick, r.tick) })
+	wg.Go(func() {
+		r.every(ctx, p.Opts.Route.LoadEvery, func() { r.poller.round(ctx, r.poller.mine(r.current())) })
+	})
+	return r, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// newRouter returns a router that does nothing on its own.
+func newRouter(p Parts, probe prober) *Router {
 	r := &Router{
-		p:        p,
-		rule:     p.Opts.Route.choice(),
-		picks:    metrics.GetOrRegisterCounter("route.picks", p.Metrics),
-		failures: metrics.GetOrRegisterCounter("route.attempts.failed", p.Metrics),
-		opened:   metrics.GetOrRegisterCounter("route.circuits.opened", p.Metrics),
+		p:             p,
+		rule:          p.Opts.Route.choice(),
+		retry:         p.Opts.Route.retry(),
+		poison:        newPoisoner(p.Opts.Route.poison()),
+		limits:        newLimiter(p),
+		routerMetrics: newRouterMetrics(p.Metrics),
 	}
+	r.poller = newLoadPoller(p, probe, r.observe)
 	r.seed.Store(uint64(p.Now().UnixNano()))
 	r.table.Store(&bbroute.Table{})
-	return r, func() {}
+	return r
 }
 
-// Pass is the admission of one request; Done must be called once it ended.
-type Pass struct {
-	Done func()
+// every calls fn at each interval until ctx ends.
+func (r *Router) every(ctx context.Context, d time.Duration, fn func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			fn()
+		}
+	}
 }
 
-// Admit lets the request in, or returns a Refusal.
-func (r *Router) Admit(ask Ask) (*Pass, error) {
-	if _, ok := r.current().Group(ask.Service); !ok {
-		return nil, &Refusal{Cause: ErrNoTarget}
+// tick sets windows and shares anew and forgets what is old.
+func (r *Router) tick() {
+	now, table := r.p.Now(), r.current()
+	r.limits.tick(table, now)
+	r.poison.tick(now)
+	n := r.limits.peers()
+	for _, g := range table.Groups() {
+		g.Refresh(now, n)
 	}
-	return &Pass{Done: func() {}}, nil
 }
 
-// Pick chooses a target that is not among the tried ones, or returns a Refusal.
-func (r *Router) Pick(ask Ask, tried []bbunit.TargetID) (*Attempt, error) {
-	now := r.p.Now()
-	g, ok := r.current().Group(ask.Service)
-	if !ok {
-		return nil, &Refusal{Cause: ErrNoTarget}
-	}
-	c := bbroute.Choice{Now: now, Rand: r.seed.Add(seedStep), Tried: tried}
-	place := g.Pick(&ask, &c, &r.rule)
-	if place == nil {
-		return nil, &Refusal{Cause: ErrNoTarget, RetryAfter: r.rule.Circuit.Open}
+// observe takes load reports. What is bad or unknown is counted and dropped.
+func (r *Router) observe(loads []*bbwire.Load) {
+	now, table := r.p.Now(), r.current()
+	for i, m := range loads {
+		t, ok := table.Target(bbunit.TargetID(m.GetTarget()))
+		if !ok || i >= loadsMost {
+			r.dropped.Inc(1)
+			continue
+		}
+		news, err := t.Observe(report(m), now)
+		switch {
+		case errors.Is(err, bbroute.ErrReport):
+			r.dropped.Inc(1)
+			r.p.Log.WithError(err).WithField("target", t.ID).Warn("load report dropped")
+		case news:
+			r.p.Log.WithField("target", t.ID).WithField("leaving", m.Leaving).Info("target's own report")
+		}
 	}
-	r.picks.Inc(1)
-	return r.attempt(g, place, &ask), nil
 }
 
 // attempt counts the request at the target until Done.
-func (r *Router) attempt(g *bbroute.Group, place *bbroute.Place, ask *Ask) *Attempt {
-	work := g.Work(ask)
-	place.Known.Begin(work, false)
+func (r *Router) attempt(g *bbroute.Group, place *bbroute.Place, ask *Ask, suspect bool) *Attempt {
+	work, fp := g.Work(ask), ask.Print
+	t := place.Known
+	t.Begin(work, suspect)
 	var ended atomic.Bool
 	return &Attempt{Target: place.Decl, Done: func(end AttemptEnd) {
 		if !ended.CompareAndSwap(false, true) {
 			return
 		}
-		place.Known.End(work, false)
-		r.ended(g, place.Known, &end)
+		t.End(work, suspect)
+		r.ended(g, t, fp, &end)
 	}}
 }
 
 // ended draws the conclusions from the end of an attempt.
-func (r *Router) ended(g *bbroute.Group, t *bbroute.Target, end *AttemptEnd) {
-	now := r.p.Now()
+func (r *Router) ended(g *bbroute.Group, t *bbroute.Target, fp uint64, end *AttemptEnd) {
+	now, e := r.p.Now(), coreEnd(end)
 	switch {
-	case end.Err == nil:
-		t.Took(end.Total)
-		g.Done(end.Output)
+	case e.Err == nil:
+		g.Done(t, end.Output, end.Total)
+		g.Retries().Earn(&r.retry)
+		r.poison.proven.Add(fp)
 		t.Circuit.Success()
-	case errors.Is(end.Err, ErrLeaving):
-		t.Leave(now)
-	case errors.Is(end.Err, ErrBusy):
+	case errors.Is(e.Err, ErrLeaving):
+		if t.Leave(now) {
+			r.p.Log.WithField("target", t.ID).Info("target leaving by its refusal")
+		}
+	case errors.Is(e.Err, ErrBusy):
 		t.Busy(now.Add(busyHold))
-	case errors.Is(end.Err, ErrCancelled):
-	default:
+	case e.Blame():
 		r.failures.Inc(1)
 		if t.Circuit.Failure(now, &r.rule.Circuit) {
 			r.opened.Inc(1)
+			r.p.Log.WithField("target", t.ID).WithError(e.Err).Warn("circuit open")
 		}
 	}
+	if e.Crashed {
+		r.poison.crashed(fp, t.ID, now)
+	}
 }
 
 // current returns the table of the board's state. One caller builds a new one;
@@ -132,7 +191,8 @@
 		return t
 	}
 	defer r.building.Store(false)
-	t = r.table.Load().Next(r.p.Board.State.Load(), bbunit.DomainID(r.p.Opts.Self.Domain), r.p.Now())
+	now := r.p.Now()
+	t = r.table.Load().Next(r.p.Board.State.Load(), bbunit.DomainID(r.p.Opts.Self.Domain), r.p.Opts.Route.gate(), now)
 	r.table.Store(t)
 	return t
 }
@@ -151,10 +211,3 @@
 	}
 	return out
 }
-
-const (
-	// seedStep moves the seed of the choices on (the golden ratio).
-	seedStep = 0x9e3779b97f4a7c15
-	// busyHold is how long a target that refused for lack of room is passed over.
-	busyHold = 250 * time.Millisecond
-)
--- /dev/null
+++ b/bluebellport/src/rumor.go
@@ -0,0 +1,58 @@
+package bbport
+
+import (
+	"cmp"
+	"slices"
+
+	"bluebellport.example/shared/bbroute"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Fill adds poison marks, leaving targets and this instance's usage of limits.
+func (r *Router) Fill(g *bbwire.Gossip) {
+	r.poison.fill(g)
+	r.limits.fill(g)
+	now := r.p.Now()
+	for _, t := range r.current().Targets() {
+		if len(g.Leaving) < leavingTold && t.LeaveNews(now) {
+			g.Leaving = append(g.Leaving, string(t.ID))
+		}
+	}
+}
+
+// Take reads another instance's. What is malformed or unknown is counted and
+// dropped.
+func (r *Router) Take(from bbunit.InstanceID, g *bbwire.Gossip) {
+	now := r.p.Now()
+	dropped := r.poison.take(g.GetPoisons(), now) + r.limits.take(from, g.GetUsages(), now)
+	table := r.current()
+	for i, id := range g.GetLeaving() {
+		t, ok := table.Target(bbunit.TargetID(id))
+		if !ok || i >= leavingTold {
+			dropped++
+			continue
+		}
+		if t.LeaveHeard(now) {
+			r.p.Log.WithField("target", id).WithField("instance", from).Info("target leaving by an instance's word")
+		}
+	}
+	if dropped > 0 {
+		r.dropped.Inc(int64(dropped))
+		r.p.Log.WithField("instance", from).WithField("entries", dropped).Warn("gossip entries dropped")
+	}
+}
+
+// topUsage returns up to n keys, the busiest first.
+func topUsage(own map[string]bbroute.Usage, n int) []string {
+	keys := make([]string, 0, len(own))
+	for k, u := range own {
+		if u.Rate > usageRateLeast || u.Open > 0 {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Or(cmp.Compare(own[b].Rate, own[a].Rate), cmp.Compare(a, b))
+	})
+	return keys[:min(n, len(keys))]
+}
--- a/shared/bbroute/estimate.go
+++ b/shared/bbroute/estimate.go
@@ -1,28 +1,41 @@
 package bbroute
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// others estimates how many requests of other instances the target runs: those
-// of its last report.
-func (t *Target) others() float64 {
+// others estimates how many requests of other instances the target runs now.
+// What the last report told fades, with the time that an answer takes, into
+// what the target usually has: else all instances would run after the same late
+// news.
+func (t *Target) others(now time.Time, pace float64) float64 {
 	r := t.report.Load()
 	if r == nil {
 		return 0
 	}
-	return float64(max(r.Running+r.Waiting-r.own, 0))
+	age := now.Sub(r.At).Seconds()
+	fresh := math.Exp(-max(age, 0) / (pace * newsLife))
+	return fresh*r.others() + (1-fresh)*t.usual.load()
 }
 
+// others returns how many of the reported requests are other instances'.
+func (r *Report) others() float64 { return float64(max(r.Running+r.Waiting-r.own, 0)) }
+
 // load estimates the target's requests, in mean requests.
-func (t *Target) load() float64 {
-	return float64(t.work.Load())/workUnit + t.others()
+func (t *Target) load(now time.Time, pace float64) float64 {
+	return float64(t.work.Load())/workUnit + t.others(now, pace)
 }
 
-// paceSeconds returns the mean time of an answer.
-func (t *Target) paceSeconds() float64 {
-	if s := t.pace.load(); s > 0 {
-		return s
+// paceSeconds returns the mean time of an answer: the service's, unless the
+// target is clearly faster or slower.
+func (p *Place) paceSeconds() float64 {
+	mean := p.gate.paceSeconds()
+	own := p.Known.pace.load()
+	if own == 0 || own < mean*paceBand && own > mean/paceBand {
+		return mean
 	}
-	return defaultPace
+	return own
 }
 
 // slots returns the slots to reckon with.
@@ -37,8 +50,9 @@
 // it runs.
 func (p *Place) Wait(now time.Time) time.Duration {
 	t := p.Known
-	ahead := t.load() + 1 - p.slots()
-	wait := max(ahead, 0) / p.slots() * t.paceSeconds()
+	pace := p.paceSeconds()
+	ahead := t.load(now, pace) + 1 - p.slots()
+	wait := max(ahead, 0) / p.slots() * pace
 	if busy := t.busy.Load() - now.UnixNano(); busy > 0 {
 		wait = max(wait, time.Duration(busy).Seconds())
 	}
@@ -49,9 +63,10 @@
 // raised while the target is new.
 func (p *Place) Score(now time.Time, rule *ChoiceRule) float64 {
 	t := p.Known
-	score := (t.load() + 1) / p.slots() * t.paceSeconds()
+	pace := p.paceSeconds()
+	score := (t.load(now, pace) + 1) / p.slots() * pace
 	if t.busy.Load() > now.UnixNano() {
-		score += t.paceSeconds()
+		score += pace
 	}
 	age := now.UnixNano() - t.since.Load()
 	if age >= 0 && age < int64(rule.SlowStart) {
@@ -64,5 +79,9 @@
 // roomFar tells whether the target of another failure domain, whose load is
 // not known here, may take one more request from this instance.
 func (p *Place) roomFar() bool {
-	return p.Known.InFlight() < max(int(p.slots()/8), 1)
+	return p.Known.InFlight() < p.mostFar()
 }
+
+// mostFar returns how many requests of this instance the target of another
+// failure domain may run while the own one has usable targets.
+func (p *Place) mostFar() int { return max(int(p.slots()*farPart), 1) }
--- a/shared/bbroute/group.go
+++ b/shared/bbroute/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bluebellport.example/shared/bbticket"
@@ -25,13 +26,20 @@
 	Near    []Place
 	Far     []Place
 
-	output *gauge // mean tokens of an answer
+	turn    *atomic.Uint64
+	output  *gauge // mean tokens of an answer
+	gate    *Gate
+	limiter *Limiter
+	retries *RetryBudget
+	farRoom float64 // requests that other failure domains may take
 }
 
 // Choice tells what Pick must leave out, and how to break ties.
 type Choice struct {
-	Now   time.Time
-	Rand  uint64
+	Now  time.Time
+	Rand uint64
+	// Turn counts the service's requests; Pick sets it.
+	Turn  uint64
 	Tried []bbunit.TargetID
 	// Suspect requests keep away from targets that run another suspect.
 	Suspect bool
@@ -40,6 +48,7 @@
 // Pick returns the target for the request, already counted in its circuit, or
 // nil when none is usable. It allocates nothing and takes no lock.
 func (g *Group) Pick(ask *Ask, c *Choice, rule *ChoiceRule) *Place {
+	c.Turn = g.turn.Add(1)
 	for range len(g.Near) + len(g.Far) {
 		p := g.choose(ask, c, rule)
 		if p == nil {
@@ -49,6 +58,7 @@
 			return p
 		}
 		c.Rand = mix(c.Rand)
+		c.Turn++
 	}
 	return nil
 }
@@ -72,14 +82,25 @@
 	return near
 }
 
-// pickTwo returns the better of two usable places drawn at random.
+// pickTwo returns the better of two usable places: the next one in turn and one
+// drawn at random. The one in turn wins when they are about as loaded, which
+// spreads requests more evenly than two random draws.
 func pickTwo(places []Place, c *Choice, rule *ChoiceRule) *Place {
-	first := draw(places, c, nil)
-	if first == nil {
+	if len(places) == 0 {
 		return nil
 	}
+	first := &places[c.Turn%uint64(len(places))]
+	if !c.open(first) || c.shared(first) {
+		if first = draw(places, c, nil); first == nil {
+			return nil
+		}
+	}
 	second := draw(places, c, first)
-	if second == nil || first.Score(c.Now, rule) <= second.Score(c.Now, rule) {
+	if second == nil {
+		return first
+	}
+	margin := choiceMargin / second.slots() * second.paceSeconds()
+	if first.Score(c.Now, rule) <= second.Score(c.Now, rule)+margin {
 		return first
 	}
 	return second
@@ -166,9 +187,42 @@
 	return int64(workUnit * min(max(part, 0.25), 4))
 }
 
-// Done notes a whole answer of that many tokens.
-func (g *Group) Done(output bbunit.Tokens) {
+// Gate returns the service's gate.
+func (g *Group) Gate() *Gate { return g.gate }
+
+// Retries returns the retry budget of the service.
+func (g *Group) Retries() *RetryBudget { return g.retries }
+
+// Limiter returns the limiter of the service.
+func (g *Group) Limiter() *Limiter { return g.limiter }
+
+// Done notes a whole answer: how many tokens it had and how long it took.
+func (g *Group) Done(t *Target, output bbunit.Tokens, total time.Duration) {
+	if total <= 0 {
+		return
+	}
+	g.gate.Took(total)
+	work := 1.0
 	if output > 0 {
 		g.output.average(float64(output), paceWeight)
+		work = float64(output) / g.output.load()
+	}
+	t.pace.average(total.Seconds()/max(work, 0.1), paceWeight)
+}
+
+// Find returns the place of a target, nil when the service has none of that id.
+func (g *Group) Find(id bbunit.TargetID) *Place {
+	for _, places := range [][]Place{g.Near, g.Far} {
+		for i := range places {
+			if places[i].Known.ID == id {
+				return &places[i]
+			}
+		}
 	}
+	return nil
+}
+
+// Enter lets a request through to the place if it is usable.
+func (p *Place) Enter(now time.Time, rule *ChoiceRule) bool {
+	return p.Usable(now) && p.Known.Circuit.Enter(now, &rule.Circuit)
 }
--- a/shared/bbroute/table.go
+++ b/shared/bbroute/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"bluebellport.example/shared/bbticket"
@@ -14,6 +15,7 @@
 	State  *bbticket.State
 	groups map[bbunit.ServiceID]*Group
 	known  map[bbunit.TargetID]declared
+	limits map[bbunit.AccountID]*Limiter
 }
 
 // declared is a target with the ticket and the address that declared it.
@@ -29,6 +31,34 @@
 	return g, ok
 }
 
+// Groups returns all services' groups, sorted by id.
+func (t *Table) Groups() []*Group {
+	out := make([]*Group, 0, len(t.groups))
+	for _, g := range t.groups {
+		out = append(out, g)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service.ID < out[j].Service.ID })
+	return out
+}
+
+// Account returns the limiter of an account, nil when it has no limit.
+func (t *Table) Account(id bbunit.AccountID) *Limiter { return t.limits[id] }
+
+// Limiters returns all limiters that limit anything, sorted by key.
+func (t *Table) Limiters() []*Limiter {
+	var out []*Limiter
+	for _, l := range t.limits {
+		out = append(out, l)
+	}
+	for _, g := range t.groups {
+		if g.limiter.Limited() {
+			out = append(out, g.limiter)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
 // Target returns what is known of a target.
 func (t *Table) Target(id bbunit.TargetID) (*Target, bool) {
 	d, ok := t.known[id]
@@ -47,21 +77,22 @@
 
 // Next returns the table of a newer state, seen from failure domain home. What
 // is known of a target stays with it while its address stays.
-func (t *Table) Next(state *bbticket.State, home bbunit.DomainID, now time.Time) *Table {
+func (t *Table) Next(state *bbticket.State, home bbunit.DomainID, rule GateRule, now time.Time) *Table {
 	next := &Table{
 		State:  state,
 		groups: make(map[bbunit.ServiceID]*Group, len(state.Services)),
 		known:  make(map[bbunit.TargetID]declared, len(state.Targets)),
+		limits: make(map[bbunit.AccountID]*Limiter),
 	}
 	for id, s := range state.Services {
-		if s.Object.Gone {
-			continue
+		if !s.Object.Gone {
+			next.groups[id] = t.group(s.Object, rule)
 		}
-		g := &Group{Service: s.Object, output: &gauge{}}
-		if old, ok := t.groups[id]; ok {
-			g.output = old.output
+	}
+	for id, a := range state.Accounts {
+		if !a.Object.Gone && (a.Object.Limit.Rate > 0 || a.Object.Limit.Open > 0) {
+			next.limits[id] = keepLimiter(t.limits[id], "account/"+string(id), a.Object.Limit)
 		}
-		next.groups[id] = g
 	}
 	for _, id := range sortedTargets(state) {
 		n := state.Targets[id]
@@ -69,16 +100,43 @@
 		if n.Object.Gone || !ok {
 			continue
 		}
-		p := Place{Decl: n.Object, Known: t.keep(next, n, now)}
+		p := Place{Decl: n.Object, Known: t.keep(next, n, now), gate: g.gate}
 		if n.Object.Domain == home {
 			g.Near = append(g.Near, p)
 		} else {
 			g.Far = append(g.Far, p)
+			g.farRoom += float64(p.mostFar())
 		}
 	}
 	return next
 }
 
+// group returns a service's group without targets; what is known of the service
+// stays with it.
+func (t *Table) group(s bbticket.Service, rule GateRule) *Group {
+	key := "service/" + string(s.ID)
+	old, ok := t.groups[s.ID]
+	if !ok {
+		return &Group{
+			Service: s, turn: &atomic.Uint64{}, output: &gauge{}, gate: NewGate(rule),
+			limiter: NewLimiter(key, s.Limit), retries: &RetryBudget{},
+		}
+	}
+	return &Group{
+		Service: s, turn: old.turn, output: old.output, gate: old.gate,
+		limiter: keepLimiter(old.limiter, key, s.Limit), retries: old.retries,
+	}
+}
+
+// keepLimiter returns the limiter there was, under the limit as declared now.
+func keepLimiter(old *Limiter, key string, limit bbticket.Limit) *Limiter {
+	if old == nil {
+		return NewLimiter(key, limit)
+	}
+	old.Declare(limit)
+	return old
+}
+
 // keep carries what is known of a target over to the next table.
 func (t *Table) keep(next *Table, n bbticket.Numbered[bbticket.Target], now time.Time) *Target {
 	d, ok := t.known[n.Object.ID]
--- a/shared/bbroute/target.go
+++ b/shared/bbroute/target.go
@@ -36,7 +36,8 @@
 
 	report atomic.Pointer[Report]
 	window gauge // requests that this instance may have in flight
-	pace   gauge // mean seconds from sending to the end of an answer
+	usual  gauge // requests of other instances, a running mean of the reports
+	pace   gauge // mean seconds of an answer of mean work
 
 	leave leaveState
 }
@@ -69,13 +70,6 @@
 	}
 }
 
-// Took notes the time that a whole answer took.
-func (t *Target) Took(total time.Duration) {
-	if total > 0 {
-		t.pace.average(total.Seconds(), paceWeight)
-	}
-}
-
 // Busy notes that the target refused a request for lack of room.
 func (t *Target) Busy(until time.Time) { t.busy.Store(until.UnixNano()) }
 
@@ -83,6 +77,8 @@
 type Place struct {
 	Decl  bbticket.Target
 	Known *Target
+
+	gate *Gate
 }
 
 // Slots returns how many requests the target runs at once, 0 when unknown.
