--- /dev/null
+++ b/bluebellstand/src/core.go
@@ -0,0 +1,93 @@
+// Package bbstand holds small stand-ins for what surrounds the fleet: the
+// key-value service, the list of instances, a model engine and a plain service;
+// and a load generator that checks every answer.
+package bbstand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbcli"
+)
+
+// command is one subcommand with its settings.
+type command interface {
+	// flags declares the command's flags and environment variables.
+	flags(cmd *kingpin.CmdClause)
+	// check returns one line for each bad value, naming flag and value.
+	check() []string
+	// run works until it is done or ctx ends.
+	run(ctx context.Context, io streams) error
+}
+
+// streams are where a command writes to.
+type streams struct {
+	out io.Writer
+	log *logrus.Logger
+}
+
+// Main runs the program with the arguments and returns its exit code.
+//
+//	arguments -> options -> check -> parts -> listeners -> ready ... SIGTERM -> stop
+func Main(args []string, stdout, stderr io.Writer) int {
+	app := bbcli.New("bluebellstand", "Stand-ins for the platform and the targets, and a load generator.", stdout, stderr)
+	commands := newCommands(app)
+	chosen := func() []string {
+		if c := commands[firstCommand(app, args)]; c != nil {
+			return c.check()
+		}
+		return nil
+	}
+	name, code, ok := bbcli.Parse(app, args, stderr, chosen)
+	if !ok {
+		return code
+	}
+	c := commands[name]
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := c.run(ctx, streams{out: stdout, log: newLog(stderr)}); err != nil {
+		fmt.Fprintln(stderr, "bluebellstand:", err)
+		return bbcli.ExitFailed
+	}
+	return bbcli.ExitOK
+}
+
+// firstCommand returns the command that the arguments choose, or "".
+func firstCommand(app *kingpin.Application, args []string) string {
+	ctx, err := app.ParseContext(args)
+	if err != nil || ctx.SelectedCommand == nil {
+		return ""
+	}
+	return ctx.SelectedCommand.FullCommand()
+}
+
+func newCommands(app *kingpin.Application) map[string]command {
+	out := map[string]command{}
+	add := func(name, help string, c command) {
+		c.flags(app.Command(name, help))
+		out[name] = c
+	}
+	add("store", "Serve the key-value service.", &StoreOptions{})
+	add("list", "Serve the list of instances.", &ListOptions{})
+	add("platform", "Serve the key-value service and the list of instances.", &PlatformOptions{})
+	add("engine", "Serve a model engine.", &EngineOptions{})
+	add("plain", "Serve a plain service.", &PlainOptions{})
+	add("load", "Send requests to instances and check every answer.", &LoadOptions{})
+	add("ask", "Send one request to an instance and print the answer.", &AskOptions{})
+	add("get", "Get a path, and try until it is there.", &GetOptions{})
+	add("post", "Post JSON to a path, as to the admin part of a stand-in.", &PostOptions{})
+	return out
+}
+
+func newLog(w io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return log
+}
