--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -301,8 +301,8 @@
 	return out
 }
 
-// down tells whether the last call of the service failed.
-func (k *Keeper) down() bool { return k.pause > 0 }
+// down tells whether calls of the service failed in a row.
+func (k *Keeper) down() bool { return k.pause > backoffLeast }
 
 // backoff pauses the use of the service after a failed call.
 func (k *Keeper) backoff() {
--- /dev/null
+++ b/shared/bbledger/ops_test.go
@@ -0,0 +1,143 @@
+package bbledger
+
+import (
+	"context"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// opsStore returns a store with budget b: 100 paid, 30 drawn of which 10 are
+// reported spent, 5 stuck, 20 settled.
+func opsStore(t *testing.T) *bbstore.Mem {
+	m := bbstore.NewMem()
+	p := &bbwire.Page{Entries: []*bbwire.Entry{{
+		Budget: "b", Paid: 100, Number: 3, Settled: 20,
+		Holders: []*bbwire.Holder{{Holder: "k/1/0-1", Domain: "d", Drawn: 30, Spent: 10}},
+		Stuck:   []*bbwire.Stuck{{Holder: "k/1/0-1", Grantee: "g/1", Amount: 5}},
+	}}}
+	value, err := Encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.CAS(context.Background(), PageKey(PageOf("b")), value, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func showB(t *testing.T, m bbstore.Store) BudgetStatus {
+	all, err := Show(context.Background(), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all[0]
+}
+
+func TestCap(t *testing.T) {
+	ctx := context.Background()
+	for _, c := range []struct {
+		name   string
+		paid   bbunit.Tokens
+		number bbunit.TicketNumber
+		nonce  string
+		err    error
+	}{
+		{"lowers", 60, 4, "n", nil},
+		{"to what is taken", 55, 4, "n", nil},
+		{"below what is taken", 54, 4, "n", ErrBelowDrawn},
+		{"negative", -1, 4, "n", ErrAmount},
+		{"too large", MostPaid + 1, 4, "n", ErrAmount},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := opsStore(t)
+			m.SetFaults(bbstore.Faults{LoseNext: 1}) // repeating it changes nothing
+			err := Cap(ctx, m, "b", c.paid, c.number, c.nonce)
+			is.True(errors.Is(err, c.err))
+			s := showB(t, m)
+			is.Equal(s.Capped, c.err == nil)
+			if c.err == nil {
+				is.Equal(s.Rest, c.paid-55)
+			} else {
+				is.Equal(s.Rest, bbunit.Tokens(45))
+			}
+		})
+	}
+}
+
+func TestCapOfRacingTickets(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := opsStore(t)
+	is.NoErr(Cap(ctx, m, "b", 60, 4, "one"))
+	is.True(errors.Is(Cap(ctx, m, "b", 70, 4, "two"), ErrCapped))
+	is.NoErr(Uncap(ctx, m, "b", 4, "two"))
+	is.Equal(showB(t, m).Cap, bbunit.Tokens(60)) // another's nonce takes nothing back
+	is.NoErr(Cap(ctx, m, "b", 90, 5, "three"))
+	is.Equal(showB(t, m).Cap, bbunit.Tokens(60)) // ticket 4 may have been accepted
+	is.NoErr(Uncap(ctx, m, "b", 5, "three"))
+	is.True(!showB(t, m).Capped)
+}
+
+func TestRelease(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := opsStore(t)
+	_, err := Release(ctx, m, "b", "x")
+	is.True(errors.Is(err, ErrNoHolder))
+	m.SetFaults(bbstore.Faults{LoseNext: 1})
+	n, err := Release(ctx, m, "b", "k/1/0-1")
+	is.NoErr(err)
+	is.Equal(n, bbunit.Tokens(25)) // 20 drawn and not spent, 5 stuck
+	s := showB(t, m)
+	is.Equal(s.Settled, bbunit.Tokens(30))
+	is.Equal(s.Rest, bbunit.Tokens(70))
+}
+
+func TestAdvanceGoesOnlyForward(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		entry   *bbwire.Entry
+		ticket  bbticket.Numbered[bbticket.Budget]
+		state   bbunit.TicketNumber
+		changed bool
+		limit   bbunit.Tokens
+	}{
+		{"top-up", &bbwire.Entry{Paid: 100, Number: 3}, numbered(4, 150), 4, true, 150},
+		{"older", &bbwire.Entry{Paid: 100, Number: 3}, numbered(2, 150), 4, false, 100},
+		{"same", &bbwire.Entry{Paid: 100, Number: 3}, numbered(3, 150), 4, false, 100},
+		{"cap holds until its ticket", &bbwire.Entry{Paid: 100, Number: 3, Cap: 60, Capnumber: 5}, numbered(4, 150), 4, true, 60},
+		{"cap carried out", &bbwire.Entry{Paid: 100, Number: 3, Cap: 60, Capnumber: 5}, numbered(5, 60), 5, true, 60},
+		{"cap of a ticket that lost", &bbwire.Entry{Paid: 100, Number: 3, Cap: 60, Capnumber: 5}, numbered(3, 100), 5, true, 100},
+		{"absurd amount", &bbwire.Entry{Paid: 100, Number: 3}, numbered(4, -5), 4, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := c.entry
+			e.Budget = "b"
+			st := &bbticket.State{Number: c.state, Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{"b": c.ticket}}
+			is.Equal(advance(e, st), c.changed)
+			is.Equal(Effective(e), c.limit)
+		})
+	}
+}
+
+func numbered(n bbunit.TicketNumber, paid bbunit.Tokens) bbticket.Numbered[bbticket.Budget] {
+	return bbticket.Numbered[bbticket.Budget]{Number: n, Object: bbticket.Budget{ID: "b", Paid: paid}}
+}
+
+func TestDecodeRefusesGarbage(t *testing.T) {
+	is := is.New(t)
+	_, err := Decode([]byte{0xff, 0xff})
+	is.True(errors.Is(err, ErrPage))
+	p, err := Decode(nil)
+	is.NoErr(err)
+	is.Equal(len(p.Entries), 0)
+}
--- /dev/null
+++ b/shared/bbledger/purse_test.go
@@ -0,0 +1,152 @@
+package bbledger
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+func newTestPurse(borrow bool) (*Purse, *bbmember.View) {
+	self := rigMember(rigG, "e")
+	v := &bbmember.View{Self: self, Members: []bbmember.Member{self, rigMember(rigSelf, "d")}}
+	return NewPurse(self, Policy{Grant: time.Second, Borrow: borrow}), v
+}
+
+func grantOf(h bbunit.HolderID, n int64) *bbwire.GrantTell {
+	return &bbwire.GrantTell{Slices: []*bbwire.Slice{{Budget: "b", Holder: string(h), Grantee: rigG.String(), Granted: n}}}
+}
+
+func TestPurseTakesEachGrantOnce(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPurse(true)
+	now := time.Unix(1000, 0)
+	for _, n := range []int64{10, 10, 4, 25, 10} {
+		p.Told(now, "d", grantOf("k/1/0-1", n))
+	}
+	is.Equal(p.Pot("b").Free(), bbunit.Tokens(25))
+	other := grantOf("k/1/0-1", 99)
+	other.Slices[0].Grantee = "g/2"
+	p.Told(now, "d", other)
+	is.Equal(p.Pot("b").Free(), bbunit.Tokens(25)) // meant for another life
+}
+
+func TestPurseSurrenderIsForGood(t *testing.T) {
+	is := is.New(t)
+	p, v := newTestPurse(true)
+	now := time.Unix(1000, 0)
+	p.Told(now, "d", grantOf("k/1/0-1", 20))
+	pot := p.Pot("b")
+	is.True(pot.Reserve(5))
+	s := p.Surrender("k/1/0-1").Slices[0]
+	is.Equal([]int64{s.Granted, s.Spent, s.Returned}, []int64{20, 0, 15}) // 5 are with an open request
+	back := p.Told(now, "d", grantOf("k/1/0-1", 50))
+	is.Equal(pot.Free(), bbunit.Tokens(0)) // a late grant
+	is.Equal(len(back), 1)                 // its keeper is told
+	is.True(!pot.grant("k/1/0-1", 50))
+	pot.End(5, 3)
+	p.Asks(now, v)
+	s = p.Surrender("k/1/0-1").Slices[0]
+	is.Equal([]int64{s.Granted, s.Spent, s.Returned}, []int64{20, 3, 17})
+
+	p.Surrender("k/1/0-2") // not yet heard of
+	p.Told(now, "d", grantOf("k/1/0-2", 50))
+	is.Equal(pot.Free(), bbunit.Tokens(0))
+}
+
+func TestPotHoldsSpendWithinTheReservation(t *testing.T) {
+	for _, c := range []struct{ most, used, spent, free bbunit.Tokens }{
+		{10, 4, 4, 16},
+		{10, 10, 10, 10},
+		{10, 11, 10, 10},
+		{10, -3, 0, 20},
+		{0, 5, 0, 20},
+	} {
+		is := is.New(t)
+		p, _ := newTestPurse(true)
+		p.Told(time.Unix(1000, 0), "d", grantOf("k/1/0-1", 20))
+		pot := p.Pot("b")
+		is.True(pot.Reserve(c.most))
+		pot.End(c.most, c.used)
+		pot.flush()
+		is.Equal(pot.slices[0].spent, c.spent)
+		is.Equal(pot.Free(), c.free)
+		is.True(!pot.Reserve(-1))
+		is.True(!pot.Reserve(21))
+	}
+}
+
+func TestPotReservesNoMoreThanItHasUnderRace(t *testing.T) {
+	is := is.New(t)
+	p, _ := newTestPurse(true)
+	p.Told(time.Unix(1000, 0), "d", grantOf("k/1/0-1", 1000))
+	pot := p.Pot("b")
+	var wg sync.WaitGroup
+	spent := make([]bbunit.Tokens, 8)
+	for i := range spent {
+		wg.Go(func() {
+			for n := range 500 {
+				if pot.Reserve(3) {
+					pot.End(3, bbunit.Tokens(n%4))
+					spent[i] += bbunit.Tokens(min(n%4, 3))
+				}
+			}
+		})
+	}
+	wg.Wait()
+	pot.flush()
+	var all bbunit.Tokens
+	for _, n := range spent {
+		all += n
+	}
+	is.Equal(pot.slices[0].spent, all)
+	is.True(all <= 1000)
+	is.Equal(pot.Free(), 1000-all)
+}
+
+func TestPurseAsksItsOwnDomainFirstThenBorrows(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, borrow := range []bool{true, false} {
+		p, v := newTestPurse(borrow)
+		pot := p.Pot("b")
+		p.Wait(pot, 10)
+		first := p.Asks(now, v)
+		is.Equal(first[0].To, rigG.ID)
+		is.True(!first[0].Body.(*bbwire.GrantAsk).Wants[0].Borrow)
+		is.Equal(len(p.Asks(now, v)), 0) // not twice at once
+		p.Told(now, "e", &bbwire.GrantTell{Empty: []string{"b"}})
+		is.Equal(p.Exhausted(now, v, pot), !borrow)
+		if !borrow {
+			continue
+		}
+		second := p.Asks(now, v)
+		is.Equal(second[0].To, rigSelf.ID)
+		is.True(second[0].Body.(*bbwire.GrantAsk).Wants[0].Borrow)
+		p.Told(now, "d", &bbwire.GrantTell{Empty: []string{"b"}})
+		is.True(p.Exhausted(now, v, pot))
+		is.True(!p.Exhausted(now.Add(2*emptyFor), v, pot)) // asked again later
+	}
+}
+
+func TestWitnessForgetsNoFreeze(t *testing.T) {
+	is := is.New(t)
+	var w Witness
+	mark := func(n int64) *bbwire.Mark {
+		return &bbwire.Mark{Holder: "h", Seq: uint64(n), Slices: []*bbwire.Slice{{Budget: "b", Grantee: "g/1", Granted: n}}}
+	}
+	is.True(!w.Mark(mark(10)).Frozen)
+	is.True(!w.Mark(mark(4)).Frozen) // an old one, late
+	f := w.Freeze(&bbwire.Freeze{Holder: "h"})
+	is.True(f.Known)
+	is.Equal(f.Slices[0].Granted, int64(10))
+	is.True(w.Mark(mark(20)).Frozen)
+	is.Equal(w.Freeze(&bbwire.Freeze{Holder: "h"}).Slices[0].Granted, int64(10))
+	is.True(!w.Freeze(&bbwire.Freeze{Holder: "x"}).Known)
+	is.True(w.Mark(&bbwire.Mark{Holder: "x"}).Frozen) // frozen before it was heard of
+}
--- a/shared/bbledger/sim_test.go
+++ b/shared/bbledger/sim_test.go
@@ -525,7 +525,6 @@
 	return false
 }
 
-
 func TestPropertySpendNeverExceedsPaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(2, 2, simPolicy, t.Fatalf)
