--- a/shared/bbledger/keeper_test.go
+++ b/shared/bbledger/keeper_test.go
@@ -50,9 +50,7 @@
 
 func (r *rig) tick(d time.Duration) {
 	r.now = r.now.Add(d)
-	r.step(Tick{View: r.view, State: &bbticket.State{Number: 1, Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{
-		"b": {Number: 1, Object: bbticket.Budget{ID: "b", Paid: 100}},
-	}}})
+	r.step(Tick{View: r.view, State: (&bbticket.State{}).Apply(bbticket.Ticket{Number: 1, Budgets: []bbticket.Budget{{ID: "b", Paid: 100}}})})
 }
 
 // want asks for an amount for the grantee, who knows of granted so far.
--- a/shared/bbledger/ops_test.go
+++ b/shared/bbledger/ops_test.go
@@ -122,7 +122,8 @@
 			is := is.New(t)
 			e := c.entry
 			e.Budget = "b"
-			st := &bbticket.State{Number: c.state, Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{"b": c.ticket}}
+			st := &bbticket.State{Number: c.state}
+			st.Budgets = st.Budgets.Set("b", c.ticket)
 			is.Equal(advance(e, st), c.changed)
 			is.Equal(Effective(e), c.limit)
 		})
--- a/shared/bbledger/sim_test.go
+++ b/shared/bbledger/sim_test.go
@@ -78,7 +78,7 @@
 	s := &sim{
 		now: time.Unix(1000, 0), page: &bbwire.Page{}, cut: map[[2]bbunit.DomainID]bool{}, offline: map[bbunit.DomainID]bool{},
 		spent: map[bbunit.BudgetID]bbunit.Tokens{}, budgets: samePage(2), fail: fail,
-		state: &bbticket.State{Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{}},
+		state: &bbticket.State{},
 	}
 	for d := range domains {
 		for i := range each {
@@ -137,15 +137,10 @@
 
 // pay puts a budget's total in force.
 func (s *sim) pay(b bbunit.BudgetID, paid bbunit.Tokens) {
-	st := &bbticket.State{Number: s.state.Number + 1, Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{}}
-	for k, v := range s.state.Budgets {
-		st.Budgets[k] = v
-	}
-	st.Budgets[b] = bbticket.Numbered[bbticket.Budget]{Number: st.Number, Object: bbticket.Budget{ID: b, Paid: paid}}
-	s.state = st
+	s.state = s.state.Apply(bbticket.Ticket{Number: s.state.Number + 1, Budgets: []bbticket.Budget{{ID: b, Paid: paid}}})
 }
 
-func (s *sim) paid(b bbunit.BudgetID) bbunit.Tokens { return s.state.Budgets[b].Object.Paid }
+func (s *sim) paid(b bbunit.BudgetID) bbunit.Tokens { return s.state.Budgets.Get(b).Object.Paid }
 
 // do carries out what a node's core asked for.
 func (s *sim) do(n *node, actions []any) {
