--- a/bluebellport/src/follower_spread.go
+++ b/bluebellport/src/follower_spread.go
@@ -85,7 +85,7 @@
 // they are not at hand.
 func (f *Follower) ticketsAfter(after uint64) *bbwire.Envelope {
 	f.mu.Lock()
-	raw, ok := f.past.after(bbunit.TicketNumber(after), f.parts.Board.State.Load().Number)
+	raw, ok := f.replica.after(bbunit.TicketNumber(after))
 	f.mu.Unlock()
 	if !ok {
 		return nil
@@ -101,10 +101,6 @@
 	if now-was < int64(askPause) || !f.asked.CompareAndSwap(was, now) {
 		return
 	}
-	f.sendAsk(to)
-}
-
-func (f *Follower) sendAsk(to bbunit.InstanceID) {
 	n := uint64(f.parts.Board.State.Load().Number)
 	_ = f.peers.Send(to, &bbwire.Envelope{Body: &bbwire.Envelope_Ticketask{Ticketask: &bbwire.TicketAsk{After: n}}})
 }
