--- a/bluebellstand/src/load_send.go
+++ b/bluebellstand/src/load_send.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,6 +39,8 @@
 	Tokens int `json:"tokens"`
 	// Start is when the request was due, in milliseconds since the epoch.
 	Start int64 `json:"start"`
+	// Told is what each attempt was told: status, outcome and title.
+	Told []string `json:"told,omitempty"`
 	// NotRun holds when the caller was told "not-run", likewise.
 	NotRun []int64 `json:"notrun,omitempty"`
 	// First and Total are times since the request was due, in nanoseconds.
@@ -95,6 +98,9 @@
 		if out.Outcome == outcomeLost && !errors.Is(out.err, errDial) {
 			out.Broken++
 		}
+		if out.Outcome != "done" {
+			out.Told = append(out.Told, fmt.Sprintf("%d %s: %s", out.Status, out.Outcome, out.Title))
+		}
 		if out.Outcome == "not-run" {
 			out.NotRun = append(out.NotRun, time.Now().UnixMilli())
 		}
--- a/e2e/audit_test.go
+++ b/e2e/audit_test.go
@@ -37,6 +37,8 @@
 	results   []bbstand.LoadResult
 	runs      map[string][]runOf
 	bills     map[requestKey][]*bbwire.Record
+	// suspects describes what the verdict counts as wrong.
+	suspects []string
 }
 
 // verdict is one row of the table of faults.
@@ -190,10 +192,12 @@
 	}
 	if writes > 1 {
 		v.ranTwice++
+		a.suspects = append(a.suspects, fmt.Sprintf("%s ran %v: %s", r.ID, a.runs[r.ID], strings.Join(r.Told, "; ")))
 	}
 	for _, told := range r.NotRun {
 		if a.ranBefore(r.ID, told) {
 			v.wronglyNotRun++
+			a.suspects = append(a.suspects, fmt.Sprintf("%s (%s) ran %v and was told not-run at %v: %s", r.ID, r.Kind, a.runs[r.ID], r.NotRun, strings.Join(r.Told, "; ")))
 			break
 		}
 	}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -109,6 +109,9 @@
 	r.verdict = r.audit.verdict()
 	r.verdict.settled, r.verdict.stuck = r.audit.readBudgets(r.fleet)
 	r.logRefusals()
+	for _, s := range r.audit.suspects {
+		t.Log(s)
+	}
 	if row.check != nil {
 		row.check(r)
 	}
@@ -348,18 +351,23 @@
 		if code == 0 {
 			r.t.Errorf("a request that crashes engines was answered: %s", out)
 		}
+		r.t.Logf("%d engines live; the poison request's caller was told: %s", r.liveEngines(), out)
 	}
 }
 
-func enginesLive(r *faultRun) {
+// liveEngines counts the engines that have not crashed.
+func (r *faultRun) liveEngines() int {
 	live := 0
 	for _, x := range r.targets {
 		if x.service == engineService && !x.ended() {
 			live++
 		}
 	}
-	r.t.Logf("%d of 6 engines outlived the poison request", live)
-	if live < 3 {
+	return live
+}
+
+func enginesLive(r *faultRun) {
+	if live := r.liveEngines(); live < 3 {
 		r.t.Errorf("only %d of 6 engines outlived the poison request", live)
 	}
 }
