Keep few sessions to other failure domains and tell leaving first

Cause: each round gossiped with another instance of another failure domain, a new session a second at a large fleet, and news of leaving shared four places of a message with members merely met for the first time. Change: two far partners, one redrawn every 15 rounds; leaving members come first; meeting a listed member is no news; the longest unheard is probed each round while connections fail. The file is split by job.

--- a/shared/bbmember/fleet.go
+++ b/shared/bbmember/fleet.go
@@ -1,7 +1,6 @@
 package bbmember
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,31 +8,6 @@
 	"bluebellport.example/shared/bbunit"
 )
 
-// Config bounds what one instance knows and sends.
-type Config struct {
-	// Period is the time between two rounds of gossip.
-	Period time.Duration
-	// Suspicion is the silence after which a member that can't be reached
-	// either is taken out of the view.
-	Suspicion time.Duration
-	// Forget is the silence after which an unlisted member is dropped.
-	Forget time.Duration
-	// Fanout is how many members of the own failure domain hear each round;
-	// one of another failure domain hears it too.
-	Fanout int
-	// DomainMax and SampleMax bound the reports of a message that are of the
-	// own failure domain and of the others.
-	DomainMax, SampleMax int
-}
-
-// DefaultConfig returns the bounds for a period and a time of suspicion.
-func DefaultConfig(period, suspicion time.Duration) Config {
-	return Config{
-		Period: period, Suspicion: suspicion, Forget: 12 * suspicion,
-		Fanout: 2, DomainMax: 16, SampleMax: 4,
-	}
-}
-
 // Report is what an instance says of a member. Only the member itself raises
 // Beat; it begins at the milliseconds of the epoch at its start, so that a
 // later life of the same id has the higher beats.
@@ -84,6 +58,9 @@
 	order   []bbunit.InstanceID // keys of entries, sorted
 	graves  map[bbunit.InstanceID]grave
 	view    *View
+	far     []bbunit.InstanceID // partners in other failure domains
+	rounds  int
+	failed  bool // a connection failed since the last probe
 
 	last   time.Time     // wall time of the last event
 	clock  time.Duration // time passed, which never jumps
@@ -180,7 +157,7 @@
 		e = f.add(Report{Member: m})
 	case e.Inc == 0:
 		leaving := e.Leaving || f.left(m)
-		e.Report, e.changed = Report{Member: m}, f.clock
+		e.Report = Report{Member: m}
 		e.Leaving = leaving
 	}
 	e.contact(f.clock)
@@ -203,7 +180,7 @@
 func (f *Fleet) Unreachable(now time.Time, id bbunit.InstanceID) Actions {
 	f.pass(now)
 	if e := f.entries[id]; e != nil {
-		e.lost = f.clock
+		e.lost, f.failed = f.clock, true
 	}
 	return f.finish(Actions{})
 }
@@ -246,12 +223,12 @@
 	if r.Beat <= e.Beat {
 		return false
 	}
-	joined := e.Inc != r.Inc
+	joined, first := e.Inc != r.Inc, e.Inc == 0
 	was := e.Leaving && !joined
 	e.Report = r
 	e.Leaving = r.Leaving || was || f.left(r.Member)
 	e.heard, e.seen = true, f.clock
-	if joined || e.Leaving != was {
+	if e.Leaving != was || (joined && !first) {
 		e.changed = f.clock
 		return true
 	}
@@ -277,7 +254,7 @@
 	f.self.Beat++
 	f.bury()
 	var a Actions
-	for _, to := range f.partners(f.cfg.Fanout, 1) {
+	for _, to := range f.contacts() {
 		a.Send = append(a.Send, Message{To: to, Reports: f.reports(to)})
 	}
 	a.Probe = f.probes()
@@ -309,98 +286,6 @@
 	}
 }
 
-// probes picks the members to connect to afresh: those of the own failure
-// domain that went silent, and the one longest unheard of all.
-func (f *Fleet) probes() []bbunit.InstanceID {
-	var out []bbunit.InstanceID
-	var stalest *entry
-	for _, id := range f.order {
-		e := f.entries[id]
-		if f.clock-e.probed < f.cfg.Suspicion/2 {
-			continue
-		}
-		if e.Domain == f.self.Domain && len(out) < f.cfg.Fanout && f.silence(e) > f.cfg.Suspicion/2 {
-			e.probed = f.clock
-			out = append(out, id)
-			continue
-		}
-		if f.silent(e) && (stalest == nil || max(e.probed, e.seen) < max(stalest.probed, stalest.seen)) {
-			stalest = e
-		}
-	}
-	if stalest != nil && f.clock-f.ticked >= f.cfg.Suspicion/2 {
-		f.ticked, stalest.probed = f.clock, f.clock
-		out = append(out, stalest.ID)
-	}
-	return out
-}
-
-// partners picks live members at random, of the own failure domain and of the
-// others.
-func (f *Fleet) partners(own, others int) []bbunit.InstanceID {
-	var in, out []bbunit.InstanceID
-	for _, id := range f.order {
-		e := f.entries[id]
-		switch {
-		case !f.live(e):
-		case e.Domain == f.self.Domain:
-			in = append(in, id)
-		default:
-			out = append(out, id)
-		}
-	}
-	return append(f.pick(in, own), f.pick(out, others)...)
-}
-
-// pick returns n of ids, chosen at random; it reorders ids.
-func (f *Fleet) pick(ids []bbunit.InstanceID, n int) []bbunit.InstanceID {
-	n = min(n, len(ids))
-	for i := range n {
-		j := i + f.rnd.IntN(len(ids)-i)
-		ids[i], ids[j] = ids[j], ids[i]
-	}
-	return ids[:n]
-}
-
-// reports returns what a member is told: this instance first, then what
-// changed lately, then the failure domain and a sample of the others.
-func (f *Fleet) reports(to bbunit.InstanceID) []Report {
-	own := f.cfg.DomainMax
-	if e := f.entries[to]; e == nil || e.Domain != f.self.Domain {
-		own = f.cfg.SampleMax
-	}
-	var fresh, in, out []bbunit.InstanceID
-	for _, id := range f.order {
-		e := f.entries[id]
-		switch {
-		case id == to || !e.heard || !f.live(e) || e.Inc == 0:
-		case f.clock-e.changed < f.cfg.Suspicion:
-			fresh = append(fresh, id)
-		case e.Domain == f.self.Domain:
-			in = append(in, id)
-		default:
-			out = append(out, id)
-		}
-	}
-	ids := f.pick(fresh, f.cfg.SampleMax)
-	ids = append(ids, f.freshest(in, own)...)
-	ids = append(ids, f.pick(out, f.cfg.SampleMax)...)
-	reports := []Report{f.self}
-	for _, id := range ids {
-		reports = append(reports, f.entries[id].Report)
-	}
-	return reports
-}
-
-// freshest returns n of ids, those whose beats rose last; it reorders ids.
-func (f *Fleet) freshest(ids []bbunit.InstanceID, n int) []bbunit.InstanceID {
-	ids = f.pick(ids, len(ids))
-	slices.SortStableFunc(ids, func(a, b bbunit.InstanceID) int {
-		return cmp.Compare(f.entries[b].seen, f.entries[a].seen)
-	})
-	return ids[:min(n, len(ids))]
-}
-
 func (f *Fleet) add(r Report) *entry {
 	e := &entry{Report: r, seen: f.clock, changed: f.clock}
 	e.Leaving = e.Leaving || f.left(r.Member)
