--- a/bluebellport/src/claim.go
+++ b/bluebellport/src/claim.go
@@ -10,23 +10,14 @@
 	"bluebellport.example/shared/bbwire"
 )
 
-// The life of an attempt at a claim. It leaves claimPending once.
-const (
-	claimPending int32 = iota
-	claimGranted
-	claimDead
-)
-
 // attempt is one Claim call.
 type attempt struct {
-	rec   *bbwire.Record
-	state atomic.Int32
+	rec *bbwire.Record
+	// dead is set once the call has given up; only the call itself sets it, and
+	// never after it was granted the claim.
+	dead atomic.Bool
 }
 
-func (a *attempt) grant() bool { return a.state.CompareAndSwap(claimPending, claimGranted) }
-
-func (a *attempt) kill() bool { return a.state.CompareAndSwap(claimPending, claimDead) }
-
 // Claim records that this instance runs the request of r. It sets r.Owner, which
 // Open, Bill and Withdraw of the same request need, and waits up to the claim
 // timeout and the context's deadline. ErrClaimed, ErrReused (with the record
@@ -57,10 +48,7 @@
 		v := r.submit(ctx, a)
 		switch v.Kind {
 		case bbwire.Verdict_TAKEN:
-			if a.grant() {
-				return nil, nil
-			}
-			return nil, ErrNoClaim
+			return nil, nil
 		case bbwire.Verdict_MISMATCH:
 			return v.Record, ErrReused
 		case bbwire.Verdict_LATE:
@@ -85,7 +73,7 @@
 	got := make(chan *bbwire.Verdict, 1)
 	r.enqueue(&item{
 		rec: a.rec, own: true,
-		dropped: func(time.Time) bool { return a.state.Load() == claimDead },
+		dropped: func(time.Time) bool { return a.dead.Load() },
 		done:    func(v *bbwire.Verdict) { got <- v },
 	})
 	select {
@@ -99,10 +87,9 @@
 // abandon gives an attempt up for good; its claim is taken back wherever it
 // stands.
 func (r *Recorder) abandon(a *attempt) {
-	if a.kill() {
-		r.dead.add(a.rec.Owner)
-		r.retract(a.rec)
-	}
+	a.dead.Store(true)
+	r.dead.add(a.rec.Owner)
+	r.retract(a.rec)
 }
 
 // Withdraw gives up a claim that was granted, or an open reservation, when
--- a/bluebellport/src/duplicate_test.go
+++ b/bluebellport/src/duplicate_test.go
@@ -211,6 +211,30 @@
 	is.True(leads) // not whole any more, so not kept
 }
 
+// TestDupsLeadAnewOnceTheStartIsGone has a copy come when the start of a long
+// answer is freed, and the first leader end after it.
+func TestDupsLeadAnewOnceTheStartIsGone(t *testing.T) {
+	is := is.New(t)
+	d, _ := newTestDups(100, 100)
+	lead, _, _ := d.Join("acc", "r", 1)
+	lead.Leave()
+	for range 20 {
+		is.NoErr(lead.Write(context.Background(), []byte("0123456789")))
+	}
+	again, leads, err := d.Join("acc", "r", 1)
+	is.NoErr(err)
+	is.True(leads)
+	lead.Finish(bbunit.OutcomeDone)
+	is.NoErr(again.Write(context.Background(), []byte("x")))
+	again.Finish(bbunit.OutcomeDone)
+	is.Equal(d.Len(), 1)
+	kept := 0
+	for i := range d.shards {
+		kept += d.shards[i].kept.Len()
+	}
+	is.Equal(kept, 1)
+}
+
 func TestRequestHomeIsInTheDomain(t *testing.T) {
 	is := is.New(t)
 	v := &bbmember.View{Members: []bbmember.Member{{ID: "a1", Domain: "a"}, {ID: "b1", Domain: "b"}}}
--- a/bluebellport/src/recorder.go
+++ b/bluebellport/src/recorder.go
@@ -30,9 +30,9 @@
 // A claim is made under an owner that names the attempt. It is granted only when
 // the leaf that holds it is known to stand, and only while its Claim call still
 // waits; the call returns before the request may be sent. A call that gives up
-// marks its attempt dead for good, in one atomic step with granting, so that a
-// late answer cannot grant it, and takes the claim back by a withdrawal that
-// moves the leaf on, so that no delayed write of it can land afterwards. A home
+// marks its attempt dead for good: a late answer cannot grant it. It then takes
+// the claim back by a withdrawal that moves the leaf on, so that no delayed
+// write of it can land afterwards. A home
 // that was paused may still write a dead claim later. Therefore whoever finds
 // the claim of another attempt asks its instance; the word that the attempt is
 // dead (nothing was sent and nothing will be) allows to withdraw it and to claim
