Pace writes of records by failure domain and send batches without waiting

Cause, seen by BenchmarkRecordWrites at 500 requests a second: a lane that waited for the rate of bills held up its claims beyond their timeout (claims were refused with 2 failure domains of 1 and 2 instances); 64 partitions at low rates took about one write a request (904 to 2638 writes for 1,000 claimed requests); a home that paced its bills was taken for silent. Change: rates apply when a lane is due, claims pass bills and wait 500 ms at most; 16 partitions; a contended head is read before it is written; the rate belongs to the failure domain and goes with the homes; batches to a home are asynchronous, bills wait longer for it than claims. TestClaimsDoNotWaitForThePaceOfBills holds the first point.

--- a/bluebellport/src/claim_test.go
+++ b/bluebellport/src/claim_test.go
@@ -281,3 +281,23 @@
 	is.NoErr(n.Drain(context.Background()))
 	is.NoErr(n.request("r", 5))
 }
+
+// TestClaimsDoNotWaitForThePaceOfBills has bills of the same partition use up
+// the rate of writes.
+func TestClaimsDoNotWaitForThePaceOfBills(t *testing.T) {
+	is := is.New(t)
+	o := testRecordOptions()
+	o.BillWrites = 0.01
+	f := newRecordFleet(t, o, 1)
+	n := f.nodes["a1"]
+	for i := range 100 {
+		n.bill(fmt.Sprint("other", i), 1)
+	}
+	time.Sleep(50 * time.Millisecond)
+	is.True(n.Status().Unacknowledged > 0)
+	for i := range 20 {
+		begun := time.Now()
+		is.NoErr(n.request(fmt.Sprint("r", i), 5))
+		is.True(time.Since(begun) < o.ClaimTimeout/2)
+	}
+}
--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -127,7 +127,8 @@
 	ClaimTimeout time.Duration
 	Takeover     time.Duration
 	Queue        int     // records
-	Writes       float64 // a second
+	ClaimWrites  float64 // a second in the failure domain
+	BillWrites   float64 // a second in the failure domain
 	AnswerKeep   time.Duration
 	AnswerGrace  time.Duration
 	AnswerMost   int64 // bytes
@@ -141,7 +142,8 @@
 	cmd.Flag("claim-timeout", "Longest wait for a claim to be written before the request is refused.").Envar("BLUEBELLPORT_CLAIM_TIMEOUT").Default("2s").DurationVar(&o.ClaimTimeout)
 	cmd.Flag("record-takeover", "How long an instance is missing before its peers submit its records.").Envar("BLUEBELLPORT_RECORD_TAKEOVER").Default("5s").DurationVar(&o.Takeover)
 	cmd.Flag("record-queue", "Unacknowledged bills above which new work is refused.").Envar("BLUEBELLPORT_RECORD_QUEUE").Default("100000").IntVar(&o.Queue)
-	cmd.Flag("record-writes", "Most writes of bills a second to the key-value service.").Envar("BLUEBELLPORT_RECORD_WRITES").Default("20").Float64Var(&o.Writes)
+	cmd.Flag("claim-writes", "Writes of claims a second in a failure domain above which claims wait longer for others.").Envar("BLUEBELLPORT_CLAIM_WRITES").Default("20").Float64Var(&o.ClaimWrites)
+	cmd.Flag("bill-writes", "Most writes of bills alone a second in a failure domain.").Envar("BLUEBELLPORT_BILL_WRITES").Default("10").Float64Var(&o.BillWrites)
 	cmd.Flag("answer-keep", "How long an answer is kept for repeated requests.").Envar("BLUEBELLPORT_ANSWER_KEEP").Default("10m").DurationVar(&o.AnswerKeep)
 	cmd.Flag("answer-grace", "How long a request goes on when all its callers have left.").Envar("BLUEBELLPORT_ANSWER_GRACE").Default("2s").DurationVar(&o.AnswerGrace)
 	cmd.Flag("answer-max", "Bytes of one answer that are buffered for repeated requests.").Envar("BLUEBELLPORT_ANSWER_MAX").Default("1048576").Int64Var(&o.AnswerMost)
@@ -163,8 +165,11 @@
 	if o.Queue <= 0 {
 		bad = append(bad, fmt.Sprintf("--record-queue: must be above 0, is %d", o.Queue))
 	}
-	if !(o.Writes > 0) {
-		bad = append(bad, fmt.Sprintf("--record-writes: must be above 0, is %g", o.Writes))
+	if !(o.ClaimWrites > 0) {
+		bad = append(bad, fmt.Sprintf("--claim-writes: must be above 0, is %g", o.ClaimWrites))
+	}
+	if !(o.BillWrites > 0) {
+		bad = append(bad, fmt.Sprintf("--bill-writes: must be above 0, is %g", o.BillWrites))
 	}
 	if o.AnswerMost <= 0 {
 		bad = append(bad, fmt.Sprintf("--answer-max: must be above 0, is %d", o.AnswerMost))
--- a/bluebellport/src/recorder.go
+++ b/bluebellport/src/recorder.go
@@ -43,9 +43,10 @@
 	self  bbmember.Member
 	lanes [bbjournal.Partitions]*lane
 	homes atomic.Pointer[homes]
-	limit *rate.Limiter
 	wake  chan struct{}
 
+	claimRate, billRate *rate.Limiter
+
 	attempts sequence
 	dead     deadSet
 	tells    tells
@@ -87,8 +88,8 @@
 func NewRecorder(p Parts) (*Recorder, func()) {
 	r := &Recorder{
 		Parts: p, opts: p.Opts.Record, self: p.Board.View.Load().Self,
-		limit: rate.NewLimiter(rate.Limit(p.Opts.Record.Writes), int(p.Opts.Record.Writes)+1),
-		wake:  make(chan struct{}, 1),
+		wake:      make(chan struct{}, 1),
+		claimRate: rate.NewLimiter(1, 1), billRate: rate.NewLimiter(1, 1),
 		count: newRecordCounts(p.Metrics),
 	}
 	seed := rand.Uint64()
@@ -125,7 +126,7 @@
 	defer tick.Stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -134,7 +135,9 @@
 		}
 		now := r.Now()
 		r.count.queued.Update(r.unacked.Load())
-		for _, l := range r.lanes {
+		r.recall(now)
+		for i := range r.lanes {
+			l := r.lanes[(turn+i)%len(r.lanes)] // each lane is the first to use the rates in turn
 			if r.due(l, now) {
 				l.busy.Store(true)
 				wg.Go(func() {
@@ -225,10 +228,27 @@
 			h.of[i] = m
 		}
 		r.homes.Store(h)
+		r.share(h)
 	}
 	return h.of[p]
 }
 
+// share sets this instance's part of the failure domain's rates of writes: that
+// of the partitions to which it is home, at least of one.
+func (r *Recorder) share(h *homes) {
+	n := 0
+	for _, m := range h.of {
+		if r.isSelf(m.ID) {
+			n++
+		}
+	}
+	part := float64(max(n, 1)) / bbjournal.Partitions
+	for l, writes := range map[*rate.Limiter]float64{r.claimRate: r.opts.ClaimWrites, r.billRate: r.opts.BillWrites} {
+		l.SetLimit(rate.Limit(writes * part))
+		l.SetBurst(1 + int(writes*part*rateBurst))
+	}
+}
+
 // deadSet remembers the latest attempts that were given up unsent.
 type deadSet struct {
 	mu    sync.Mutex
--- a/bluebellport/src/recorder_bench_test.go
+++ b/bluebellport/src/recorder_bench_test.go
@@ -15,16 +15,22 @@
 func BenchmarkRecordWrites(b *testing.B) {
 	const span = 3 * time.Second
 	for _, c := range []struct{ domains, instances, rate int }{
-		{2, 1, 500}, {2, 2, 500}, {2, 4, 500}, {2, 8, 500},
-		{1, 4, 500}, {4, 4, 500},
-		{2, 4, 100}, {2, 4, 2500},
+		{2, 1, 500},
+		{2, 2, 500},
+		{2, 4, 500},
+		{2, 8, 500},
+		{1, 4, 500},
+		{4, 4, 500},
+		{2, 4, 100},
+		{2, 4, 2500},
 	} {
 		for _, claims := range []bool{false, true} {
 			name := fmt.Sprintf("domains=%d/instances=%d/rate=%d/claims=%t", c.domains, c.instances, c.rate, claims)
 			b.Run(name, func(b *testing.B) {
 				for b.Loop() {
 					o := testRecordOptions()
-					o.ClaimPeriod, o.BillPeriod, o.Writes = 50*time.Millisecond, 200*time.Millisecond, 20
+					o.ClaimPeriod, o.BillPeriod = 50*time.Millisecond, 200*time.Millisecond
+					o.ClaimWrites, o.BillWrites = 20, 10
 					o.Takeover, o.Queue = time.Minute, 1<<20
 					per := make([]int, c.domains)
 					for i := range per {
@@ -32,11 +38,13 @@
 					}
 					f := newRecordFleet(b, o, per...)
 					n := int(span.Seconds() * float64(c.rate))
+					begun := time.Now()
 					f.play(n, span, claims)
+					took := time.Since(begun)
 					counts := f.mem.Counts()
 					b.ReportMetric(float64(counts.Writes)*1000/float64(n), "writes/1000req")
 					b.ReportMetric(float64(counts.Reads)*1000/float64(n), "reads/1000req")
-					b.ReportMetric(float64(counts.Writes)/span.Seconds(), "writes/s")
+					b.ReportMetric(float64(counts.Writes)/took.Seconds(), "writes/s")
 					for _, id := range f.order {
 						f.nodes[id].stop()
 					}
--- a/bluebellport/src/recorder_commit.go
+++ b/bluebellport/src/recorder_commit.go
@@ -19,7 +19,6 @@
 	if len(items) == 0 {
 		return nil
 	}
-	r.pace(ctx, items)
 	l.book.Begin(r.Now())
 	for n := range commitTries {
 		records := make([]*bbwire.Record, len(items))
@@ -45,6 +44,17 @@
 	return r.postpone(items)
 }
 
+// settleAll returns the items that have to come again.
+func (r *Recorder) settleAll(items []*item, verdicts []*bbwire.Verdict) []*item {
+	var left []*item
+	for i, it := range items {
+		if !r.settle(it, verdicts[i]) {
+			left = append(left, it)
+		}
+	}
+	return left
+}
+
 // pause waits before a write is made once more, longer each time.
 func pause(ctx context.Context, n int) {
 	d := min(retryLeast<<min(n, 8), retryMost)
@@ -65,20 +75,6 @@
 	return left
 }
 
-// pace holds bills to the rate of writes that the instance may make; claims do
-// not wait, but count.
-func (r *Recorder) pace(ctx context.Context, items []*item) {
-	for _, it := range items {
-		if isClaim(it.rec) {
-			r.limit.Allow()
-			return
-		}
-	}
-	if !r.draining.Load() {
-		_ = r.limit.Wait(ctx)
-	}
-}
-
 // step does what the plan asks for. It returns true when the records have to be
 // planned again.
 func (r *Recorder) step(ctx context.Context, l *lane, plan *bbjournal.Plan) (bool, error) {
--- a/bluebellport/src/recorder_constants.go
+++ b/bluebellport/src/recorder_constants.go
@@ -7,12 +7,19 @@
 	retentionLeast = time.Minute
 	// storeTimeout bounds one call of the key-value service for records.
 	storeTimeout = time.Second
-	// batchTimeout is how long the home of a partition has to answer a batch.
+	// batchTimeout is how long the home of a partition has to answer a batch of
+	// claims, beyond the time for which it may hold them.
 	batchTimeout = 500 * time.Millisecond
+	// billWait is how long the home has to answer a batch of bills.
+	billWait = 5 * time.Second
 	// homeRest is how long a home that did not answer is passed over.
 	homeRest = 5 * time.Second
 	// recordBackoff is the wait before records are sent again after a failure.
 	recordBackoff = 250 * time.Millisecond
+	// claimWait is how long a claim that is due waits for the rate of writes.
+	claimWait = 500 * time.Millisecond
+	// rateBurst is how many writes may be made at once, in seconds of the rate.
+	rateBurst = 0.5
 	// recordTick is how often the recorder looks for what is due.
 	recordTick = 10 * time.Millisecond
 	// commitTries bounds the rounds of one commit.
--- a/bluebellport/src/recorder_fleet_test.go
+++ b/bluebellport/src/recorder_fleet_test.go
@@ -44,7 +44,7 @@
 func testRecordOptions() RecordOptions {
 	return RecordOptions{
 		Retention: time.Hour, ClaimPeriod: 5 * time.Millisecond, BillPeriod: 10 * time.Millisecond,
-		ClaimTimeout: 2 * time.Second, Takeover: 100 * time.Millisecond, Queue: 1000, Writes: 1000,
+		ClaimTimeout: 2 * time.Second, Takeover: 100 * time.Millisecond, Queue: 1000, ClaimWrites: 1000, BillWrites: 1000,
 	}
 }
 
--- a/bluebellport/src/recorder_lane.go
+++ b/bluebellport/src/recorder_lane.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"bluebellport.example/shared/bbjournal"
-	"bluebellport.example/shared/bbmember"
-	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
 
@@ -20,7 +17,8 @@
 	busy   atomic.Bool
 
 	queue     []*item
-	dueAt     time.Time
+	claimAt   time.Time // when the first claim is due, zero without any
+	billAt    time.Time
 	notBefore time.Time
 	restUntil time.Time // the home is passed over
 	sweepAt   time.Time
@@ -34,6 +32,8 @@
 	at   time.Time
 	// own tells that the record is kept until it is acknowledged.
 	own bool
+	// direct tells that the home did not answer.
+	direct bool
 	// dropped tells, if set, that the record is not wanted any more.
 	dropped func(now time.Time) bool
 	// done gets the verdict, once; it does not block. RETRY is only told for
@@ -86,9 +86,10 @@
 	}
 	if l.intake.Load() != nil {
 		for _, it := range l.drain() {
-			if at := it.at.Add(r.period(l, it, now)); l.dueAt.IsZero() || at.Before(l.dueAt) {
-				l.dueAt = at
+			if it.direct {
+				l.restUntil = now.Add(homeRest)
 			}
+			l.schedule(it.rec, it.at.Add(r.period(l, it.rec, now)))
 		}
 	}
 	if len(l.queue) == 0 {
@@ -97,17 +98,46 @@
 	if now.Before(l.notBefore) {
 		return false
 	}
-	return r.draining.Load() || !now.Before(l.dueAt)
+	return r.draining.Load() || r.ready(l, now)
+}
+
+// schedule has a record sent at the time, or with an earlier one.
+func (l *lane) schedule(rec *bbwire.Record, at time.Time) {
+	first := &l.billAt
+	if isClaim(rec) {
+		first = &l.claimAt
+	}
+	if first.IsZero() || at.Before(*first) {
+		*first = at
+	}
+}
+
+// ready tells whether the first record is due. What is committed here is held to
+// the rates of writes; claims wait for that only so long.
+func (r *Recorder) ready(l *lane, now time.Time) bool {
+	here := r.here(l, now)
+	if !l.claimAt.IsZero() && !now.Before(l.claimAt) {
+		return !here || r.claimRate.AllowN(now, 1) || now.Sub(l.claimAt) >= claimWait
+	}
+	if !l.billAt.IsZero() && !now.Before(l.billAt) {
+		return !here || r.billRate.AllowN(now, 1)
+	}
+	return false
+}
+
+// here tells whether the lane's records are committed by this instance.
+func (r *Recorder) here(l *lane, now time.Time) bool {
+	return r.isSelf(r.home(l.p).ID) || now.Before(l.restUntil)
 }
 
 // period is how long a record waits for others. The committer waits the whole
 // period; a claim on its way to the home does not wait.
-func (r *Recorder) period(l *lane, it *item, now time.Time) time.Duration {
-	here := r.isSelf(r.home(l.p).ID) || now.Before(l.restUntil)
+func (r *Recorder) period(l *lane, rec *bbwire.Record, now time.Time) time.Duration {
+	here := r.here(l, now)
 	switch {
-	case isClaim(it.rec) && here:
+	case isClaim(rec) && here:
 		return r.opts.ClaimPeriod
-	case isClaim(it.rec):
+	case isClaim(rec):
 		return 0
 	case here:
 		return r.opts.BillPeriod
@@ -117,35 +147,19 @@
 
 // work sends the lane's records to the home, or commits them here.
 func (r *Recorder) work(ctx context.Context, l *lane) {
-	items := l.queue
-	l.queue, l.dueAt = nil, time.Time{}
-	home := r.home(l.p)
-	var left []*item
-	if !r.isSelf(home.ID) && r.Now().After(l.restUntil) {
-		var rest, own []*item
-		for _, it := range items {
-			if it.own && len(own) < batchMost {
-				own = append(own, it)
-			} else {
-				rest = append(rest, it)
-			}
-		}
-		if len(own) > 0 {
-			var ok bool
-			if left, ok = r.forward(ctx, home, own); !ok {
-				l.restUntil = r.Now().Add(homeRest)
-				r.count.direct.Inc(1)
-				left, rest = nil, append(left, rest...)
-			}
-		}
-		items = rest
+	items := r.wanted(l.queue)
+	l.queue, l.claimAt, l.billAt = nil, time.Time{}, time.Time{}
+	if !r.here(l, r.Now()) {
+		items = r.forward(l, items)
 	}
-	left = append(left, r.commit(ctx, l, items)...)
+	left := r.commit(ctx, l, items)
 	r.sweep(ctx, l)
 	if len(left) > 0 {
 		l.queue = append(left, l.queue...)
 		l.notBefore = r.Now().Add(recordBackoff)
-		l.dueAt = l.notBefore
+		for _, it := range left {
+			l.schedule(it.rec, l.notBefore)
+		}
 	}
 }
 
@@ -180,138 +194,3 @@
 	}
 	return out
 }
-
-// tells are the batches that wait for their answers.
-type tells struct {
-	mu   sync.Mutex
-	next uint64
-	m    map[uint64]*tell
-}
-
-type tell struct {
-	records []*bbwire.Record
-	answer  chan *bbwire.BatchTell
-	until   time.Time
-}
-
-func (t *tells) open(records []*bbwire.Record, now time.Time) (uint64, *tell) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.m == nil {
-		t.m = map[uint64]*tell{}
-	}
-	for id, old := range t.m {
-		if now.After(old.until) {
-			delete(t.m, id)
-		}
-	}
-	t.next++
-	w := &tell{records: records, answer: make(chan *bbwire.BatchTell, 1), until: now.Add(tellKept)}
-	t.m[t.next] = w
-	return t.next, w
-}
-
-func (t *tells) take(id uint64) *tell {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := t.m[id]
-	delete(t.m, id)
-	return w
-}
-
-// forward sends items to the home and waits for its verdicts. It returns the
-// items that have to come again, and false when the home did not answer.
-func (r *Recorder) forward(ctx context.Context, home bbmember.Member, items []*item) ([]*item, bool) {
-	items = r.wanted(items)
-	if len(items) == 0 {
-		return nil, true
-	}
-	records := make([]*bbwire.Record, len(items))
-	for i, it := range items {
-		records[i] = it.rec
-	}
-	id, t := r.tells.open(records, r.Now())
-	e := &bbwire.Envelope{Body: &bbwire.Envelope_Batch{Batch: &bbwire.Batch{Id: id, Records: records}}}
-	if r.Bus == nil || r.Bus.Send(home.ID, e) != nil {
-		r.tells.take(id)
-		return items, false
-	}
-	timer := time.NewTimer(batchTimeout + r.opts.BillPeriod)
-	defer timer.Stop()
-	select {
-	case a := <-t.answer:
-		return r.settleAll(items, a.Verdicts), true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return items, false
-}
-
-// settleAll returns the items that have to come again.
-func (r *Recorder) settleAll(items []*item, verdicts []*bbwire.Verdict) []*item {
-	var left []*item
-	for i, it := range items {
-		if !r.settle(it, verdicts[i]) {
-			left = append(left, it)
-		}
-	}
-	return left
-}
-
-// takeTell takes the home's answer to a batch. A claim that was granted to an
-// attempt given up meanwhile is withdrawn.
-func (r *Recorder) takeTell(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
-	a := e.GetBatchtell()
-	t := r.tells.take(a.Id)
-	if t == nil || len(a.Verdicts) != len(t.records) {
-		return nil
-	}
-	t.answer <- a
-	for i, rec := range t.records {
-		if rec.Kind == bbwire.Record_CLAIM && a.Verdicts[i].Kind == bbwire.Verdict_TAKEN && r.dead.has(rec.Owner) {
-			r.retract(rec)
-		}
-	}
-	return nil
-}
-
-// reply gathers the verdicts on another instance's batch.
-type reply struct {
-	to       bbunit.InstanceID
-	id       uint64
-	verdicts []*bbwire.Verdict
-	left     atomic.Int64
-}
-
-// takeBatch queues the records of another instance, which keeps them until it
-// has the verdicts.
-func (r *Recorder) takeBatch(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
-	b := e.GetBatch()
-	p := &reply{to: from, id: b.Id, verdicts: make([]*bbwire.Verdict, len(b.Records))}
-	p.left.Store(int64(len(b.Records)))
-	expires := r.Now().Add(r.opts.ClaimTimeout)
-	for i, rec := range b.Records {
-		it := &item{rec: rec, done: func(v *bbwire.Verdict) { r.answer(p, i, v) }}
-		if rec.Kind == bbwire.Record_CLAIM {
-			it.dropped = func(now time.Time) bool { return now.After(expires) }
-		}
-		if bbjournal.Check(rec) != nil {
-			it.done(&bbwire.Verdict{Kind: bbwire.Verdict_MISMATCH})
-			continue
-		}
-		r.enqueue(it)
-	}
-	return nil
-}
-
-func (r *Recorder) answer(p *reply, i int, v *bbwire.Verdict) {
-	p.verdicts[i] = v
-	if p.left.Add(-1) > 0 {
-		return
-	}
-	tell := &bbwire.BatchTell{Id: p.id, Verdicts: p.verdicts}
-	err := r.Bus.Send(p.to, &bbwire.Envelope{Body: &bbwire.Envelope_Batchtell{Batchtell: tell}})
-	if err != nil {
-		r.Log.WithError(err).WithField("instance", p.to).Debug("verdicts not delivered")
-	}
-}
--- a/shared/bbjournal/book.go
+++ b/shared/bbjournal/book.go
@@ -15,7 +15,7 @@
 
 const (
 	// leafFull is the size at which a leaf is sealed, in bytes.
-	leafFull = 128 << 10
+	leafFull = 64 << 10
 	// leafMost is the largest leaf that a plan writes, in bytes; records that
 	// would pass it have to come again.
 	leafMost = 512 << 10
@@ -54,9 +54,12 @@
 	begun  time.Time
 	read   time.Time // the head is known to have been the head then
 	head   leaf
-	sealed map[uint64]LeafNumber
-	old    map[LeafNumber]*sealedLeaf
-	open   map[LeafNumber]*leaf
+	// contended tells that others write to the head, so that it is read before
+	// a write rather than after the write has failed.
+	contended bool
+	sealed    map[uint64]LeafNumber
+	old       map[LeafNumber]*sealedLeaf
+	open      map[LeafNumber]*leaf
 }
 
 type sealedLeaf struct {
@@ -81,6 +84,7 @@
 	}
 	b.begun = now
 	b.head.fresh = false
+	b.head.stale = b.head.stale || b.contended
 	b.open = map[LeafNumber]*leaf{}
 }
 
@@ -169,6 +173,7 @@
 		return nil
 	}
 	b.read = b.begun
+	b.contended = e.Rev != b.head.rev
 	switch {
 	case e.Rev == 0 && b.head.rev != 0:
 		b.loaded = false // sealed by others and deleted since
--- a/shared/bbjournal/record.go
+++ b/shared/bbjournal/record.go
@@ -21,7 +21,7 @@
 const (
 	// Partitions is how many chains of leaves there are. It is the same in the
 	// whole fleet for ever.
-	Partitions = 64
+	Partitions = 16
 	// Prefix is what the keys of all leaves begin with.
 	Prefix = "/bb/leaf/"
 	// MaxID is the longest account, request, budget, holder, service, target or
