--- a/bluebellctl/src/bill.go
+++ b/bluebellctl/src/bill.go
@@ -56,7 +56,7 @@
 }
 
 func listBills(ctx context.Context, e *env, f bbjournal.Filter, totals bool) error {
-	list, err := bbjournal.Read(ctx, e.store, f)
+	list, err := bbjournal.Bills(ctx, e.store, f)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -64,15 +64,15 @@
 		sums := bbjournal.Totals(list)
 		var cells [][]any
 		for _, t := range sums {
-			cells = append(cells, []any{t.Account, t.Bills, t.Tokens, t.Claims, t.Unknown, t.Doubtful})
+			cells = append(cells, []any{t.Account, t.Bills, t.Amount, t.Claims, t.Unknown, t.Held})
 		}
-		return e.show(sums, []string{"ACCOUNT", "BILLS", "TOKENS", "CLAIMS", "UNKNOWN", "DOUBTFUL"}, cells)
+		return e.show(sums, []string{"ACCOUNT", "BILLS", "TOKENS", "CLAIMS", "UNKNOWN", "HELD"}, cells)
 	}
 	return e.showBills(list)
 }
 
 func showBill(ctx context.Context, e *env, f bbjournal.Filter) error {
-	list, err := bbjournal.Read(ctx, e.store, f)
+	list, err := bbjournal.Bills(ctx, e.store, f)
 	if err != nil {
 		return errors.Trace(err)
 	}
