--- a/e2e/audit_test.go
+++ b/e2e/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -226,7 +227,7 @@
 	for k, c := range a.customers {
 		v.overspend += max(0, max(a.answered(k), a.billed(c))-int64(c.paid))
 		for i := range a.results {
-			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.spentBefore(k, r) >= mostCost(r) {
+			if r := &a.results[i]; r.Key == k && r.Status == 402 && int64(c.paid)-a.costBefore(k, r.Start+r.Total.Milliseconds()) >= mostCost(r) {
 				v.falseRefusals++
 			}
 		}
@@ -235,9 +236,17 @@
 
 // answered returns what the customer's answered requests cost.
 func (a *audit) answered(key int) int64 {
+	return a.costBefore(key, math.MaxInt64)
+}
+
+// costBefore returns what the customer's answered requests that were due up to
+// a time cost; one that was sent twice counts once.
+func (a *audit) costBefore(key int, until int64) int64 {
 	var n int64
+	seen := map[string]bool{}
 	for i := range a.results {
-		if r := &a.results[i]; r.Key == key && r.Outcome == "done" {
+		if r := &a.results[i]; r.Key == key && r.Outcome == "done" && r.Start <= until && !seen[r.ID] {
+			seen[r.ID] = true
 			n += cost(r)
 		}
 	}
@@ -282,19 +291,6 @@
 	return 120
 }
 
-// spentBefore returns what the customer's requests that were due before the
-// refusal cost.
-func (a *audit) spentBefore(key int, refused *bbstand.LoadResult) int64 {
-	until := refused.Start + refused.Total.Milliseconds()
-	var n int64
-	for i := range a.results {
-		if r := &a.results[i]; r.Key == key && r.Outcome == "done" && r.Start <= until {
-			n += cost(r)
-		}
-	}
-	return n
-}
-
 // TestAudit shows that each column finds its fault.
 func TestAudit(t *testing.T) {
 	done := func(id string, kind bbstand.LoadKind, tokens int) bbstand.LoadResult {
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -26,6 +27,8 @@
 	short bool
 	// time is how long requests are sent; 0 is loadTime.
 	time time.Duration
+	// twice sends every request at once to two instances.
+	twice bool
 	// fleet changes the fleet that is started.
 	fleet func(*fleetOptions)
 	// cause brings the fault about and heals it.
@@ -58,7 +61,10 @@
 	{name: "failure domain cut from all else", time: 14 * time.Second, cause: cutPlatform},
 	{name: "top-up during a cut", time: 14 * time.Second, cause: topUpDuringCut},
 	{name: "operators race", cause: operatorsRace, check: oneTicketInForce},
+	{name: "callers send twice at once", twice: true, cause: func(*faultRun) {}},
+	{name: "callers send twice, one instance killed", twice: true, cause: killInstance},
 	{name: "target leaves", cause: targetLeaves},
+	{name: "ticket takes a target out", cause: ticketTakesTargetOut},
 	{name: "planned stop of an instance", short: true, cause: plannedStop, check: nothingCut, after: allHandedBack},
 	{name: "target connections silent", cause: targetSilent},
 	{name: "plain service loses answers", cause: answersLost},
@@ -101,10 +107,20 @@
 		}
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { r.results = generate(r.load(faultRate, row.time)) })
+	loads := []bbstand.LoadOptions{r.load(faultRate, row.time)}
+	if row.twice {
+		o := loads[0]
+		o.Instances = append(slices.Clone(o.Instances[1:]), o.Instances[0])
+		loads = append(loads, o)
+	}
+	results := make([][]bbstand.LoadResult, len(loads))
+	for n, o := range loads {
+		wg.Go(func() { results[n] = generate(o) })
+	}
 	time.Sleep(faultAfter)
 	row.cause(r)
 	wg.Wait()
+	r.results = slices.Concat(results...)
 	r.audit = newAudit(r.fleet, r.results)
 	r.verdict = r.audit.verdict()
 	r.verdict.settled, r.verdict.stuck = r.audit.readBudgets(r.fleet)
@@ -271,9 +287,26 @@
 			r.t.Errorf("ticket %d: %d of %d operators were told that theirs is accepted", r.number+1, accepted, racingOperators)
 		}
 		r.number++
+		r.inForce(5 * time.Second)
 	}
 }
 
+// inForce waits until all instances have the newest ticket in force, and fails
+// when that takes longer than most.
+func (r *faultRun) inForce(most time.Duration) {
+	start := time.Now()
+	for _, i := range r.instances {
+		for s := (instanceStatus{}); s.Number < r.number; time.Sleep(20 * time.Millisecond) {
+			get(r.t, i.admin, "/status", &s)
+			if time.Since(start) > most {
+				r.t.Errorf("%s has ticket %d in force, not %d, after %s", i.id, s.Number, r.number, most)
+				return
+			}
+		}
+	}
+	r.t.Logf("ticket %d is in force everywhere after %s", r.number, time.Since(start).Round(time.Millisecond))
+}
+
 // instanceStatus is the part of an instance's status that is looked at.
 type instanceStatus struct {
 	Number bbunit.TicketNumber `json:"number"`
@@ -292,8 +325,18 @@
 // targetLeaves has an engine refuse new work, and counts what it is still sent
 // after three seconds.
 func targetLeaves(r *faultRun) {
-	x := r.targets[0]
-	post(r.t, x.address, "/admin/fault", bbstand.EngineFault{Leaving: true})
+	post(r.t, r.targets[0].address, "/admin/fault", bbstand.EngineFault{Leaving: true})
+	r.noNewWork(r.targets[0])
+}
+
+func ticketTakesTargetOut(r *faultRun) {
+	r.targets[0].leaving = true
+	r.apply(r.ticket())
+	r.noNewWork(r.targets[0])
+}
+
+// noNewWork fails when the target gets requests from three seconds on.
+func (r *faultRun) noNewWork(x *target) {
 	time.Sleep(3 * time.Second)
 	var before, after bbstand.TargetCounts
 	get(r.t, x.address, "/admin/counts", &before)
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -42,7 +42,7 @@
 	service string
 	domain  string
 	address string
-	gone    bool
+	leaving bool
 }
 
 // instance is one running bluebellport.
@@ -170,7 +170,7 @@
 	for _, x := range f.targets {
 		k.Targets = append(k.Targets, bbticket.Target{
 			ID: bbunit.TargetID(x.id), Service: bbunit.ServiceID(x.service), Address: x.address,
-			Domain: bbunit.DomainID(x.domain), Slots: 32, Gone: x.gone,
+			Domain: bbunit.DomainID(x.domain), Slots: 32, Leaving: x.leaving,
 		})
 	}
 	return k
