--- a/shared/bbledger/account.go
+++ b/shared/bbledger/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -27,6 +28,9 @@
 	sent     bbunit.Tokens // highest mark ever sent to a witness
 	acked    bbunit.Tokens // highest mark that the witness acknowledged
 	ackedRet bbunit.Tokens // what the witness knows to be returned
+
+	gone     time.Time // when the grantee was last seen, or first missed
+	stranded bool      // the page counts it as stuck; nothing more is granted
 }
 
 func (a *account) share(p Peer) *share {
@@ -52,7 +56,7 @@
 // granted are ignored.
 func (a *account) report(p Peer, m *bbwire.Slice) {
 	s := a.share(p)
-	if m.Spent < 0 || m.Returned < 0 || m.Spent > int64(s.granted) || m.Returned > int64(s.granted)-m.Spent {
+	if s.stranded || m.Spent < 0 || m.Returned < 0 || m.Spent > int64(s.granted) || m.Returned > int64(s.granted)-m.Spent {
 		return
 	}
 	s.spent = max(s.spent, bbunit.Tokens(m.Spent))
@@ -64,7 +68,9 @@
 func (a *account) committed() bbunit.Tokens {
 	var n bbunit.Tokens
 	for _, s := range a.shares {
-		n += s.sent - s.ackedRet
+		if !s.stranded {
+			n += s.sent - s.ackedRet
+		}
 	}
 	return n
 }
@@ -72,19 +78,14 @@
 // headroom is what may still be put into marks.
 func (a *account) headroom() bbunit.Tokens { return a.drawn - a.committed() }
 
-// loose is what no grantee has.
-func (a *account) loose() bbunit.Tokens {
-	n := a.drawn
-	for _, s := range a.shares {
-		n -= s.granted - s.returned
-	}
-	return n
-}
-
-func (a *account) spent() bbunit.Tokens {
+// spentOn is what grantees reported as spent, but for those that the entry
+// counts as stuck.
+func (a *account) spentOn(e *bbwire.Entry, h bbunit.HolderID) bbunit.Tokens {
 	var n bbunit.Tokens
-	for _, s := range a.shares {
-		n += s.spent
+	for p, s := range a.shares {
+		if findStuck(e, h, p) == nil {
+			n += s.spent
+		}
 	}
 	return n
 }
--- /dev/null
+++ b/shared/bbledger/bench_test.go
@@ -0,0 +1,366 @@
+package bbledger
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+)
+
+// BenchmarkReserve is the budget decision of a request: reserve and end.
+func BenchmarkReserve(b *testing.B) {
+	p := NewPurse(bbmember.Member{ID: "g", Inc: 1, Domain: "e"}, simPolicy)
+	p.Told(time.Unix(1000, 0), "d", grantOf("k/1/0-1", int64(MostPaid)))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			pot := p.Pot("b")
+			if !pot.Reserve(10) {
+				b.Error("no share")
+				return
+			}
+			pot.End(10, 0)
+		}
+	})
+}
+
+// load is a stream of requests against a sim.
+type load struct {
+	s       *sim
+	wait    time.Duration // longest wait for a share
+	lasts   time.Duration // of a request
+	most    bbunit.Tokens
+	used    bbunit.Tokens
+	open    []loadReq
+	done    int
+	refused int
+	falsely int // refused while the budget had money that nobody had spent
+	plenty  int // refused while that was a second's demand or more
+}
+
+type loadReq struct {
+	n      *node
+	b      bbunit.BudgetID
+	until  time.Time
+	served bool
+}
+
+// aSecond is what the requests of a second may cost in TestBenchBaselines.
+const aSecond = 1200
+
+func newLoad(s *sim) *load {
+	return &load{s: s, wait: 400 * time.Millisecond, lasts: 200 * time.Millisecond, most: 10, used: 8}
+}
+
+// offer starts a request.
+func (l *load) offer(n *node, b bbunit.BudgetID) {
+	if n.dead || n.paused {
+		return
+	}
+	l.open = append(l.open, loadReq{n: n, b: b, until: l.s.now.Add(l.wait)})
+}
+
+// step reserves for waiting requests and ends those that have run.
+func (l *load) step() {
+	kept := l.open[:0]
+	for _, r := range l.open {
+		if l.advance(&r) {
+			kept = append(kept, r)
+		}
+	}
+	l.open = kept
+}
+
+func (l *load) advance(r *loadReq) bool {
+	switch {
+	case r.n.dead || r.n.paused:
+		return !r.n.dead
+	case r.served && !l.s.now.Before(r.until):
+		l.s.end(r.n, 0, l.used)
+		l.done++
+		return false
+	case r.served:
+		return true
+	case l.s.reserve(r.n, r.b, l.most):
+		r.served, r.until = true, l.s.now.Add(l.lasts)
+		return true
+	case !l.s.now.Before(r.until):
+		l.refused++
+		if l.s.paid(r.b)-l.s.spent[r.b] >= l.most {
+			l.falsely++
+		}
+		if l.s.paid(r.b)-l.s.spent[r.b] >= aSecond {
+			l.plenty++
+		}
+		return false
+	}
+	return true
+}
+
+// each runs for d, and offers perTick requests a tick, spread over instances
+// and budgets.
+func (l *load) each(d time.Duration, perTick int, at func(time.Duration)) {
+	start, i := l.s.now, 0
+	l.s.settle(d, func() {
+		if at != nil {
+			at(l.s.now.Sub(start))
+		}
+		live := l.s.live()
+		for range perTick {
+			l.offer(live[i%len(live)], l.s.budgets[(i/len(live))%len(l.s.budgets)])
+			i++
+		}
+		l.step()
+		for range 3 {
+			l.s.calm()
+			l.step()
+		}
+	})
+}
+
+func benchSim(t *testing.T, domains, each, budgets int, policy Policy) *sim {
+	s := newSim(domains, each, policy, t.Fatalf)
+	s.budgets = samePage(budgets)
+	for _, b := range s.budgets {
+		s.pay(b, 1_000_000)
+	}
+	return s
+}
+
+// slope is the least-squares slope of y over x.
+func slope(x, y []float64) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for i := range x {
+		n, sx, sy, sxx, sxy = n+1, sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+func TestBenchWrites(t *testing.T) {
+	const perTick, span = 20, 20 * time.Second
+	table := func(what string, sizes []int, build func(n int) *sim) {
+		var x, y []float64
+		t.Logf("%-10s %10s %10s %10s %22s", what, "requests", "writes", "reads", "writes/1000 requests")
+		for _, n := range sizes {
+			s := build(n)
+			l := newLoad(s)
+			l.each(5*time.Second, perTick, nil)
+			done, writes, loads := l.done, s.writes, s.loads
+			l.each(span, perTick, nil)
+			per := float64(s.writes-writes) / float64(l.done-done) * 1000
+			t.Logf("%-10d %10d %10d %10d %22.2f", n, l.done-done, s.writes-writes, s.loads-loads, per)
+			x, y = append(x, float64(n)), append(y, per)
+			if l.refused > 0 {
+				t.Errorf("%d refused with %d %s", l.refused, n, what)
+			}
+		}
+		t.Logf("slope: %.4f writes for 1,000 requests for each of %s", slope(x, y), what)
+	}
+	table("instances", []int{2, 4, 8, 16, 32, 64}, func(n int) *sim { return benchSim(t, 2, n/2, 1, simPolicy) })
+	table("budgets", []int{1, 4, 16, 64}, func(n int) *sim { return benchSim(t, 2, 4, n, simPolicy) })
+	table("domains", []int{1, 2, 4, 8}, func(n int) *sim { return benchSim(t, n, 16/n, 1, simPolicy) })
+}
+
+func TestBenchStuckAtKill(t *testing.T) {
+	for _, p := range []struct {
+		name   string
+		policy Policy
+	}{
+		{"fjarrgrav", Policy{Horizon: 10 * time.Second, Solo: 2 * time.Second, Grant: 2 * time.Second, Borrow: true}},
+		{"hraunberg", Policy{Horizon: 2 * time.Second, Solo: 500 * time.Millisecond, Grant: 500 * time.Millisecond}},
+	} {
+		t.Logf("%-10s %-8s %14s %14s %12s %12s", p.name, "killed", "drawn at kill", "a horizon's", "stuck after", "back after")
+		for i := range 3 {
+			s := benchSim(t, 2, 3, 1, p.policy)
+			l := newLoad(s)
+			l.each(20*time.Second, 6, nil)
+			b, n := s.budgets[0], s.nodes[i]
+			before := StatusOf(entryOrNew(s.page, b))
+			var held bbunit.Tokens
+			for _, h := range before.Holders {
+				if HolderPeer(h.Holder) == PeerOf(n.member) {
+					held = h.Drawn - h.Spent
+				}
+			}
+			rate := 6 * float64(l.most) / TickEvery.Seconds() / 2 // of the failure domain
+			s.crash(n)
+			s.showAll()
+			back, at := time.Duration(-1), s.now
+			for range 200 {
+				l.each(TickEvery, 6, func(time.Duration) {
+					for _, x := range s.live() {
+						s.do(x, x.keeper.Step(s.now, Visit{}))
+					}
+				})
+				if back < 0 && !names(s.page, NewHolder(PeerOf(n.member), PageOf(b), 1)) {
+					back = s.now.Sub(at)
+				}
+			}
+			s.heal()
+			s.settle(10*time.Second, nil)
+			stuck := StatusOf(entryOrNew(s.page, b)).Stuck
+			limit := bbunit.Tokens(math.Ceil(rate * p.policy.Horizon.Seconds()))
+			t.Logf("%-10s %-8s %14d %14d %12d %12s", "", n.member.ID, held, limit, stuck, back)
+			if stuck > limit {
+				t.Errorf("%d stuck, a horizon is worth %d", stuck, limit)
+			}
+		}
+	}
+}
+
+// baseline is a scheme that decides without shares.
+type baseline struct {
+	paid, taken bbunit.Tokens // taken: what the service counts
+	spent       bbunit.Tokens
+	refused     int
+	falsely     int
+	plenty      int
+	lease       map[*node]*lease
+	budget      float64 // writes that the service still takes
+	writes      int
+}
+
+type lease struct {
+	left  bbunit.Tokens
+	until time.Time
+}
+
+func (c *baseline) refuse(most bbunit.Tokens) {
+	c.refused++
+	if c.paid-c.spent >= most {
+		c.falsely++
+	}
+	if c.paid-c.spent >= aSecond {
+		c.plenty++
+	}
+}
+
+// counter is one call of the service for each request.
+func (c *baseline) counter(up bool, most, used bbunit.Tokens) {
+	c.writes++
+	if c.budget--; !up || c.budget < 0 || c.paid-c.taken < most {
+		c.refuse(most)
+		return
+	}
+	c.taken += used
+	c.spent += used
+}
+
+// leased spends from a share that the service takes back when its time is over.
+// A holder that was paused has checked its lease before, and spends after.
+func (c *baseline) leased(n *node, now time.Time, up, resumed bool, most, used bbunit.Tokens) {
+	const share, ttl = bbunit.Tokens(400), 2 * time.Second
+	l := c.lease[n]
+	if l == nil {
+		l = &lease{}
+		c.lease[n] = l
+	}
+	if now.After(l.until) && !resumed {
+		l.left = 0
+	}
+	if l.left < most && up {
+		c.writes++
+		c.taken -= l.left
+		l.left = min(share, c.paid-c.taken)
+		c.taken += l.left
+		l.until = now.Add(ttl)
+	}
+	if l.left < most {
+		c.refuse(most)
+		return
+	}
+	l.left -= used
+	c.spent += used
+}
+
+// reclaim takes back, by time, the shares whose lease is over.
+func (c *baseline) reclaim(now time.Time) {
+	for _, l := range c.lease {
+		if now.After(l.until) && l.left > 0 && !l.until.IsZero() {
+			c.taken -= l.left
+			l.until = time.Time{}
+		}
+	}
+}
+
+func TestBenchBaselines(t *testing.T) {
+	const perTick = 6
+	const serviceWrites = 300 // a second
+	policy := Policy{Horizon: 10 * time.Second, Solo: 2 * time.Second, Grant: 2 * time.Second, Borrow: true}
+	s := benchSim(t, 2, 3, 1, policy)
+	b := s.budgets[0]
+	s.pay(b, 40_000)
+	l := newLoad(s)
+	counter := &baseline{paid: 40_000}
+	leases := &baseline{paid: 40_000, lease: map[*node]*lease{}}
+	paused := s.nodes[1]
+	resumed := 0
+	i := 0
+	l.each(70*time.Second, perTick, func(at time.Duration) {
+		schedule(s, paused, at)
+		if at == 40*time.Second {
+			s.pay(b, 48_000)
+			counter.paid, leases.paid = 48_000, 48_000
+		}
+		if at == resumesAt {
+			resumed = 40
+		}
+		counter.budget = min(counter.budget+serviceWrites*TickEvery.Seconds(), serviceWrites)
+		leases.reclaim(s.now)
+		for range perTick {
+			n := s.nodes[i%len(s.nodes)]
+			i++
+			if n.paused {
+				continue
+			}
+			up := !s.offline[n.member.Domain]
+			counter.counter(up, l.most, l.used)
+			late := n == paused && resumed > 0
+			if late {
+				resumed--
+			}
+			leases.leased(n, s.now, up, late, l.most, l.used)
+		}
+	})
+	spent := s.spent[b]
+	t.Logf("%-22s %9s %9s %9s %9s %9s %9s %9s", "scheme", "paid", "spent", "overspend", "refused", "falsely", "plenty", "writes")
+	row := func(name string, paid, spent bbunit.Tokens, refused, falsely, plenty, writes int) {
+		t.Logf("%-22s %9d %9d %9d %9d %9d %9d %9d", name, paid, spent, max(0, spent-paid), refused, falsely, plenty, writes)
+	}
+	row("shares by CAS", s.paid(b), spent, l.refused, l.falsely, l.plenty, s.writes)
+	row("central counter", counter.paid, counter.spent, counter.refused, counter.falsely, counter.plenty, counter.writes)
+	row("time leases", leases.paid, leases.spent, leases.refused, leases.falsely, leases.plenty, leases.writes)
+	if spent > s.paid(b) {
+		t.Error("shares overspent")
+	}
+	if leases.spent <= leases.paid {
+		t.Error("time leases did not overspend under a pause")
+	}
+}
+
+// resumesAt is when the paused instance of the schedule goes on.
+const resumesAt = 65 * time.Second
+
+// schedule puts the faults of the comparison in force: an outage of the service,
+// a cut of one failure domain from all, and a pause over the end of the budget.
+func schedule(s *sim, paused *node, at time.Duration) {
+	switch at {
+	case 10 * time.Second:
+		s.offline["a"], s.offline["b"] = true, true
+	case 18 * time.Second:
+		s.offline["a"], s.offline["b"] = false, false
+	case 25 * time.Second:
+		s.offline["a"] = true
+		s.cut[[2]bbunit.DomainID{"a", "b"}], s.cut[[2]bbunit.DomainID{"b", "a"}] = true, true
+	case 33 * time.Second:
+		s.cut = map[[2]bbunit.DomainID]bool{}
+	case 36 * time.Second:
+		s.offline["a"] = false
+	case 42 * time.Second:
+		paused.paused = true
+	case resumesAt:
+		paused.paused = false
+	}
+}
--- a/shared/bbledger/close.go
+++ b/shared/bbledger/close.go
@@ -50,7 +50,7 @@
 	var out []*bbwire.Slice
 	for _, a := range k.ordered() {
 		for _, p := range a.peers() {
-			if a.share(p).granted > 0 {
+			if a.share(p).granted > 0 && !a.share(p).stranded {
 				out = append(out, a.slice(k.holder, p))
 			}
 		}
@@ -245,22 +245,19 @@
 // what they may still spend is stuck, and the rest is the budget's again.
 func (j *job) settle(e *bbwire.Entry) {
 	for _, m := range j.marks {
-		if m.Budget != e.Budget {
+		g := ParsePeer(m.Grantee)
+		if m.Budget != e.Budget || findStuck(e, j.holder, g) != nil {
 			continue
 		}
-		g := ParsePeer(m.Grantee)
-		most := m.Granted - m.Returned
 		if slices, ok := j.answers[g]; ok {
-			s := pick(slices, e.Budget)
-			if s.Granted == s.Spent+s.Returned {
-				e.Settled += s.Spent
-				continue
-			}
-			most = s.Granted - s.Returned
+			m = pick(slices, e.Budget)
 		}
-		if most > 0 {
-			e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(j.holder), Grantee: m.Grantee, Amount: most})
+		rest := m.Granted - m.Returned - m.Spent
+		if rest > 0 {
+			addStuck(e, j.holder, g, rest, m.Spent)
+			continue
 		}
+		e.Settled += m.Spent
 	}
 	dropHolder(e, j.holder)
 }
@@ -285,8 +282,8 @@
 	}
 	stuck := map[finalKey]bool{}
 	for _, e := range k.cache.Entries {
-		for _, s := range e.Stuck {
-			stuck[finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)}] = true
+		for _, key := range stuckPeers(e) {
+			stuck[key] = true
 		}
 	}
 	for key := range k.finals {
@@ -304,37 +301,54 @@
 	k.asked = k.now
 	seen := map[finalKey]bool{}
 	for _, e := range k.cache.Entries {
-		for _, s := range e.Stuck {
-			key := finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)}
-			if !seen[key] && alive(k.view, key.grantee) {
+		for _, key := range stuckPeers(e) {
+			if !seen[key] && findStuck(e, key.holder, key.grantee).Amount > 0 && alive(k.view, key.grantee) {
 				seen[key] = true
-				k.send(key.grantee.ID, &bbwire.Surrender{Holder: s.Holder})
+				k.send(key.grantee.ID, &bbwire.Surrender{Holder: string(key.holder)})
 			}
 		}
 	}
 }
 
 // editStuck settles stuck amounts whose grantee has given its final account, and
-// lowers those that shrank.
+// lowers those that shrank. While the holder is on the entry an amount of 0
+// stays, so that closing the holder does not count the grantee again.
 func (k *Keeper) editStuck(p *bbwire.Page) bool {
 	changed := false
 	for _, e := range p.Entries {
-		for _, x := range append([]*bbwire.Stuck(nil), e.Stuck...) {
-			slices, ok := k.finals[finalKey{bbunit.HolderID(x.Holder), ParsePeer(x.Grantee)}]
-			if !ok {
-				continue
-			}
-			s := pick(slices, e.Budget)
-			switch {
-			case s.Granted == s.Spent+s.Returned:
-				e.Settled += s.Spent
-				dropStuck(e, x)
-				changed = true
-			case s.Granted-s.Returned < x.Amount:
-				x.Amount = s.Granted - s.Returned
-				changed = true
-			}
+		for _, key := range stuckPeers(e) {
+			changed = k.editStuckOf(e, key) || changed
 		}
 	}
 	return changed
 }
+
+func (k *Keeper) editStuckOf(e *bbwire.Entry, key finalKey) bool {
+	x, held := findStuck(e, key.holder, key.grantee), findHolder(e, key.holder) != nil
+	if x.Amount == 0 {
+		if !held {
+			dropStuck(e, key.holder, key.grantee)
+		}
+		return !held
+	}
+	slices, ok := k.finals[key]
+	if !ok {
+		return false
+	}
+	s := pick(slices, e.Budget)
+	rest := s.Granted - s.Returned - s.Spent
+	if rest > 0 && rest >= x.Amount {
+		return false
+	}
+	dropStuck(e, key.holder, key.grantee)
+	switch {
+	case rest > 0:
+		addStuck(e, key.holder, key.grantee, rest, s.Spent)
+	case held:
+		e.Settled += s.Spent
+		addStuck(e, key.holder, key.grantee, 0, 0)
+	default:
+		e.Settled += s.Spent
+	}
+	return true
+}
--- a/shared/bbledger/draw.go
+++ b/shared/bbledger/draw.go
@@ -93,6 +93,7 @@
 	changed = k.editJobs(p) || changed
 	changed = k.editStuck(p) || changed
 	changed = k.editMove(p) || changed
+	changed = k.editStrand(p) || changed
 	if !k.retiring {
 		changed = k.editDraws(p, changed) || changed
 	}
@@ -140,7 +141,7 @@
 	}
 	h.Drawn += int64(delta)
 	h.Seq++
-	h.Spent = int64(a.spent())
+	h.Spent = int64(a.spentOn(e, k.holder))
 }
 
 // delta is by how much the account's draw should change, and whether that is
@@ -156,8 +157,8 @@
 	}
 	goal := a.rate.over(k.horizon())
 	head := a.headroom()
-	if head < least || head < goal/2 {
-		return k.raiseBy(a, e, amount+goal-head, least-head), head < least || head < goal/4
+	if head < least || head < goal-goal/8 {
+		return k.raiseBy(a, e, amount+goal-head, least-head), head < least || head < goal/2
 	}
 	return k.lowerBy(a, head, goal, least)
 }
@@ -182,9 +183,13 @@
 		return 0, false
 	}
 	a.idle = 0
-	return -(head - goal - least), true
+	return -(head - goal - least), goal == 0 || head > surplus*goal
 }
 
+// surplus is how many times its goal an account must have for giving back to be
+// worth a write of its own.
+const surplus = 4
+
 // tickEvery is how often a keeper is told the time.
 const tickEvery = 50 * time.Millisecond
 
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -205,11 +205,12 @@
 		k.state = t.State
 	}
 	for _, a := range k.ordered() {
-		a.rate.tick(k.now)
+		a.rate.tick(k.now, k.horizon())
 	}
 	k.expire()
 	k.watchHome()
 	k.watchWitness()
+	k.watchGrantees()
 	k.watchHolders()
 	k.watchStuck()
 }
@@ -251,6 +252,9 @@
 			continue
 		}
 		a := k.account(b)
+		if a.share(e.From).stranded {
+			k.retire() // a new holder may grant to it again
+		}
 		if a.share(e.From).granted > seen[b] {
 			k.tell(e.From, a) // the last answer was lost
 			continue
@@ -400,6 +404,7 @@
 		}
 		found, a.open = true, true
 		a.drawn, a.seq = bbunit.Tokens(h.Drawn), h.Seq
+		k.adoptStrands(a)
 		witness = ParsePeer(h.Witness)
 	}
 	if lost || k.maybe && !found {
--- a/shared/bbledger/keeper_test.go
+++ b/shared/bbledger/keeper_test.go
@@ -383,3 +383,62 @@
 	r.none(ok)
 	r.is.Equal(r.k.Status().Lost, []bbunit.HolderID{"x/7/0-1"})
 }
+
+func TestKeeperListsWhatAGoneGranteeHasAsStuck(t *testing.T) {
+	r := opened(t)
+	h := r.k.Holder()
+	r.step(Ask{From: rigG, Msg: &bbwire.GrantAsk{Slices: []*bbwire.Slice{{Budget: "b", Holder: string(h), Grantee: rigG.String(), Granted: 10, Spent: 4, Returned: 1}}}})
+	r.ack(rigW1, need[*bbwire.Mark](r))
+	taken := Taken(findEntry(r.page, "b"))
+	all := r.view
+	r.view = &bbmember.View{Self: all.Self, Members: all.Members[:2]}
+	r.tick(TickEvery)
+	if r.k.busy {
+		r.save()
+	}
+	r.tick(strandAfter)
+	r.save()
+	e := findEntry(r.page, "b")
+	r.is.True(Taken(e) >= taken) // nothing comes back by time
+	r.is.Equal(StatusOf(e).Stuck, bbunit.Tokens(5))
+	r.is.Equal(StatusOf(e).Spent, bbunit.Tokens(4))
+	r.tick(TickEvery)
+
+	// It was only cut off: it accounts for the slice, and gets a new one.
+	r.view = all
+	final := &bbwire.SurrenderTell{Holder: string(h), Slices: []*bbwire.Slice{{Budget: "b", Holder: string(h), Grantee: rigG.String(), Granted: 10, Spent: 7, Returned: 3}}}
+	r.want(10, 10)
+	r.is.True(r.k.Holder() != h)
+	r.step(Surrendered{From: rigG, Msg: final})
+	for range 50 {
+		r.tick(resendAfter)
+		if _, ok := take[Load](r); ok {
+			r.step(Loaded{Page: clonePage(r.page), Rev: r.rev})
+		}
+		if a, ok := take[Save](r); ok {
+			r.page, r.rev = clonePage(a.Page), r.rev+1
+			r.step(Saved{Rev: r.rev})
+		}
+		r.step(Surrendered{From: rigG, Msg: final})
+	}
+	e = findEntry(r.page, "b")
+	r.is.Equal(e.Settled, int64(7))
+	r.is.Equal(len(e.Stuck), 0)
+}
+
+func TestCloserDoesNotCountAStrandedGranteeTwice(t *testing.T) {
+	r, _ := closing(t)
+	e := findEntry(r.page, "b")
+	e.Holders[0].Drawn -= 30
+	addStuck(e, "x/7/0-1", rigG, 20, 10)
+	r.rev++
+	r.step(Visit{})
+	r.load()
+	before := Taken(e)
+	r.frozen(rigW1)
+	r.tick(surrenderFor)
+	r.save()
+	e = findEntry(r.page, "b")
+	r.is.Equal(Taken(e), before-20) // the holder's own 20, which nobody had
+	r.is.Equal(StatusOf(e).Stuck, bbunit.Tokens(20))
+}
--- a/shared/bbledger/mark.go
+++ b/shared/bbledger/mark.go
@@ -36,7 +36,7 @@
 	}
 	for _, a := range k.ordered() {
 		for _, p := range a.peers() {
-			if s := a.share(p); s.sent > s.acked || s.returned > s.ackedRet {
+			if s := a.share(p); !s.stranded && (s.sent > s.acked || s.returned > s.ackedRet) {
 				batch = append(batch, a.markSlice(k.holder, p))
 			}
 		}
--- a/shared/bbledger/ops.go
+++ b/shared/bbledger/ops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
@@ -79,6 +80,13 @@
 		})
 	}
 	for _, x := range e.Stuck {
+		if strings.HasPrefix(x.Grantee, knownSpent) {
+			s.Spent += bbunit.Tokens(x.Amount)
+			continue
+		}
+		if x.Amount == 0 {
+			continue
+		}
 		s.Stuck += bbunit.Tokens(x.Amount)
 		s.Stucks = append(s.Stucks, StuckStatus{
 			Holder: bbunit.HolderID(x.Holder), Grantee: x.Grantee, Amount: bbunit.Tokens(x.Amount),
@@ -142,18 +150,22 @@
 	})
 }
 
-// Release gives back to a budget what a holder has drawn beyond its reported
-// spend, and all that is stuck under it. An operator calls it who knows that
-// the holder's instance and its grantees are gone for good: it is the only way
-// by which money comes back on a person's word. It returns the tokens given
-// back; ErrNoHolder. It blocks on the key-value service.
+// Release gives back to a budget the amounts that are stuck under a holder; when
+// there are none, what the holder itself has drawn beyond its reported spend. An
+// operator calls it who knows that the instances concerned are gone for good: it
+// is the only way by which money comes back on a person's word. It returns the
+// tokens given back; ErrNoHolder. It blocks on the key-value service.
 func Release(ctx context.Context, store bbstore.Store, b bbunit.BudgetID, h bbunit.HolderID) (bbunit.Tokens, error) {
 	var back bbunit.Tokens
+	var first, stuck bool
 	err := editEntry(ctx, store, b, func(e *bbwire.Entry) error {
-		n, err := ReleaseEntry(e, h)
-		if errors.Is(err, ErrNoHolder) && back > 0 {
+		has := len(stuckOf(e, h)) > 0
+		if !first {
+			first, stuck = true, has
+		} else if stuck && !has || !stuck && findHolder(e, h) == nil {
 			return nil // an earlier try of this call landed
 		}
+		n, err := ReleaseEntry(e, h)
 		back = n
 		return err
 	})
@@ -163,21 +175,30 @@
 	return back, nil
 }
 
+// stuckOf lists the grantees whose amounts are stuck under a holder.
+func stuckOf(e *bbwire.Entry, h bbunit.HolderID) []Peer {
+	var out []Peer
+	for _, key := range stuckPeers(e) {
+		if key.holder == h && findStuck(e, h, key.grantee).Amount > 0 {
+			out = append(out, key.grantee)
+		}
+	}
+	return out
+}
+
 // ReleaseEntry is Release on an entry.
 func ReleaseEntry(e *bbwire.Entry, h bbunit.HolderID) (bbunit.Tokens, error) {
-	before, found := Taken(e), false
-	if x := findHolder(e, h); x != nil {
-		found = true
+	before := Taken(e)
+	stuck, x := stuckOf(e, h), findHolder(e, h)
+	switch {
+	case len(stuck) > 0:
+		for _, g := range stuck {
+			e.Settled += dropStuck(e, h, g)
+		}
+	case x != nil:
 		e.Settled += x.Spent
 		dropHolder(e, h)
-	}
-	for _, s := range append([]*bbwire.Stuck(nil), e.Stuck...) {
-		if s.Holder == string(h) {
-			found = true
-			dropStuck(e, s)
-		}
-	}
-	if !found {
+	default:
 		return 0, errors.Annotatef(ErrNoHolder, "budget %s, holder %s", e.Budget, h)
 	}
 	return before - Taken(e), nil
--- a/shared/bbledger/page.go
+++ b/shared/bbledger/page.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -144,14 +145,46 @@
 	return nil
 }
 
-// dropStuck takes a stuck amount off the entry.
-func dropStuck(e *bbwire.Entry, x *bbwire.Stuck) {
-	for i, s := range e.Stuck {
-		if s == x {
-			e.Stuck = append(e.Stuck[:i:i], e.Stuck[i+1:]...)
-			return
+// knownSpent marks the record, beside a stuck amount, of what the grantee had
+// already reported as spent.
+const knownSpent = "spent:"
+
+// addStuck counts what a grantee may still spend, apart from what it is known to
+// have spent.
+func addStuck(e *bbwire.Entry, h bbunit.HolderID, g Peer, rest, spent int64) {
+	e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(h), Grantee: g.String(), Amount: rest})
+	if spent > 0 {
+		e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(h), Grantee: knownSpent + g.String(), Amount: spent})
+	}
+}
+
+// dropStuck takes a grantee's stuck amount off the entry and returns what of it
+// was known to be spent.
+func dropStuck(e *bbwire.Entry, h bbunit.HolderID, g Peer) int64 {
+	var spent int64
+	kept := e.Stuck[:0:0]
+	for _, s := range e.Stuck {
+		switch {
+		case s.Holder == string(h) && s.Grantee == g.String():
+		case s.Holder == string(h) && s.Grantee == knownSpent+g.String():
+			spent += s.Amount
+		default:
+			kept = append(kept, s)
+		}
+	}
+	e.Stuck = kept
+	return spent
+}
+
+// stuckPeers lists whose final account the entry waits for.
+func stuckPeers(e *bbwire.Entry) []finalKey {
+	var out []finalKey
+	for _, s := range e.Stuck {
+		if !strings.HasPrefix(s.Grantee, knownSpent) {
+			out = append(out, finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)})
 		}
 	}
+	return out
 }
 
 // advance puts a ticket's paid amount on the entry, only forward by number, and
--- a/shared/bbledger/policy.go
+++ b/shared/bbledger/policy.go
@@ -36,17 +36,19 @@
 	surrenderFor = time.Second
 	// stuckEvery is how often grantees are asked again about stuck amounts.
 	stuckEvery = 2 * time.Second
+	// strandAfter is how long a grantee must be gone for its slices to be listed
+	// as stuck.
+	strandAfter = 3 * time.Second
 	// retireAfter is how long a keeper that is no longer home goes on.
 	retireAfter = 5 * time.Second
-	// pageEvery is how often a home keeper that holds money reads its page.
-	pageEvery = 5 * time.Second
 	// backoffLeast and backoffMost bound the pause after a failed store call.
 	backoffLeast = 50 * time.Millisecond
 	backoffMost  = 2 * time.Second
 	// rateEvery is the sampling period of demand.
 	rateEvery = 500 * time.Millisecond
-	// rateKeep is the weight of the past in the moving average of demand.
-	rateKeep = 0.6
+	// rateRise is the time constant of a rising demand; a falling one has the
+	// horizon's.
+	rateRise = time.Second
 	// rateLeast is the demand, in tokens a second, that counts as none.
 	rateLeast = 0.5
 	// emptyFor is how long a purse takes a budget to be empty once told so.
@@ -68,8 +70,9 @@
 // add counts n tokens of demand.
 func (r *rate) add(n bbunit.Tokens) { r.sum += n }
 
-// tick folds the demand of the last period in.
-func (r *rate) tick(now time.Time) {
+// tick folds the demand of the last period in; fall is the time constant of a
+// falling demand.
+func (r *rate) tick(now time.Time, fall time.Duration) {
 	if r.since.IsZero() {
 		r.since = now
 	}
@@ -78,7 +81,11 @@
 		return
 	}
 	seen := float64(r.sum) / d.Seconds()
-	keep := math.Pow(rateKeep, d.Seconds()/rateEvery.Seconds())
+	tau := max(fall, rateEvery)
+	if seen > r.perSec {
+		tau = min(tau, rateRise)
+	}
+	keep := math.Exp(-d.Seconds() / tau.Seconds())
 	r.perSec = keep*r.perSec + (1-keep)*seen
 	if r.perSec < rateLeast {
 		r.perSec = 0
--- a/shared/bbledger/pot.go
+++ b/shared/bbledger/pot.go
@@ -180,7 +180,7 @@
 	t := p.taken.Load()
 	p.rate.add(bbunit.Tokens(max(0, t-p.counted)))
 	p.counted = t
-	p.rate.tick(now)
+	p.rate.tick(now, horizon)
 	goal := p.rate.over(horizon)
 	p.low.Store(int64(goal / 2))
 	if p.Free() <= 2*goal {
