--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -1,11 +1,14 @@
 package bbport
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbunit"
@@ -70,6 +73,9 @@
 	if o.Domain == "" {
 		bad = append(bad, "--domain: must not be empty")
 	}
+	if _, err := logrus.ParseLevel(o.LogLevel); err != nil {
+		bad = append(bad, fmt.Sprintf("--log-level: %q: panic, fatal, error, warning, info, debug or trace", o.LogLevel))
+	}
 	bad = append(bad, badAddress("--store", o.Store, true)...)
 	bad = append(bad, badAddress("--list", o.List, false)...)
 	return append(bad, badAddress("--trace-otlp", o.TraceOTLP, false)...)
@@ -80,37 +86,107 @@
 
 // FrontOptions set where callers and operators reach an instance.
 type FrontOptions struct {
-	Listen  string
-	Admin   string
-	Body    int64 // bytes
-	Drain   time.Duration
-	Timeout time.Duration
+	Listen string
+	Admin  string
+	// Cert and Key are PEM files; without them callers speak plain HTTP.
+	Cert, Key string
+	Body      int64 // bytes
+	Drain     time.Duration
+	Timeout   time.Duration
+	// Linger is how long a leaving instance still takes new requests.
+	Linger time.Duration
+	// Silence is how long a target may send nothing before it is asked about.
+	Silence time.Duration
+	// Late is how long after its deadline the answer to a request that may not
+	// be repeated is still waited for.
+	Late time.Duration
 }
 
 func (o *FrontOptions) flags(cmd *kingpin.CmdClause) {
 	cmd.Flag("listen", "Address for callers.").Envar("BLUEBELLPORT_LISTEN").Default("127.0.0.1:8080").StringVar(&o.Listen)
 	cmd.Flag("admin", "Address for health, metrics and status.").Envar("BLUEBELLPORT_ADMIN").Default("127.0.0.1:8081").StringVar(&o.Admin)
+	cmd.Flag("tls-cert", "Certificate for callers, a PEM file; empty serves plain HTTP.").Envar("BLUEBELLPORT_TLS_CERT").StringVar(&o.Cert)
+	cmd.Flag("tls-key", "Key of --tls-cert, a PEM file.").Envar("BLUEBELLPORT_TLS_KEY").StringVar(&o.Key)
 	cmd.Flag("max-body", "Largest request body, in bytes.").Envar("BLUEBELLPORT_MAX_BODY").Default("1048576").Int64Var(&o.Body)
 	cmd.Flag("drain", "Longest time that a planned stop waits for streams to end.").Envar("BLUEBELLPORT_DRAIN").Default("60s").DurationVar(&o.Drain)
 	cmd.Flag("timeout", "Deadline of a request that sets none.").Envar("BLUEBELLPORT_TIMEOUT").Default("120s").DurationVar(&o.Timeout)
+	cmd.Flag("linger", "How long a leaving instance still takes requests while the balancer learns of it.").Envar("BLUEBELLPORT_LINGER").Default("3s").DurationVar(&o.Linger)
+	cmd.Flag("silence", "How long a target may send nothing before it is asked about over a fresh connection.").Envar("BLUEBELLPORT_SILENCE").Default("2s").DurationVar(&o.Silence)
+	cmd.Flag("late", "How long past its deadline the answer to a request that may not be repeated is waited for.").Envar("BLUEBELLPORT_LATE").Default("60s").DurationVar(&o.Late)
 }
 
 func (o *FrontOptions) check() []string {
 	bad := badAddress("--listen", o.Listen, true)
 	bad = append(bad, badAddress("--admin", o.Admin, true)...)
+	if (o.Cert == "") != (o.Key == "") {
+		bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: only one is set: %q, %q", o.Cert, o.Key))
+	} else if o.Cert != "" {
+		if _, err := tls.LoadX509KeyPair(o.Cert, o.Key); err != nil {
+			bad = append(bad, fmt.Sprintf("--tls-cert, --tls-key: %s", err))
+		}
+	}
 	if o.Body <= 0 {
 		bad = append(bad, fmt.Sprintf("--max-body: must be above 0, is %d", o.Body))
 	}
 	bad = append(bad, badDuration("--drain", o.Drain)...)
+	bad = append(bad, badDuration("--silence", o.Silence)...)
+	bad = append(bad, badDuration("--late", o.Late)...)
+	if o.Linger < 0 || o.Linger >= o.Drain {
+		bad = append(bad, fmt.Sprintf("--linger: must be from 0 to below --drain (%s), is %s", o.Drain, o.Linger))
+	}
 	return append(bad, badDuration("--timeout", o.Timeout)...)
 }
 
 // PeerOptions set how instances reach each other.
-type PeerOptions struct{}
+type PeerOptions struct {
+	Listen    string
+	Advertise string // empty: the address listened on
+	Period    time.Duration
+	Suspicion time.Duration
+	Cert      string // files in PEM; all three or none
+	Key       string
+	CA        string
+}
 
-func (o *PeerOptions) flags(_ *kingpin.CmdClause) {}
+func (o *PeerOptions) flags(cmd *kingpin.CmdClause) {
+	cmd.Flag("peer", "Address for other instances.").Envar("BLUEBELLPORT_PEER").Default("127.0.0.1:8082").StringVar(&o.Listen)
+	cmd.Flag("peer-advertise", "Address that other instances connect to; empty is the one of --peer.").Envar("BLUEBELLPORT_PEER_ADVERTISE").StringVar(&o.Advertise)
+	cmd.Flag("gossip-period", "Time between two rounds of gossip.").Envar("BLUEBELLPORT_GOSSIP_PERIOD").Default("1s").DurationVar(&o.Period)
+	cmd.Flag("suspicion", "Silence after which an instance is taken out of the view.").Envar("BLUEBELLPORT_SUSPICION").Default("5s").DurationVar(&o.Suspicion)
+	cmd.Flag("peer-cert", "Certificate shown to other instances, a PEM file; turns mutual TLS on.").Envar("BLUEBELLPORT_PEER_CERT").StringVar(&o.Cert)
+	cmd.Flag("peer-key", "Private key of --peer-cert, a PEM file.").Envar("BLUEBELLPORT_PEER_KEY").StringVar(&o.Key)
+	cmd.Flag("peer-ca", "Certificates that other instances' must be signed by, a PEM file.").Envar("BLUEBELLPORT_PEER_CA").StringVar(&o.CA)
+}
+
+func (o *PeerOptions) check() []string {
+	bad := badAddress("--peer", o.Listen, true)
+	bad = append(bad, badAdvertise(o.Advertised())...)
+	bad = append(bad, badDuration("--gossip-period", o.Period)...)
+	if o.Suspicion < 3*o.Period {
+		bad = append(bad, fmt.Sprintf("--suspicion: must be at least 3 times --gossip-period, is %s", o.Suspicion))
+	}
+	if _, err := o.tlsConfig(); err != nil {
+		bad = append(bad, err.Error())
+	}
+	return bad
+}
 
-func (o *PeerOptions) check() []string { return nil }
+// Advertised returns the address that other instances connect to.
+func (o *PeerOptions) Advertised() string {
+	if o.Advertise != "" {
+		return o.Advertise
+	}
+	return o.Listen
+}
+
+// badAdvertise returns a line when others could not connect to the address.
+func badAdvertise(v string) []string {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil || a.Addr().IsUnspecified() {
+		return []string{fmt.Sprintf("--peer-advertise: not an IP number and port that others can reach: %q", v)}
+	}
+	return nil
+}
 
 // RecordOptions set how claims and bills are kept.
 type RecordOptions struct {
@@ -176,6 +252,13 @@
 	CircuitProbe   time.Duration
 	SlowStart      time.Duration
 	Spill          time.Duration
+	LoadEvery      time.Duration
+	QueueMost      int
+	QueueLongest   time.Duration
+	Tries          int
+	RetryRatio     float64
+	RetryFloor     float64 // retries a second
+	PoisonCrashes  int
 }
 
 func (o *RouteOptions) flags(cmd *kingpin.CmdClause) {
@@ -185,6 +268,13 @@
 	cmd.Flag("circuit-probe", "How long the probe of a half-open circuit may take before another follows.").Envar("BLUEBELLPORT_CIRCUIT_PROBE").Default("10s").DurationVar(&o.CircuitProbe)
 	cmd.Flag("slow-start", "How long a new target takes to get its full share.").Envar("BLUEBELLPORT_SLOW_START").Default("10s").DurationVar(&o.SlowStart)
 	cmd.Flag("spill", "Expected wait above which requests go to another failure domain.").Envar("BLUEBELLPORT_SPILL").Default("250ms").DurationVar(&o.Spill)
+	cmd.Flag("load-every", "How often a target is asked for its load.").Envar("BLUEBELLPORT_LOAD_EVERY").Default("250ms").DurationVar(&o.LoadEvery)
+	cmd.Flag("queue", "Most requests of a service that wait for a place.").Envar("BLUEBELLPORT_QUEUE").Default("256").IntVar(&o.QueueMost)
+	cmd.Flag("queue-longest", "Longest expected wait for a place; requests beyond it are refused at once.").Envar("BLUEBELLPORT_QUEUE_LONGEST").Default("5s").DurationVar(&o.QueueLongest)
+	cmd.Flag("tries", "Most attempts of one request.").Envar("BLUEBELLPORT_TRIES").Default("3").IntVar(&o.Tries)
+	cmd.Flag("retry-ratio", "Retries that each success of a service pays for.").Envar("BLUEBELLPORT_RETRY_RATIO").Default("0.1").Float64Var(&o.RetryRatio)
+	cmd.Flag("retry-floor", "Retries a second that a service has in any case.").Envar("BLUEBELLPORT_RETRY_FLOOR").Default("1").Float64Var(&o.RetryFloor)
+	cmd.Flag("poison-crashes", "Targets that must crash before a request is refused for good.").Envar("BLUEBELLPORT_POISON_CRASHES").Default("2").IntVar(&o.PoisonCrashes)
 }
 
 func (o *RouteOptions) check() []string {
@@ -192,6 +282,23 @@
 	if o.CircuitFails < 1 {
 		bad = append(bad, fmt.Sprintf("--circuit-fails: must be at least 1, is %d", o.CircuitFails))
 	}
+	if o.QueueMost < 0 {
+		bad = append(bad, fmt.Sprintf("--queue: must not be below 0, is %d", o.QueueMost))
+	}
+	if o.Tries < 1 {
+		bad = append(bad, fmt.Sprintf("--tries: must be at least 1, is %d", o.Tries))
+	}
+	if !(o.RetryRatio >= 0 && o.RetryRatio <= 1) {
+		bad = append(bad, fmt.Sprintf("--retry-ratio: must be from 0 to 1, is %g", o.RetryRatio))
+	}
+	if !(o.RetryFloor >= 0 && o.RetryFloor <= 1e6) {
+		bad = append(bad, fmt.Sprintf("--retry-floor: must be from 0 to 1000000, is %g", o.RetryFloor))
+	}
+	if o.PoisonCrashes < 1 || o.PoisonCrashes > 8 {
+		bad = append(bad, fmt.Sprintf("--poison-crashes: must be from 1 to 8, is %d", o.PoisonCrashes))
+	}
+	bad = append(bad, badDuration("--load-every", o.LoadEvery)...)
+	bad = append(bad, badDuration("--queue-longest", o.QueueLongest)...)
 	bad = append(bad, badDuration("--circuit-open", o.CircuitOpen)...)
 	bad = append(bad, badDuration("--circuit-longest", o.CircuitLongest)...)
 	bad = append(bad, badDuration("--circuit-probe", o.CircuitProbe)...)
@@ -213,6 +320,21 @@
 	}
 }
 
+// gate returns the rule of requests that wait.
+func (o *RouteOptions) gate() bbroute.GateRule {
+	return bbroute.GateRule{Most: o.QueueMost, Longest: o.QueueLongest}
+}
+
+// retry returns the rule of retries.
+func (o *RouteOptions) retry() bbroute.RetryRule {
+	return bbroute.RetryRule{Tries: o.Tries, Ratio: o.RetryRatio, Floor: o.RetryFloor}
+}
+
+// poison returns the rule of requests that crash targets.
+func (o *RouteOptions) poison() bbroute.PoisonRule {
+	return bbroute.PoisonRule{Crashes: o.PoisonCrashes, Suspect: suspectKeep, Most: poisonsMost}
+}
+
 // badAddress returns a line when the flag's value is not host:port.
 func badAddress(flag, v string, needed bool) []string {
 	if v == "" && !needed {
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -32,7 +32,7 @@
 	witness bbledger.Witness
 	keepers map[int]*bbledger.Keeper
 	holders uint64
-	waiters []*waiter
+	waiters []*shareWaiter
 	view    *bbmember.View
 	visits  visits
 
@@ -83,7 +83,7 @@
 
 func newHold(pot *bbledger.Pot, most bbunit.Tokens) *Hold {
 	h := &hold{Hold: Hold{Budget: pot.Budget, Holder: pot.Holder(), Most: most}, pot: pot}
-	h.Hold.End = h.end
+	h.Hold.End, h.Hold.Refund = h.end, pot.Refund
 	return &h.Hold
 }
 
@@ -119,7 +119,7 @@
 	t.waited.Inc(1)
 	ctx, cancel := context.WithTimeout(ctx, t.wait)
 	defer cancel()
-	w := &waiter{budgets: budgets, most: most, done: make(chan struct{})}
+	w := &shareWaiter{budgets: budgets, most: most, done: make(chan struct{})}
 	t.box.put(func() { t.join(w) })
 	select {
 	case <-w.done:
@@ -141,8 +141,18 @@
 }
 
 // Drain returns all money that no request has reserved, closes the holders of
-// this instance and waits until the page says so or ctx ends.
+// this instance and waits until the page says so or ctx ends. Then it stays for
+// drainStay, to repeat its reports and to answer the keepers that close holders
+// at the same time.
 func (t *Treasury) Drain(ctx context.Context) error {
+	if err := t.drain(ctx); err != nil {
+		return err
+	}
+	wait(ctx, drainStay)
+	return nil
+}
+
+func (t *Treasury) drain(ctx context.Context) error {
 	t.closing.Store(true)
 	t.box.put(func() {
 		t.purse.Drain()
--- a/bluebellport/src/treasury_test.go
+++ b/bluebellport/src/treasury_test.go
@@ -58,7 +58,7 @@
 
 // fakeFleet is some treasuries over one store.
 type fakeFleet struct {
-	t     *testing.T
+	t     testing.TB
 	net   *fakeNet
 	mem   *bbstore.Mem
 	money map[bbunit.InstanceID]*Treasury
@@ -68,11 +68,11 @@
 	state *bbticket.State
 }
 
-func newFakeFleet(t *testing.T, members ...bbmember.Member) *fakeFleet {
+func newFakeFleet(t testing.TB, members ...bbmember.Member) *fakeFleet {
 	f := &fakeFleet{
 		t: t, mem: bbstore.NewMem(), net: &fakeNet{bus: map[bbunit.InstanceID]*fakeBus{}, dead: map[[2]bbunit.InstanceID]bool{}},
 		money: map[bbunit.InstanceID]*Treasury{}, stop: map[bbunit.InstanceID]func(){}, board: map[bbunit.InstanceID]*Board{},
-		state: &bbticket.State{Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{}},
+		state: &bbticket.State{},
 	}
 	for _, m := range members {
 		f.start(m)
@@ -129,12 +129,7 @@
 
 // pay puts a budget in force.
 func (f *fakeFleet) pay(b bbunit.BudgetID, paid bbunit.Tokens) {
-	st := &bbticket.State{Number: f.state.Number + 1, Budgets: map[bbunit.BudgetID]bbticket.Numbered[bbticket.Budget]{}}
-	for k, v := range f.state.Budgets {
-		st.Budgets[k] = v
-	}
-	st.Budgets[b] = bbticket.Numbered[bbticket.Budget]{Number: st.Number, Object: bbticket.Budget{ID: b, Paid: paid}}
-	f.state = st
+	f.state = f.state.Apply(bbticket.Ticket{Number: f.state.Number + 1, Budgets: []bbticket.Budget{{ID: b, Paid: paid}}})
 	f.show()
 }
 
@@ -208,3 +203,38 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// TestTreasuryAllStopAtOnce: a planned stop of the whole fleet leaves nothing
+// stuck, since an instance that has returned its money stays to say so.
+func TestTreasuryAllStopAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, member("a1", "a"), member("a2", "a"), member("a3", "a"), member("b1", "b"), member("b2", "b"))
+	budgets := []bbunit.BudgetID{"b", "c", "d", "e"}
+	want := map[bbunit.BudgetID]bbunit.Tokens{}
+	for _, b := range budgets {
+		f.pay(b, 10000)
+		for id := range f.money {
+			s, _, _ := f.spend(id, b, 10, 50, 7)
+			want[b] += s
+		}
+	}
+	ctx := drainCtx(t)
+	var wg sync.WaitGroup
+	for id, m := range f.money {
+		wg.Go(func() {
+			if err := m.Drain(ctx); err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+			f.net.mu.Lock()
+			delete(f.net.bus, id) // it is gone once its drain has ended
+			f.net.mu.Unlock()
+		})
+	}
+	wg.Wait()
+	for _, b := range budgets {
+		s := f.status(b)
+		is.Equal(s.Stuck, bbunit.Tokens(0))
+		is.Equal(s.Drawn, bbunit.Tokens(0))
+		is.Equal(s.Settled, want[b])
+	}
+}
--- a/shared/bbledger/bench_test.go
+++ b/shared/bbledger/bench_test.go
@@ -148,8 +148,20 @@
 // BenchmarkWrites counts key-value calls as instances, budgets of one page and
 // failure domains grow.
 func BenchmarkWrites(b *testing.B) {
-	for i := 0; b.Loop(); i++ {
-		countWrites(b, i)
+	for _, c := range []struct {
+		what  string
+		sizes []int
+		build func(t testing.TB, n int) *sim
+	}{
+		{"instances", []int{2, 4, 8, 16, 32, 64}, func(t testing.TB, n int) *sim { return benchSim(t, 2, n/2, 1, simPolicy) }},
+		{"budgets", []int{1, 4, 16, 64}, func(t testing.TB, n int) *sim { return benchSim(t, 2, 4, n, simPolicy) }},
+		{"domains", []int{1, 2, 4, 8}, func(t testing.TB, n int) *sim { return benchSim(t, n, 16/n, 1, simPolicy) }},
+	} {
+		b.Run(c.what, func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				countWrites(b, i, c.what, c.sizes, c.build)
+			}
+		})
 	}
 }
 
@@ -171,29 +183,25 @@
 
 func TestBenchBaselines(t *testing.T) { compareSchemes(t, 0) }
 
-func countWrites(t testing.TB, round int) {
+// countWrites prints a row a size, and the slope.
+func countWrites(t testing.TB, round int, what string, sizes []int, build func(testing.TB, int) *sim) {
 	const perTick, span = 20, 20 * time.Second
-	table := func(what string, sizes []int, build func(n int) *sim) {
-		var x, y []float64
-		tell(t, round, "%-10s %10s %10s %10s %22s", what, "requests", "writes", "reads", "writes/1000 requests")
-		for _, n := range sizes {
-			s := build(n)
-			l := newLoad(s)
-			l.each(5*time.Second, perTick, nil)
-			done, writes, loads := l.done, s.writes, s.loads
-			l.each(span, perTick, nil)
-			per := float64(s.writes-writes) / float64(l.done-done) * 1000
-			tell(t, round, "%-10d %10d %10d %10d %22.2f", n, l.done-done, s.writes-writes, s.loads-loads, per)
-			x, y = append(x, float64(n)), append(y, per)
-			if l.refused > 0 {
-				t.Errorf("%d refused with %d %s", l.refused, n, what)
-			}
+	var x, y []float64
+	tell(t, round, "%-10s %10s %10s %10s %22s", what, "requests", "writes", "reads", "writes/1000 requests")
+	for _, n := range sizes {
+		s := build(t, n)
+		l := newLoad(s)
+		l.each(5*time.Second, perTick, nil)
+		done, writes, loads := l.done, s.writes, s.loads
+		l.each(span, perTick, nil)
+		per := float64(s.writes-writes) / float64(l.done-done) * 1000
+		tell(t, round, "%-10d %10d %10d %10d %22.2f", n, l.done-done, s.writes-writes, s.loads-loads, per)
+		x, y = append(x, float64(n)), append(y, per)
+		if l.refused > 0 {
+			t.Errorf("%d refused with %d %s", l.refused, n, what)
 		}
-		tell(t, round, "slope: %.4f writes for 1,000 requests for each of %s", slope(x, y), what)
 	}
-	table("instances", []int{2, 4, 8, 16, 32, 64}, func(n int) *sim { return benchSim(t, 2, n/2, 1, simPolicy) })
-	table("budgets", []int{1, 4, 16, 64}, func(n int) *sim { return benchSim(t, 2, 4, n, simPolicy) })
-	table("domains", []int{1, 2, 4, 8}, func(n int) *sim { return benchSim(t, n, 16/n, 1, simPolicy) })
+	tell(t, round, "slope: %.4f writes for 1,000 requests for each of %s", slope(x, y), what)
 }
 
 func stuckAtKill(t testing.TB, round int) {
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -1,7 +1,8 @@
 package bbledger
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -87,6 +88,7 @@
 	opened   bool // the page is known to name the holder
 	maybe    bool // a write that opens the holder may have landed
 	accounts map[bbunit.BudgetID]*account
+	order    []*account // by budget
 	wants    []*want
 
 	cache *bbwire.Page
@@ -108,8 +110,13 @@
 	jobs     map[bbunit.HolderID]*job
 	retired  map[bbunit.HolderID][]*bbwire.Slice
 	finals   map[finalKey][]*bbwire.Slice
-	asked    time.Time // when stuck grantees were last asked
-	away     time.Time // since when the keeper is not home
+	place    place
+	scan     *scan
+	asked    time.Time      // when stuck grantees were last asked
+	away     time.Time      // since when the keeper is not home
+	watched  *bbmember.View // by which the grantees were last looked at
+	missing  bool           // a grantee that has money is gone
+	strands  bool           // such a one has been gone for long
 	retiring bool
 }
 
@@ -192,11 +199,6 @@
 	k.out = append(k.out, Send{To: to, Body: body})
 }
 
-func (k *Keeper) home() bool {
-	m, ok := k.view.Home(HomeKey(k.page), k.self.Domain)
-	return ok && m.ID == k.self.ID
-}
-
 func (k *Keeper) tick(t Tick) {
 	if t.View != nil {
 		k.view = t.View
@@ -218,7 +220,7 @@
 // watchHome retires a keeper that has not been home for a while, once the
 // service can be reached.
 func (k *Keeper) watchHome() {
-	if k.home() {
+	if k.where().home {
 		k.away = time.Time{}
 		return
 	}
@@ -234,7 +236,11 @@
 func (k *Keeper) ask(e Ask) {
 	seen := map[bbunit.BudgetID]bbunit.Tokens{}
 	for _, s := range e.Msg.Slices {
-		if s.Holder != string(k.holder) || s.Grantee != e.From.String() {
+		if s.Grantee != e.From.String() {
+			continue
+		}
+		if s.Holder != string(k.holder) {
+			k.reportClosing(s)
 			continue
 		}
 		b := bbunit.BudgetID(s.Budget)
@@ -259,6 +265,7 @@
 			k.tell(e.From, a) // the last answer was lost
 			continue
 		}
+		k.missing = k.missing || !k.where().alive[e.From]
 		k.queue(&want{peer: e.From, budget: b, amount: bbunit.Tokens(w.Amount), least: bbunit.Tokens(w.Least), at: k.now})
 	}
 }
@@ -291,19 +298,14 @@
 	if a == nil {
 		a = &account{budget: b, shares: map[Peer]*share{}}
 		k.accounts[b] = a
+		at, _ := slices.BinarySearchFunc(k.order, b, func(x *account, b bbunit.BudgetID) int { return cmp.Compare(x.budget, b) })
+		k.order = slices.Insert(k.order, at, a)
 	}
 	return a
 }
 
 // ordered returns the accounts in the order of their budgets.
-func (k *Keeper) ordered() []*account {
-	out := make([]*account, 0, len(k.accounts))
-	for _, a := range k.accounts {
-		out = append(out, a)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].budget < out[j].budget })
-	return out
-}
+func (k *Keeper) ordered() []*account { return k.order }
 
 // down tells whether calls of the service failed in a row.
 func (k *Keeper) down() bool { return k.pause > backoffLeast }
@@ -327,6 +329,9 @@
 	if k.cache == nil {
 		return
 	}
+	if !k.needsWrite() {
+		return
+	}
 	next := clonePage(k.cache)
 	if !k.edit(next) {
 		return
