--- a/shared/bbledger/account.go
+++ b/shared/bbledger/account.go
@@ -18,7 +18,6 @@
 	rate   rate
 	calm   time.Time // since when the account has had surplus
 	marks  bool      // a mark may have to be sent
-	dregs  bool      // the rest is too little for a want, and the budget has no more
 }
 
 // share is one grantee's part of an account.
--- a/shared/bbledger/draw.go
+++ b/shared/bbledger/draw.go
@@ -34,7 +34,6 @@
 		return false // the next mark will do
 	}
 	if k.empty(a, w) {
-		a.dregs = a.headroom() > 0
 		k.send(w.peer.ID, &bbwire.GrantTell{Empty: []string{string(w.budget)}})
 		return true
 	}
@@ -141,7 +140,7 @@
 		e.Holders = append(e.Holders, h)
 	}
 	if delta < 0 {
-		a.calm, a.dregs = time.Time{}, false
+		a.calm = time.Time{}
 	}
 	h.Drawn += int64(delta)
 	h.Seq++
@@ -161,9 +160,6 @@
 	}
 	goal := a.rate.over(k.horizon())
 	head := a.headroom()
-	if a.dregs && head > 0 && a.open && !k.limbo {
-		return -head, true
-	}
 	if head < least || head < goal-goal/8 {
 		return k.raiseBy(a, e, amount+goal-head, least-head), head < least || head < goal/2
 	}
--- a/shared/bbledger/purse.go
+++ b/shared/bbledger/purse.go
@@ -136,8 +136,7 @@
 		if p.draining {
 			pot.surrenderSurplus(pot.Free())
 		}
-		dregs := p.returnDregs(now, v, pot)
-		if report || dregs {
+		if report {
 			b.report(pot, p.draining)
 		}
 		if !p.draining {
@@ -147,17 +146,6 @@
 	return b.sends()
 }
 
-// returnDregs returns what is too little for the requests that wait, once every
-// keeper has nothing left: with what others return it may do for one of them.
-func (p *Purse) returnDregs(now time.Time, v *bbmember.View, pot *Pot) bool {
-	free := pot.Free()
-	if pot.asking.waiting == 0 || free <= 0 || free >= pot.asking.least || !p.Exhausted(now, v, pot) {
-		return false
-	}
-	pot.surrenderSurplus(free)
-	return true
-}
-
 // want adds what the pot needs of the keeper whose turn it is.
 func (p *Purse) want(now time.Time, v *bbmember.View, pot *Pot, b *asks) {
 	a := &pot.asking
