--- a/bluebellport/src/treasury_test.go
+++ b/bluebellport/src/treasury_test.go
@@ -58,7 +58,7 @@
 
 // fakeFleet is some treasuries over one store.
 type fakeFleet struct {
-	t     *testing.T
+	t     testing.TB
 	net   *fakeNet
 	mem   *bbstore.Mem
 	money map[bbunit.InstanceID]*Treasury
@@ -68,7 +68,7 @@
 	state *bbticket.State
 }
 
-func newFakeFleet(t *testing.T, members ...bbmember.Member) *fakeFleet {
+func newFakeFleet(t testing.TB, members ...bbmember.Member) *fakeFleet {
 	f := &fakeFleet{
 		t: t, mem: bbstore.NewMem(), net: &fakeNet{bus: map[bbunit.InstanceID]*fakeBus{}, dead: map[[2]bbunit.InstanceID]bool{}},
 		money: map[bbunit.InstanceID]*Treasury{}, stop: map[bbunit.InstanceID]func(){}, board: map[bbunit.InstanceID]*Board{},
