Test routing, limits, retries and poison; wait for a table that is built

Cause: BenchmarkPick at 4 threads met "no usable target": while one caller built the first table, others were refused by the empty one. A retry floor or a limit near zero overflowed into no limit at all (found by rapid). Change: a caller whose service the table at hand does not know waits for the one that is being built; durations are cut off below overflow. A target's own time of its report counts when it is near, so that its lag shows.

--- a/bluebellport/src/admit.go
+++ b/bluebellport/src/admit.go
@@ -1,6 +1,7 @@
 package bbport
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -25,8 +26,8 @@
 }
 
 func (r *Router) admit(ask *Ask) (*Pass, error) {
-	now, table := r.p.Now(), r.current()
-	g, ok := table.Group(ask.Service)
+	now := r.p.Now()
+	g, ok := r.group(ask.Service)
 	switch {
 	case !ok:
 		return nil, &Refusal{Cause: ErrNoTarget}
@@ -35,7 +36,7 @@
 	case !ask.Deadline.IsZero() && !now.Before(ask.Deadline):
 		return nil, &Refusal{Cause: ErrDeadline}
 	}
-	account, service := table.Account(ask.Account), g.Limiter()
+	account, service := r.current().Account(ask.Account), g.Limiter()
 	if account != nil {
 		if err := account.Enter(now); err != nil {
 			return nil, err
@@ -101,7 +102,7 @@
 // Pick chooses a target that is not among the tried ones, or returns a Refusal.
 func (r *Router) Pick(ask Ask, tried []bbunit.TargetID) (*Attempt, error) {
 	now := r.p.Now()
-	g, ok := r.current().Group(ask.Service)
+	g, ok := r.group(ask.Service)
 	if !ok {
 		return nil, &Refusal{Cause: ErrNoTarget}
 	}
@@ -109,7 +110,7 @@
 	if crashes >= r.poison.rule.Crashes {
 		return nil, &Refusal{Cause: ErrPoisoned}
 	}
-	c := bbroute.Choice{Now: now, Rand: r.seed.Add(seedStep), Tried: tried, Suspect: crashes > 0}
+	c := bbroute.Choice{Now: now, Rand: rand.Uint64(), Tried: tried, Suspect: crashes > 0}
 	place := g.Pick(&ask, &c, &r.rule)
 	if place == nil {
 		return nil, &Refusal{Cause: ErrNoTarget, RetryAfter: r.rule.Circuit.Open}
@@ -121,7 +122,7 @@
 // PickSame chooses the given target once more, for a DecisionFresh. It returns
 // a Refusal when the target has become unusable.
 func (r *Router) PickSame(ask Ask, id bbunit.TargetID) (*Attempt, error) {
-	g, ok := r.current().Group(ask.Service)
+	g, ok := r.group(ask.Service)
 	if !ok {
 		return nil, &Refusal{Cause: ErrNoTarget}
 	}
--- a/bluebellport/src/load.go
+++ b/bluebellport/src/load.go
@@ -23,6 +23,19 @@
 	Waiting int32 `json:"waiting"`
 	Slots   int32 `json:"slots"`
 	Leaving bool  `json:"leaving"`
+	// At is when the numbers were taken, in milliseconds since the epoch.
+	At int64 `json:"at"`
+}
+
+// at returns when the report was made: by the target's word if that is near the
+// time it was asked, so that a lag shows, and by that time if the target's clock
+// is far behind or it tells none. A time in the future stands; the report is
+// then dropped.
+func (a *loadAnswer) at(asked time.Time) int64 {
+	if a.At < asked.Add(-loadLagMost).UnixMilli() {
+		return asked.UnixMilli()
+	}
+	return a.At
 }
 
 // prober asks a target for its load. It may block up to the context's deadline.
@@ -63,7 +76,7 @@
 	}
 	return &bbwire.Load{
 		Target: string(t.ID), Running: a.Running, Waiting: a.Waiting, Slots: a.Slots,
-		At: at.UnixMilli(), Leaving: a.Leaving,
+		At: a.at(at), Leaving: a.Leaving,
 	}, nil
 }
 
--- /dev/null
+++ b/bluebellport/src/load_test.go
@@ -0,0 +1,217 @@
+package bbport
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbticket"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// proberFunc is a prober that is a function.
+type proberFunc func(bbticket.Target) (*bbwire.Load, error)
+
+func (f proberFunc) Load(_ context.Context, t bbticket.Target) (*bbwire.Load, error) { return f(t) }
+
+// sentBus keeps what was sent to whom.
+type sentBus struct {
+	Bus
+	sent map[bbunit.InstanceID]*bbwire.Envelope
+}
+
+func (b *sentBus) Handle(*bbwire.Envelope, func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
+}
+
+func (b *sentBus) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
+	b.sent[to] = e
+	return nil
+}
+
+// TestHomePollsAndTellsItsDomain holds that each target is asked by one instance
+// of its own failure domain, which tells the others there and nobody else.
+func TestHomePollsAndTellsItsDomain(t *testing.T) {
+	is := is.New(t)
+	members := []bbmember.Member{{ID: "i1", Domain: "d1"}, {ID: "i2", Domain: "d1"}, {ID: "i3", Domain: "d2"}}
+	asked := map[bbunit.TargetID]int{}
+	for _, self := range members {
+		rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"}, bbticket.Target{ID: "b", Domain: "d1"}, bbticket.Target{ID: "c", Domain: "d2"})
+		bus := &sentBus{sent: map[bbunit.InstanceID]*bbwire.Envelope{}}
+		rig.p.Bus = bus
+		rig.p.Opts.Self.Instance, rig.p.Opts.Self.Domain = string(self.ID), string(self.Domain)
+		rig.p.Board.View.Store(&bbmember.View{Self: self, Members: members})
+		r := newRouter(rig.p, proberFunc(func(tg bbticket.Target) (*bbwire.Load, error) {
+			is.Equal(tg.Domain, self.Domain)
+			return &bbwire.Load{Target: string(tg.ID), Slots: 4, At: rig.now.UnixMilli()}, nil
+		}))
+		mine := r.poller.mine(r.current())
+		r.poller.round(context.Background(), mine)
+		for _, tg := range mine {
+			asked[tg.ID]++
+		}
+		for to := range bus.sent {
+			is.True(to != self.ID && to != "i3")
+		}
+	}
+	is.Equal(asked, map[bbunit.TargetID]int{"a": 1, "b": 1, "c": 1})
+}
+
+// TestTargetsLoadAnswer is the contract of GET /load.
+func TestTargetsLoadAnswer(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		status int
+		body   string
+		ok     bool
+		want   *bbwire.Load
+	}{
+		{"whole", 200, `{"running":1,"waiting":2,"slots":3,"leaving":true}`, true, &bbwire.Load{Running: 1, Waiting: 2, Slots: 3, Leaving: true}},
+		{"more fields", 200, `{"running":1,"new":{}}`, true, &bbwire.Load{Running: 1}},
+		{"no JSON", 200, `load`, false, nil},
+		{"absurd number", 200, `{"running":1e99}`, false, nil},
+		{"not found", 404, ``, false, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				is.Equal(r.Method+" "+r.URL.Path, "GET /load")
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer s.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			got, err := newHTTPProber(func() time.Time { return now }).Load(ctx, bbticket.Target{ID: "a", Address: s.Listener.Addr().String()})
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				is.Equal(got.At, now.UnixMilli())
+				is.Equal([]any{got.Running, got.Waiting, got.Slots, got.Leaving}, []any{c.want.Running, c.want.Waiting, c.want.Slots, c.want.Leaving})
+			}
+		})
+	}
+}
+
+func TestLoadAnswerTime(t *testing.T) {
+	is := is.New(t)
+	asked := time.UnixMilli(1_000_000)
+	is.Equal((&loadAnswer{}).at(asked), int64(1_000_000))
+	is.Equal((&loadAnswer{At: 999_500}).at(asked), int64(999_500)) // its lag shows
+	is.Equal((&loadAnswer{At: 900_000}).at(asked), int64(1_000_000))
+	is.Equal((&loadAnswer{At: 2_000_000}).at(asked), int64(2_000_000)) // dropped later
+}
+
+// TestBadMessagesAreDropped holds that bad reports and gossip are counted and
+// change nothing else.
+func TestBadMessagesAreDropped(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"})
+	at := rig.now.UnixMilli()
+	rig.r.observe([]*bbwire.Load{
+		{Target: "a", Running: -1, At: at},
+		{Target: "a", At: rig.now.Add(time.Hour).UnixMilli()},
+		{Target: "unknown", At: at},
+		nil,
+	})
+	is.Equal(rig.r.dropped.Count(), int64(4))
+	rig.p.Board.View.Store(&bbmember.View{Members: []bbmember.Member{{ID: "i1", Domain: "d1"}, {ID: "i2", Domain: "d1"}}})
+	nan := 0.0
+	rig.r.Take("i2", &bbwire.Gossip{
+		Poisons: []*bbwire.Poison{{Print: 0, Targets: []string{"a"}}, {Print: 1}, nil},
+		Leaving: []string{"unknown"},
+		Usages: []*bbwire.Usage{
+			{Key: "account/few", Instance: "i2", Rate: nan / nan},
+			{Key: "account/few", Instance: "i2", Rate: -1},
+			{Key: "account/few", Instance: "i9", Rate: 1},
+			{Key: "account/none", Instance: "i2", Rate: 1},
+		},
+	})
+	is.Equal(rig.r.dropped.Count(), int64(4+8))
+	is.Equal(rig.pick(1)["a"], 1)
+}
+
+// TestInstancesShareALimit lets two instances tell each other their usage: the
+// busy one gets nearly all, and together they stay at the limit.
+func TestInstancesShareALimit(t *testing.T) {
+	is := is.New(t)
+	members := []bbmember.Member{{ID: "i1", Domain: "d1"}, {ID: "i2", Domain: "d1"}}
+	var rigs []*routerRig
+	for _, self := range members {
+		rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"})
+		rig.p.Opts.Self.Instance = string(self.ID)
+		rig.p.Board.View.Store(&bbmember.View{Self: self, Members: members})
+		rigs = append(rigs, rig)
+	}
+	in := []int{0, 0}
+	for step := range 200 { // 20 s, 30 requests a second to i1 and 2 to i2, limit 10
+		for i, rig := range rigs {
+			rig.now = rig.now.Add(100 * time.Millisecond)
+			for range []int{3, (step + 1) % 5 / 4}[i] {
+				if pass, err := rig.r.Admit(Ask{Service: "s1", Account: "ten"}); err == nil {
+					pass.Done()
+					if step >= 100 {
+						in[i]++
+					}
+				}
+			}
+			rig.r.tick()
+			g := &bbwire.Gossip{}
+			rig.r.Fill(g)
+			rigs[1-i].r.Take(members[i].ID, g)
+		}
+	}
+	is.True(in[0] >= 80)
+	is.True(in[0]+in[1] <= 110) // 10 s at 10 a second
+}
+
+func TestLeavingSpreadsByGossip(t *testing.T) {
+	is := is.New(t)
+	targets := []bbticket.Target{{ID: "a", Domain: "d1"}, {ID: "b", Domain: "d1"}}
+	rig, other := newRouterRig(t, targets...), newRouterRig(t, targets...)
+	rig.r.observe([]*bbwire.Load{{Target: "a", At: rig.now.UnixMilli(), Leaving: true}})
+	g := &bbwire.Gossip{}
+	rig.r.Fill(g)
+	other.r.Take("i1", g)
+	is.Equal(rig.pick(10)["a"], 0)
+	is.Equal(other.pick(10)["a"], 0)
+}
+
+var _ Rumor = (*Router)(nil)
+
+func BenchmarkPick(b *testing.B) {
+	var targets []bbticket.Target
+	for i := range 70 {
+		targets = append(targets, bbticket.Target{ID: bbunit.TargetID(rune('A' + i)), Domain: "d1", Slots: 16})
+	}
+	rig := newRouterRig(b, targets...)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			a, err := rig.r.Pick(Ask{Service: "s1"}, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			a.Done(AttemptEnd{Total: time.Second})
+		}
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	rig := newRouterRig(b, bbticket.Target{ID: "a", Domain: "d1"})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			pass, err := rig.r.Admit(Ask{Service: "s1", Account: "many"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			pass.Done()
+		}
+	})
+}
--- a/bluebellport/src/retry.go
+++ b/bluebellport/src/retry.go
@@ -28,7 +28,7 @@
 	if d == DecisionStop || r.poison.poisoned(ask.Print) {
 		return DecisionStop
 	}
-	g, ok := r.current().Group(ask.Service)
+	g, ok := r.group(ask.Service)
 	if !ok {
 		return DecisionStop
 	}
--- a/bluebellport/src/route_constants.go
+++ b/bluebellport/src/route_constants.go
@@ -3,8 +3,6 @@
 import "time"
 
 const (
-	// seedStep moves the seed of the choices on (the golden ratio).
-	seedStep = 0x9e3779b97f4a7c15
 	// busyHold is how long a target that refused for lack of room is passed over.
 	busyHold = 250 * time.Millisecond
 	// routeTick is how often windows and shares are set anew.
@@ -12,6 +10,8 @@
 
 	// loadAtOnce is how many targets are asked for their load at a time.
 	loadAtOnce = 16
+	// loadLagMost is the longest lag that a target's report is believed to have.
+	loadLagMost = 3 * time.Second
 	// loadBodyMost is the largest load report, in bytes.
 	loadBodyMost = 4096
 	// loadsMost is the most reports taken from one message.
--- a/bluebellport/src/router.go
+++ b/bluebellport/src/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +43,6 @@
 	retry    bbroute.RetryRule
 	table    atomic.Pointer[bbroute.Table]
 	building atomic.Bool
-	seed     atomic.Uint64
 	poison   *poisoner
 	limits   *limiter
 	poller   *loadPoller
@@ -91,7 +91,6 @@
 		routerMetrics: newRouterMetrics(p.Metrics),
 	}
 	r.poller = newLoadPoller(p, probe, r.observe)
-	r.seed.Store(uint64(p.Now().UnixNano()))
 	r.table.Store(&bbroute.Table{})
 	return r
 }
@@ -197,9 +196,22 @@
 	return t
 }
 
+// group returns the service's group. When the table at hand does not know the
+// service, it waits for the one that is being built.
+func (r *Router) group(id bbunit.ServiceID) (*bbroute.Group, bool) {
+	for {
+		t := r.current()
+		g, ok := t.Group(id)
+		if ok || t.State == r.p.Board.State.Load() {
+			return g, ok
+		}
+		runtime.Gosched()
+	}
+}
+
 // Targets returns the service's declared targets.
 func (r *Router) Targets(id bbunit.ServiceID) []bbticket.Target {
-	g, ok := r.current().Group(id)
+	g, ok := r.group(id)
 	if !ok {
 		return nil
 	}
--- a/shared/bbroute/ask.go
+++ b/shared/bbroute/ask.go
@@ -57,3 +57,8 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// nanos returns the duration of that many seconds, cut off at longestNanos.
+func nanos(seconds float64) time.Duration {
+	return time.Duration(min(seconds*float64(time.Second), longestNanos))
+}
--- a/shared/bbroute/constants.go
+++ b/shared/bbroute/constants.go
@@ -18,6 +18,9 @@
 	paceBand = 1.25
 	// usualWeight is how much of a new report goes into a target's usual load.
 	usualWeight = 0.1
+	// longestNanos is the longest duration reckoned with, which may be added to
+	// a time without overflow.
+	longestNanos = 1 << 60
 	// defaultPace is the answer time assumed before any was seen, in seconds.
 	defaultPace = 1.0
 	// defaultSlots stands for the slots of a target that tells none.
--- /dev/null
+++ b/shared/bbroute/gate_test.go
@@ -0,0 +1,141 @@
+package bbroute
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+func newTestGate(window float64) *Gate {
+	g := NewGate(GateRule{Most: 3, Longest: 10 * time.Second})
+	g.Resize(window, testNow)
+	g.Took(time.Second)
+	return g
+}
+
+func newWaiter(p bbunit.Priority, deadline time.Duration) *Waiter {
+	w := &Waiter{Priority: p, Service: time.Second, Ready: make(chan error, 1)}
+	if deadline > 0 {
+		w.Deadline = testNow.Add(deadline)
+	}
+	return w
+}
+
+// ended returns how the wait ended, and whether it did.
+func ended(w *Waiter) (bool, error) {
+	select {
+	case err := <-w.Ready:
+		return true, err
+	default:
+		return false, nil
+	}
+}
+
+func TestGateLetsHigherPriorityInFirst(t *testing.T) {
+	is := is.New(t)
+	g := newTestGate(1)
+	is.True(g.Enter())
+	is.True(!g.Enter())
+	low, high := newWaiter(0, 0), newWaiter(5, 0)
+	is.NoErr(g.Join(low, testNow))
+	is.NoErr(g.Join(high, testNow))
+	g.Exit()
+	ok, _ := ended(low)
+	is.True(!ok)
+	ok, err := ended(high)
+	is.True(ok)
+	is.NoErr(err)
+	is.Equal(g.Open(), 1)
+}
+
+func TestGateFullLineShedsLowestPriority(t *testing.T) {
+	is := is.New(t)
+	g := newTestGate(1)
+	is.True(g.Enter())
+	var ws []*Waiter
+	for p := range bbunit.Priority(3) {
+		ws = append(ws, newWaiter(p, 0))
+		is.NoErr(g.Join(ws[p], testNow))
+	}
+	is.True(errors.Is(g.Join(newWaiter(0, 0), testNow), ErrOverload)) // none below it
+	is.NoErr(g.Join(newWaiter(1, 0), testNow))
+	ok, err := ended(ws[0])
+	is.True(ok)
+	is.True(errors.Is(err, ErrOverload))
+	var r *Refusal
+	is.True(errors.As(err, &r))
+	is.True(r.RetryAfter > 0)
+}
+
+func TestGateRefusesWhatCannotEndInTime(t *testing.T) {
+	is := is.New(t)
+	g := newTestGate(1)
+	is.True(g.Enter())
+	err := g.Join(newWaiter(0, 1500*time.Millisecond), testNow) // waits 1 s, runs 1 s
+	is.True(errors.Is(err, ErrOverload))
+	w := newWaiter(0, 2500*time.Millisecond)
+	is.NoErr(g.Join(w, testNow))
+	g.Resize(1, testNow.Add(time.Second)) // still waits, and is now too late
+	ok, err := ended(w)
+	is.True(ok)
+	is.True(errors.Is(err, ErrOverload))
+}
+
+// TestGateKeepsCount runs any sequence of steps: never more in than the window
+// that let them in, nobody waits while there is room, and all ends are told once.
+func TestGateKeepsCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newTestGate(2)
+		now, window, in := testNow, 2, 0
+		var waiting []*Waiter
+		settle := func() {
+			waiting = slices.DeleteFunc(waiting, func(w *Waiter) bool {
+				ok, err := ended(w)
+				if ok && err == nil {
+					in++
+				}
+				return ok
+			})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				if g.Enter() {
+					in++
+					break
+				}
+				w := newWaiter(bbunit.Priority(rapid.IntRange(0, 2).Draw(t, "priority")), 0)
+				w.Deadline = now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "deadline")) * time.Second)
+				if g.Join(w, now) == nil {
+					waiting = append(waiting, w)
+				}
+			case 2:
+				if in > 0 {
+					in--
+					g.Exit()
+				}
+			case 3:
+				window = rapid.IntRange(1, 5).Draw(t, "window")
+				g.Resize(float64(window), now)
+			case 4:
+				if len(waiting) > 0 && g.Leave(waiting[0]) {
+					waiting = waiting[1:]
+				}
+			}
+			settle()
+			if g.Open() != in || g.Waiting() != len(waiting) || len(waiting) > 3 {
+				t.Fatalf("open %d, in %d, waiting %d of %d", g.Open(), in, g.Waiting(), len(waiting))
+			}
+			if len(waiting) > 0 && in < window {
+				t.Fatalf("%d wait while %d of %d are in", len(waiting), in, window)
+			}
+		}
+	})
+}
--- a/shared/bbroute/limit.go
+++ b/shared/bbroute/limit.go
@@ -118,9 +118,9 @@
 		if burst == 0 {
 			burst = limit.Rate
 		}
-		step := float64(time.Second) / (limit.Rate * part)
-		l.burst.Store(int64(max(burst*part, 1) * step))
-		l.step.Store(int64(step))
+		step := 1 / (limit.Rate * part)
+		l.burst.Store(int64(nanos(max(burst*part, 1) * step)))
+		l.step.Store(int64(max(nanos(step), 1)))
 	} else {
 		l.step.Store(0)
 	}
--- /dev/null
+++ b/shared/bbroute/limit_test.go
@@ -0,0 +1,100 @@
+package bbroute
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bluebellport.example/shared/bbticket"
+)
+
+// TestLimiterHoldsRate holds that no more than burst and rate allow get in, and
+// that whoever comes back when told to gets in.
+func TestLimiterHoldsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.5, 200).Draw(t, "rate")
+		burst := rapid.Float64Range(1, 50).Draw(t, "burst")
+		l := NewLimiter("k", bbticket.Limit{Rate: rate, Burst: burst})
+		now, in := testNow, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			err := l.Enter(now)
+			if err != nil {
+				var r *Refusal
+				if !errors.As(err, &r) || !errors.Is(err, ErrLimit) || r.RetryAfter <= 0 {
+					t.Fatalf("refused with %v", err)
+				}
+				now = now.Add(r.RetryAfter)
+				if err := l.Enter(now); err != nil {
+					t.Fatalf("refused again after %s: %v", r.RetryAfter, err)
+				}
+			}
+			in++
+			most := burst + rate*now.Sub(testNow).Seconds() + 1
+			if float64(in) > most {
+				t.Fatalf("%d in, at most %.1f allowed", in, most)
+			}
+		}
+	})
+}
+
+// TestSharesAddUp holds that instances that know the same usage share exactly
+// the limit.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usage := rapid.SliceOfN(rapid.Float64Range(0, 1000), 1, 12).Draw(t, "usage")
+		limit := rapid.Float64Range(0.1, 1000).Draw(t, "limit")
+		var all, sum float64
+		for _, u := range usage {
+			all += u
+		}
+		for _, u := range usage {
+			sum += share(u, all-u, len(usage), limit)
+		}
+		if math.Abs(sum-1) > 1e-9 {
+			t.Fatalf("shares add up to %g", sum)
+		}
+	})
+}
+
+func TestLimiterFollowsUsage(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter("k", bbticket.Limit{Rate: 100, Open: 10})
+	rate := func() float64 { return float64(time.Second) / float64(l.step.Load()) }
+	l.Adjust(Usage{}, nil, 4)
+	is.True(math.Abs(rate()-25) < 1) // idle: a quarter each
+	l.Adjust(Usage{Rate: 200, Open: 10}, []Usage{{}, {}, {}}, 4)
+	is.True(rate() > 90) // the busy one gets nearly all
+	is.Equal(l.most.Load(), int64(8))
+	l.Adjust(Usage{}, []Usage{{Rate: 200}, {}, {}}, 4)
+	is.True(rate() > 1 && rate() < 5) // an idle one can still start
+}
+
+func TestLimiterOpen(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter("k", bbticket.Limit{Open: 1})
+	is.NoErr(l.Enter(testNow))
+	is.True(errors.Is(l.Enter(testNow), ErrLimit))
+	l.Leave()
+	is.NoErr(l.Enter(testNow))
+}
+
+func TestLimiterUndoGivesBack(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter("k", bbticket.Limit{Rate: 1, Burst: 1})
+	is.NoErr(l.Enter(testNow))
+	l.Undo()
+	is.NoErr(l.Enter(testNow))
+	is.True(l.Enter(testNow) != nil)
+}
+
+func TestTinyRateLimits(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter("k", bbticket.Limit{Rate: 1e-300, Burst: 1})
+	is.NoErr(l.Enter(testNow))
+	is.True(l.Enter(testNow) != nil)
+}
--- a/shared/bbroute/retry.go
+++ b/shared/bbroute/retry.go
@@ -113,5 +113,5 @@
 		return false
 	}
 	next, n := b.next.Load(), now.UnixNano()
-	return next <= n && b.next.CompareAndSwap(next, n+int64(float64(time.Second)/rule.Floor))
+	return next <= n && b.next.CompareAndSwap(next, n+int64(nanos(1/rule.Floor)))
 }
