Give targets orders under a fencing number by compare-and-swap

Cause: nothing kept two orderers of one target from each other, and targets that ignore the fencing number take any order that comes. Change: the last order stands in the key-value service as the single intent; an orderer reads it before every call, a call ends within a fixed time from before that reading, and a target that does not check is sent a new order only after that time. The home of the failure domain sends a last order again until it is done, and to targets that do not check ever again, after the same wait.

--- /dev/null
+++ b/bluebellport/src/order_test.go
@@ -0,0 +1,178 @@
+package bbport
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbroute"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbticket"
+)
+
+// orderStore is a key-value service of one key. Fault, if set, gets each write
+// before it takes effect and may end it with an error; it then tells whether the
+// write takes effect.
+type orderStore struct {
+	bbstore.Store
+	entry bbstore.Entry
+	fault func(n int) (bool, error)
+	n     int
+	down  error
+}
+
+func (s *orderStore) Get(context.Context, string) (bbstore.Entry, error) { return s.entry, s.down }
+
+func (s *orderStore) List(context.Context, string) ([]bbstore.Entry, bbstore.Revision, error) {
+	return []bbstore.Entry{s.entry}, s.entry.Rev, s.down
+}
+
+func (s *orderStore) CAS(_ context.Context, key string, value []byte, prev bbstore.Revision, _ bbstore.LeaseID) (bbstore.Revision, error) {
+	s.n++
+	if prev != s.entry.Rev {
+		return 0, bbstore.ErrConflict
+	}
+	effect, err := true, error(nil)
+	if s.fault != nil {
+		effect, err = s.fault(s.n)
+	}
+	if effect {
+		s.entry = bbstore.Entry{Key: key, Value: value, Rev: prev + 1}
+	}
+	return s.entry.Rev, err
+}
+
+// senderFunc is an orderSender that is a function.
+type senderFunc func(i bbroute.Intent) error
+
+func (f senderFunc) Send(_ bbticket.Target, i bbroute.Intent, _ time.Time) error { return f(i) }
+
+// newTestOrders returns orders whose waits pass at once and are summed up.
+func newTestOrders(t *testing.T, s *orderStore, f senderFunc) (*Orders, *time.Duration) {
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1"})
+	rig.p.Store = s
+	o := newOrders(rig.p, f)
+	waited := new(time.Duration)
+	o.sleep = func(_ context.Context, d time.Duration) error {
+		rig.now = rig.now.Add(d)
+		*waited += d
+		return nil
+	}
+	return o, waited
+}
+
+func TestOrderFaults(t *testing.T) {
+	unknown := func(effect bool) func(int) (bool, error) {
+		return func(n int) (bool, error) {
+			if n == 1 {
+				return effect, bbstore.ErrUnknown
+			}
+			return true, nil
+		}
+	}
+	before := bbstore.Entry{Key: fencePrefix + "a", Rev: 3, Value: []byte(`{"fence":4,"by":"other","done":true}`)}
+	for _, c := range []struct {
+		name   string
+		store  orderStore
+		checks bool
+		send   func(n int) error
+		err    error
+		fence  int
+		sent   int
+		waited time.Duration
+	}{
+		{name: "first order", fence: 1, sent: 1},
+		{name: "over another", store: orderStore{entry: before}, checks: true, fence: 5, sent: 1},
+		{name: "over another, unchecked", store: orderStore{entry: before}, fence: 5, sent: 1, waited: orderCall},
+		{name: "answer lost, took effect", store: orderStore{fault: unknown(true)}, fence: 1, sent: 1},
+		{name: "answer lost, no effect", store: orderStore{fault: unknown(false)}, fence: 1, sent: 1},
+		{name: "service down", store: orderStore{down: bbstore.ErrDown}, err: bbstore.ErrDown},
+		{name: "stale at the target", send: func(int) error { return ErrFence }, err: ErrFence, fence: 1, sent: 1},
+		{name: "call fails twice", fence: 1, sent: 3, waited: 2 * orderPause, send: func(n int) error {
+			if n < 3 {
+				return ErrOrder
+			}
+			return nil
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sent := 0
+			o, waited := newTestOrders(t, &c.store, func(bbroute.Intent) error {
+				sent++
+				if c.send != nil {
+					return c.send(sent)
+				}
+				return nil
+			})
+			fence, err := o.Order(context.Background(), bbticket.Target{ID: "a", Fence: c.checks}, "load", "m")
+			is.True(errors.Is(err, c.err) || err == c.err)
+			is.Equal([]int{int(fence), sent}, []int{c.fence, c.sent})
+			is.Equal(*waited, c.waited)
+			if c.err == nil {
+				is.True(strings.Contains(string(c.store.entry.Value), `"done":true`))
+			}
+		})
+	}
+}
+
+func TestOrderIsSuperseded(t *testing.T) {
+	is := is.New(t)
+	s := &orderStore{}
+	o, _ := newTestOrders(t, s, func(bbroute.Intent) error {
+		s.entry = bbstore.Entry{Rev: s.entry.Rev + 1, Value: []byte(`{"fence":9,"by":"later"}`)}
+		return nil
+	})
+	_, err := o.Order(context.Background(), bbticket.Target{ID: "a"}, "load", "m")
+	is.True(errors.Is(err, ErrSuperseded))
+	is.True(strings.Contains(string(s.entry.Value), `"later"`)) // it marks nothing
+}
+
+func TestReissue(t *testing.T) {
+	is := is.New(t)
+	s := &orderStore{entry: bbstore.Entry{Key: fencePrefix + "a", Rev: 1, Value: []byte(`{"fence":4,"model":"m","by":"gone"}`)}}
+	var got []bbroute.Intent
+	o, _ := newTestOrders(t, s, func(i bbroute.Intent) error {
+		got = append(got, i)
+		return nil
+	})
+	o.reissue(context.Background()) // calls of the order before may be under way
+	is.Equal(len(got), 0)
+	_ = o.sleep(context.Background(), reissueEvery)
+	o.reissue(context.Background()) // its orderer died before it was done
+	o.reissue(context.Background()) // the target does not check, so ever again
+	is.Equal(len(got), 2)
+	is.Equal(got[0].Model, "m")
+	is.True(got[1].Done)
+}
+
+// TestOrderAtTheTarget is the contract of POST /v1/orders.
+func TestOrderAtTheTarget(t *testing.T) {
+	for status, want := range map[int]error{200: nil, 204: nil, 409: ErrFence, 400: ErrOrder, 503: ErrOrder} {
+		is := is.New(t)
+		var mu sync.Mutex
+		var body string
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			b := make([]byte, 200)
+			n, _ := r.Body.Read(b)
+			body = r.Method + " " + r.URL.Path + " " + string(b[:n])
+			w.WriteHeader(status)
+		}))
+		err := (&httpOrders{}).Send(bbticket.Target{ID: "a", Address: s.Listener.Addr().String()},
+			bbroute.Intent{Fence: 3, Action: "load", Model: "m", By: "x"}, time.Now().Add(time.Second))
+		is.True(errors.Is(err, want) || err == want)
+		mu.Lock()
+		is.Equal(body, `POST /v1/orders {"fence":3,"action":"load","model":"m"}`)
+		mu.Unlock()
+		s.Close()
+	}
+}
--- a/bluebellport/src/route_constants.go
+++ b/bluebellport/src/route_constants.go
@@ -38,4 +38,17 @@
 	usageRateLeast = 0.01
 	// usageOpenMost is the largest believable number of requests in flight.
 	usageOpenMost = 1 << 20
+
+	// fencePrefix is where the key-value service keeps the last order to each
+	// target.
+	fencePrefix = "/bb/fence/"
+	// orderCall is the longest time of one call with an order, from before the
+	// intent was read.
+	orderCall = 10 * time.Second
+	// orderPause is how long an orderer waits after a call that failed.
+	orderPause = 500 * time.Millisecond
+	// reissueEvery is how often last orders are sent again where needed.
+	reissueEvery = 30 * time.Second
+	// orderAnswerMost is the largest answer to an order, in bytes.
+	orderAnswerMost = 64 << 10
 )
--- /dev/null
+++ b/shared/bbroute/order.go
@@ -0,0 +1,126 @@
+package bbroute
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// ErrSuperseded means that a later order took the place of this one.
+const ErrSuperseded = errors.ConstError("order superseded")
+
+// Intent is the last order to a target, as the key-value service keeps it: the
+// one thing that orderers agree on. Each new one is written by compare-and-swap
+// over the one before and carries the next fencing number.
+type Intent struct {
+	Fence  bbunit.Fence `json:"fence"`
+	Action string       `json:"action"`
+	Model  string       `json:"model"`
+	// By is unique to the order, so that the orderer finds its own write again
+	// when the answer was lost.
+	By string `json:"by"`
+	// Done tells that the target has acknowledged the order.
+	Done bool `json:"done"`
+}
+
+//go:generate enumer -type=OrderStep -trimprefix=OrderStep -transform=kebab -output=orderstep_enumer.go
+
+// OrderStep is what an orderer does next.
+type OrderStep int
+
+// Steps of an order.
+const (
+	// OrderStepWrite writes Mine over the intent that was read.
+	OrderStepWrite OrderStep = iota
+	// OrderStepWait reads again at Until.
+	OrderStepWait
+	// OrderStepSend sends Mine to the target; the call must end within the
+	// call's time from before the intent was read.
+	OrderStepSend
+	// OrderStepMark writes Mine with Done.
+	OrderStepMark
+	// OrderStepEnd ends: the order is done.
+	OrderStepEnd
+	// OrderStepSuperseded ends: a later order counts.
+	OrderStepSuperseded
+)
+
+// Order is one order on its way. It goes by one rule, which needs no help from
+// the target: the intent is read before every call, and a call lasts no longer
+// than a fixed time from before that reading. So once an intent stands, calls
+// for the one before end within that time; a target that does not check fencing
+// numbers gets nothing new until then, also when the one before was done, for
+// that one may just be sent again.
+type Order struct {
+	Mine Intent
+	// Until is when to go on after OrderStepWait.
+	Until time.Time
+
+	written   bool
+	unsettled bool // an intent before may have calls under way
+	acked     bool
+}
+
+// NewOrder returns an order whose by is unique to it.
+func NewOrder(action, model, by string) *Order {
+	return &Order{Mine: Intent{Action: action, Model: model, By: by}}
+}
+
+// Read takes the intent as it was just read and returns the next step. Checks
+// tells that the target refuses old fencing numbers; call is the longest time of
+// a call. A write that was refused, or whose answer was lost, is followed by
+// another reading.
+func (o *Order) Read(now time.Time, top Intent, checks bool, call time.Duration) OrderStep {
+	switch {
+	case !o.written && top.By != o.Mine.By:
+		o.Mine.Fence = top.Fence + 1
+		o.unsettled = top.Fence > 0
+		return OrderStepWrite
+	case !o.written: // an answer was lost
+		o.written, o.Until = true, now.Add(call)
+	}
+	switch {
+	case top.By != o.Mine.By:
+		return OrderStepSuperseded
+	case top.Done:
+		return OrderStepEnd
+	case o.acked:
+		o.Mine.Done = true
+		return OrderStepMark
+	case !checks && o.unsettled && now.Before(o.Until):
+		return OrderStepWait
+	}
+	return OrderStepSend
+}
+
+// Wrote notes that the write of Mine was acknowledged at now.
+func (o *Order) Wrote(now time.Time, call time.Duration) {
+	o.written, o.Until = true, now.Add(call)
+}
+
+// Acked notes that the target acknowledged the order.
+func (o *Order) Acked() { o.acked = true }
+
+// Resend decides when the home of a target's orders sends the last one again:
+// while it is not done, and, to a target that does not check fencing numbers,
+// ever again, since an orderer that was paused may have sent an older one after
+// it. The zero value has read nothing.
+type Resend struct {
+	fence bbunit.Fence
+	since time.Time
+}
+
+// Read takes the intent as it was just read and tells whether to send it. Like
+// an orderer, it first waits out calls for the intent before, since when this
+// one was first read.
+func (r *Resend) Read(now time.Time, top Intent, checks bool, call time.Duration) bool {
+	if r.fence != top.Fence {
+		r.fence, r.since = top.Fence, now
+	}
+	if checks {
+		return top.Fence > 0 && !top.Done
+	}
+	return top.Fence > 0 && !now.Before(r.since.Add(call))
+}
