Bound what instances tell each other of loads, limits and poison

Cause: a failure domain of 43 instances and 285 targets would have told each instance some 45 KB a second of loads at four reports a second (reckoned from 40 bytes a report); rumors could pass the 32 KB at which gossip drops all of them. Change: reports are passed on more seldom where there are many targets; rumors carry new poison marks and a few older ones in turn, and the usage of the busiest limits and of others in turn.

--- a/bluebellport/src/limiter.go
+++ b/bluebellport/src/limiter.go
@@ -17,6 +17,8 @@
 	own  map[string]bbroute.Usage
 	told map[string]map[bbunit.InstanceID]toldUsage
 	last time.Time
+	// cursor tells whose turn it is in messages that cannot hold all usage.
+	cursor int
 }
 
 // toldUsage is another instance's usage and when it was heard.
@@ -84,12 +86,20 @@
 	return max(n, 1)
 }
 
-// fill adds this instance's usage, the busiest limits first when there are too
-// many.
+// fill adds this instance's usage: when it does not fit, that of the busiest
+// limits, and in turn that of the others.
 func (l *limiter) fill(g *bbwire.Gossip) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	keys := topUsage(l.own, usageMost)
+	keys := busyUsage(l.own)
+	if len(keys) > usageMost {
+		others := keys[usageMost/2:]
+		keys = keys[: usageMost/2 : usageMost/2]
+		for range usageMost / 2 {
+			l.cursor = (l.cursor + 1) % len(others)
+			keys = append(keys, others[l.cursor])
+		}
+	}
 	for _, key := range keys {
 		u := l.own[key]
 		g.Usages = append(g.Usages, &bbwire.Usage{
--- a/bluebellport/src/load.go
+++ b/bluebellport/src/load.go
@@ -86,6 +86,7 @@
 	p       Parts
 	probe   prober
 	observe func(loads []*bbwire.Load)
+	told    time.Time // of the goroutine that calls round
 	asked   metrics.Counter
 	failed  metrics.Counter
 }
@@ -138,7 +139,22 @@
 		return
 	}
 	l.observe(loads)
-	l.tell(loads)
+	if now := l.p.Now(); now.Sub(l.told) >= l.tellEvery() {
+		l.told = now
+		l.tell(loads)
+	}
+}
+
+// tellEvery returns how often reports are passed on: more seldom where there
+// are many targets, so that what an instance hears stays below loadRate.
+func (l *loadPoller) tellEvery() time.Duration {
+	n := 0
+	for _, t := range l.p.Board.State.Load().Targets {
+		if !t.Object.Gone && string(t.Object.Domain) == l.p.Opts.Self.Domain {
+			n++
+		}
+	}
+	return time.Duration(float64(n*loadBytes) / loadRate * float64(time.Second))
 }
 
 // tell sends the reports to the other instances of the failure domain.
--- a/bluebellport/src/load_test.go
+++ b/bluebellport/src/load_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -62,6 +65,35 @@
 	is.Equal(asked, map[bbunit.TargetID]int{"a": 1, "b": 1, "c": 1})
 }
 
+// TestMessagesAreBounded holds that neither loads nor rumors grow with what
+// there is to tell: at most 10 KB a second of loads, and 4 KB a message.
+func TestMessagesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var targets []bbticket.Target
+	var loads []*bbwire.Load
+	for i := range 300 {
+		id := bbunit.TargetID(fmt.Sprintf("target-with-a-name-%d", i))
+		targets = append(targets, bbticket.Target{ID: id, Domain: "d1"})
+		loads = append(loads, &bbwire.Load{Target: string(id), Running: 60, Waiting: 3, Slots: 64, At: time.Now().UnixMilli()})
+	}
+	rig := newRouterRig(t, targets...)
+	every := rig.r.poller.tellEvery()
+	size := proto.Size(&bbwire.Loads{Loads: loads})
+	is.True(float64(size)/every.Seconds() < 10_000)
+	is.True(every < 5*time.Second) // reports stay of use
+	for i := range uint64(1000) {
+		rig.r.poison.join(i+1, []bbunit.TargetID{"target-with-a-name-1", "target-with-a-name-2"}, rig.now)
+	}
+	rig.r.limits.own = map[string]bbroute.Usage{}
+	for i := range 100 {
+		rig.r.limits.own[fmt.Sprintf("account/with-a-name-%d", i)] = bbroute.Usage{Rate: float64(i)}
+	}
+	g := &bbwire.Gossip{}
+	rig.r.Fill(g)
+	t.Logf("loads: %d bytes every %s; rumors: %d bytes a message", size, every, proto.Size(g))
+	is.True(proto.Size(g) < 4096)
+}
+
 // TestTargetsLoadAnswer is the contract of GET /load.
 func TestTargetsLoadAnswer(t *testing.T) {
 	now := time.Now()
--- a/bluebellport/src/poison.go
+++ b/bluebellport/src/poison.go
@@ -65,19 +65,20 @@
 	}
 }
 
-// fill adds marks: the latest, and in turn the older ones.
-func (p *poisoner) fill(g *bbwire.Gossip) {
-	marks := p.table.Load().Marks()
-	if len(marks) > poisonsTold {
-		p.mu.Lock()
-		latest, older := marks[:poisonsTold/2], marks[poisonsTold/2:]
-		marks = latest[:len(latest):len(latest)]
-		for range poisonsTold / 2 {
-			p.cursor = (p.cursor + 1) % len(older)
-			marks = append(marks, older[p.cursor])
-		}
-		p.mu.Unlock()
+// fill adds the new marks, and in turn a few of the older ones.
+func (p *poisoner) fill(g *bbwire.Gossip, now time.Time) {
+	all := p.table.Load().Marks()
+	n := 0
+	for n < len(all) && n < poisonsTold && now.Sub(all[n].At) < poisonNews {
+		n++
+	}
+	marks, older := all[:n:n], all[n:]
+	p.mu.Lock()
+	for range min(poisonsAgain, len(older)) {
+		p.cursor = (p.cursor + 1) % len(older)
+		marks = append(marks, older[p.cursor])
 	}
+	p.mu.Unlock()
 	for _, m := range marks {
 		names := make([]string, len(m.Targets))
 		for i, t := range m.Targets {
--- a/bluebellport/src/route_constants.go
+++ b/bluebellport/src/route_constants.go
@@ -14,6 +14,10 @@
 	loadLagMost = 3 * time.Second
 	// loadBodyMost is the largest load report, in bytes.
 	loadBodyMost = 4096
+	// loadBytes is the size of a report in a message.
+	loadBytes = 40
+	// loadRate is the most that an instance is told of loads, in bytes a second.
+	loadRate = 3 << 10
 	// loadsMost is the most reports taken from one message.
 	loadsMost = 4096
 
@@ -21,17 +25,21 @@
 	suspectKeep = 10 * time.Minute
 	// poisonsMost is the most fingerprints remembered.
 	poisonsMost = 4096
-	// poisonsTold is the most marks told in one message.
-	poisonsTold = 64
+	// poisonsTold is the most new marks told in one message.
+	poisonsTold = 32
+	// poisonsAgain is how many older marks are told in one message, in turn.
+	poisonsAgain = 4
+	// poisonNews is how long a mark counts as new.
+	poisonNews = 30 * time.Second
 	// poisonNames is the most targets taken for one mark.
 	poisonNames = 64
 	// leavingTold is the most leaving targets told or taken in one message.
-	leavingTold = 1024
+	leavingTold = 128
 
 	// usageKeep is how long another instance's usage counts.
-	usageKeep = 15 * time.Second
+	usageKeep = 60 * time.Second
 	// usageMost is the most limits told in one message.
-	usageMost = 64
+	usageMost = 16
 	// usageRateMost is the largest believable rate, in requests a second.
 	usageRateMost = 1e6
 	// usageRateLeast is the rate below which usage is not worth telling.
--- a/bluebellport/src/rumor.go
+++ b/bluebellport/src/rumor.go
@@ -11,9 +11,9 @@
 
 // Fill adds poison marks, leaving targets and this instance's usage of limits.
 func (r *Router) Fill(g *bbwire.Gossip) {
-	r.poison.fill(g)
-	r.limits.fill(g)
 	now := r.p.Now()
+	r.poison.fill(g, now)
+	r.limits.fill(g)
 	for _, t := range r.current().Targets() {
 		if len(g.Leaving) < leavingTold && t.LeaveNews(now) {
 			g.Leaving = append(g.Leaving, string(t.ID))
@@ -43,8 +43,8 @@
 	}
 }
 
-// topUsage returns up to n keys, the busiest first.
-func topUsage(own map[string]bbroute.Usage, n int) []string {
+// busyUsage returns the keys that are used at all, the busiest first.
+func busyUsage(own map[string]bbroute.Usage) []string {
 	keys := make([]string, 0, len(own))
 	for k, u := range own {
 		if u.Rate > usageRateLeast || u.Open > 0 {
@@ -54,5 +54,5 @@
 	slices.SortFunc(keys, func(a, b string) int {
 		return cmp.Or(cmp.Compare(own[b].Rate, own[a].Rate), cmp.Compare(a, b))
 	})
-	return keys[:min(n, len(keys))]
+	return keys
 }
