--- a/bluebellstand/src/engine_test.go
+++ b/bluebellstand/src/engine_test.go
@@ -135,9 +135,10 @@
 	is.NoErr(start("high", 2))
 	is.Equal(start("refused", 3), errFull)
 	e.mu.Lock()
-	is.Equal(e.waiting[0].id, "high")
-	is.Equal(e.load(), Load{Running: 1, Waiting: 2, Slots: 1})
+	first, load := e.waiting[0].id, e.load()
 	e.mu.Unlock()
+	is.Equal(first, "high")
+	is.Equal(load, Load{Running: 1, Waiting: 2, Slots: 1})
 }
 
 func TestEngineBadRequests(t *testing.T) {
