Take test ports that outgoing connections never get

Cause: TestFaults/poison_request once saw an instance end with 'bind: address already in use': a port that was free when asked for had been given to an outgoing connection before the instance opened it. Change: ports come from below the ephemeral range, each only once.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -109,15 +111,29 @@
 	return string(out), c.ProcessState.ExitCode()
 }
 
-// freeAddress returns an address on loopback that nothing listens on.
+// Ports that the system does not give to outgoing connections by itself.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// port is the last port that was given out.
+var port atomic.Int64
+
+// freeAddress returns an address on loopback that nothing listens on and that
+// was not returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	port.CompareAndSwap(0, int64(firstPort+rand.IntN((lastPort-firstPort)/2)))
+	for p := port.Add(1); p < lastPort; p = port.Add(1) {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // waitFor waits until the address answers GET path with 200.
