Look only at budgets that run short between ticks

Change: pots are listed once for each set of them, keepers ranked once for each view and page, and pots that are not short wait for the tick.

Also tests of the money options: bad values named, presets overridden.

--- /dev/null
+++ b/bluebellport/src/money_options_test.go
@@ -0,0 +1,42 @@
+package bbport
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestMoneyOptionsNameBadValues(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		opts MoneyOptions
+		bad  []string
+	}{
+		{"preset", MoneyOptions{Preset: "fjarrgrav"}, nil},
+		{"other preset", MoneyOptions{Preset: "hraunberg", Borrow: "yes"}, nil},
+		{"unknown preset", MoneyOptions{Preset: "x"}, []string{`--preset: must be fjarrgrav or hraunberg, is "x"`}},
+		{"negative", MoneyOptions{Preset: "hraunberg", Horizon: -time.Second, Wait: -1}, []string{"--horizon: must not be below 0, is -1s", "--share-wait: must not be below 0, is -1ns"}},
+		{"grant above horizon", MoneyOptions{Preset: "hraunberg", Grant: time.Minute}, []string{"--grant-horizon: must not be above the horizon 2s, is 1m0s"}},
+		{"borrow", MoneyOptions{Preset: "hraunberg", Borrow: "maybe"}, []string{`--borrow: must be yes, no or preset, is "maybe"`}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(strings.Join(c.opts.check(), "\n"), strings.Join(c.bad, "\n"))
+		})
+	}
+}
+
+func TestMoneyOptionsOverrideThePreset(t *testing.T) {
+	is := is.New(t)
+	o := MoneyOptions{Preset: "hraunberg", Horizon: time.Second, Grant: 100 * time.Millisecond, Wait: time.Second, Borrow: "yes"}
+	p := o.policy()
+	is.Equal(p.Horizon, time.Second)
+	is.Equal(p.Grant, 100*time.Millisecond)
+	is.True(p.Borrow)
+	is.Equal(o.wait(), time.Second)
+	o = MoneyOptions{Preset: "fjarrgrav", Borrow: "no"}
+	is.True(!o.policy().Borrow)
+	is.Equal(o.policy().Horizon, 10*time.Second)
+}
--- a/shared/bbledger/bench_test.go
+++ b/shared/bbledger/bench_test.go
@@ -1,6 +1,7 @@
 package bbledger
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -405,3 +406,26 @@
 		paused.paused = false
 	}
 }
+
+// BenchmarkAsks is one pass of the loop of an instance that holds 2,000 budgets,
+// in a fleet of 1,500, between two ticks with one budget short.
+func BenchmarkAsks(b *testing.B) {
+	v := &bbmember.View{}
+	for i := range 1500 {
+		v.Members = append(v.Members, bbmember.Member{ID: bbunit.InstanceID(fmt.Sprintf("i%d", i)), Inc: 1, Domain: bbunit.DomainID(fmt.Sprintf("d%d", i%35))})
+	}
+	p := NewPurse(v.Members[0], simPolicy)
+	for i := range 2000 {
+		p.Pot(bbunit.BudgetID(fmt.Sprintf("b%d", i)))
+	}
+	now := time.Unix(1000, 0)
+	p.Asks(now, v)
+	pot := p.Pot("b7")
+	p.Wait(pot, 10)
+	for b.Loop() {
+		pot.asking.sent = time.Time{}
+		if len(p.Asks(now, v)) != 1 {
+			b.Fatal("no ask")
+		}
+	}
+}
--- a/shared/bbledger/purse.go
+++ b/shared/bbledger/purse.go
@@ -21,6 +21,12 @@
 	mu   sync.Mutex // writers of pots
 	pots atomic.Pointer[map[bbunit.BudgetID]*Pot]
 
+	list   []*Pot // of listed, in order
+	listed *map[bbunit.BudgetID]*Pot
+	view   *bbmember.View // of byPage
+	byPage map[int][]bbmember.Member
+	passed time.Time // when all pots were last gone through
+
 	closed   map[bbunit.HolderID]bool
 	reported time.Time
 	draining bool
@@ -60,14 +66,19 @@
 	return pot
 }
 
-// Pots returns all pots in the order of their budgets.
+// Pots returns all pots in the order of their budgets. The list must not be
+// changed.
 func (p *Purse) Pots() []*Pot {
-	m := *p.pots.Load()
-	out := make([]*Pot, 0, len(m))
-	for _, pot := range m {
+	m := p.pots.Load()
+	if p.listed == m {
+		return p.list
+	}
+	out := make([]*Pot, 0, len(*m))
+	for _, pot := range *m {
 		out = append(out, pot)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Budget < out[j].Budget })
+	p.list, p.listed = out, m
 	return out
 }
 
@@ -91,8 +102,21 @@
 	return len(turns) > 0
 }
 
-// turns lists the keepers that may be asked, the own failure domain's first.
+// turns lists the keepers that may be asked, the own failure domain's first. It
+// is worked out once for each view.
 func (p *Purse) turns(v *bbmember.View, page int) []bbmember.Member {
+	if p.view != v {
+		p.view, p.byPage = v, map[int][]bbmember.Member{}
+	}
+	out, ok := p.byPage[page]
+	if !ok {
+		out = p.rank(v, page)
+		p.byPage[page] = out
+	}
+	return out
+}
+
+func (p *Purse) rank(v *bbmember.View, page int) []bbmember.Member {
 	var out []bbmember.Member
 	if m, ok := v.Home(HomeKey(page), p.domain); ok {
 		out = append(out, m)
@@ -122,15 +146,22 @@
 	return out
 }
 
-// Asks flushes the pots and returns what to send now: wants of pots that run
-// short, and every so often what was spent.
+// Asks returns what to send now: wants of pots that run short, and every so
+// often what was spent. Between ticks it looks only at pots that run short.
 func (p *Purse) Asks(now time.Time, v *bbmember.View) []Send {
 	b := asks{self: p.self, to: map[bbunit.InstanceID]*bbwire.GrantAsk{}}
 	report := now.Sub(p.reported) >= reportEvery || p.draining
 	if report {
 		p.reported = now
 	}
+	all := report || now.Sub(p.passed) >= TickEvery
+	if all {
+		p.passed = now
+	}
 	for _, pot := range p.Pots() {
+		if !all && pot.asking.waiting == 0 && !pot.Low() {
+			continue
+		}
 		pot.flush()
 		pot.tick(now, p.policy.Grant)
 		if p.draining {
