--- a/shared/bbledger/sim_test.go
+++ b/shared/bbledger/sim_test.go
@@ -1,6 +1,7 @@
 package bbledger
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -498,7 +499,7 @@
 // fault crashes or restarts an instance, or cuts or joins failure domains.
 func (s *sim) fault(t *rapid.T, n *node) {
 	doms := []bbunit.DomainID{"a", "b"}
-	switch rapid.IntRange(0, 6).Draw(t, "fault") {
+	switch rapid.IntRange(0, 8).Draw(t, "fault") {
 	case 0:
 		if !n.dead && s.crashes < 3 {
 			s.crash(n)
@@ -517,12 +518,60 @@
 		if !n.dead && !n.paused {
 			s.drain(n)
 		}
+	case 7, 8:
+		s.lower(t, s.budgets[rapid.IntRange(0, 1).Draw(t, "lowered")])
 	case 3, 4:
 		is := !s.cut[[2]bbunit.DomainID{"a", "b"}]
 		s.cut[[2]bbunit.DomainID{"a", "b"}], s.cut[[2]bbunit.DomainID{"b", "a"}] = is, is
 	}
 }
 
+// lower is a ticket that lowers a budget: capped first, then accepted or not.
+func (s *sim) lower(t *rapid.T, b bbunit.BudgetID) {
+	ctx := context.Background()
+	paid := bbunit.Tokens(rapid.IntRange(0, int(s.paid(b))).Draw(t, "paid"))
+	number := s.state.Number + 1
+	if Cap(ctx, simStore{s: s}, b, paid, number, "n") != nil {
+		return
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "between") {
+		s.now = s.now.Add(TickEvery)
+		for _, n := range s.live() {
+			s.tick(n)
+		}
+		s.calm()
+	}
+	if rapid.Bool().Draw(t, "accepted") {
+		s.pay(b, paid)
+		return
+	}
+	if err := Uncap(ctx, simStore{s: s}, b, number, "n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// simStore is the page of a sim as operators' calls see it.
+type simStore struct {
+	bbstore.Store
+	s *sim
+}
+
+func (x simStore) Get(_ context.Context, key string) (bbstore.Entry, error) {
+	value, err := Encode(x.s.page)
+	return bbstore.Entry{Key: key, Value: value, Rev: x.s.rev}, err
+}
+
+func (x simStore) CAS(_ context.Context, _ string, value []byte, prev bbstore.Revision, _ bbstore.LeaseID) (bbstore.Revision, error) {
+	p, err := Decode(value)
+	if err != nil {
+		return 0, err
+	}
+	if !x.s.land(Save{Page: p, Prev: prev}) {
+		return 0, bbstore.ErrConflict
+	}
+	return x.s.rev, nil
+}
+
 func (s *sim) lives(id bbunit.InstanceID) bool {
 	for _, n := range s.live() {
 		if n.member.ID == id {
