--- a/shared/bbledger/draw.go
+++ b/shared/bbledger/draw.go
@@ -161,14 +161,14 @@
 	goal := a.rate.over(k.horizon())
 	head := a.headroom()
 	if head < least || head < goal-goal/8 {
-		return k.raiseBy(a, e, amount+goal-head, least-head), head < least || head < goal/2
+		return k.raiseBy(e, amount+goal-head, least-head), head < least || head < goal/2
 	}
 	return k.lowerBy(a, head, goal, least)
 }
 
 // raiseBy is how much to draw: what is lacking, less when the budget runs out,
 // but what is wanted at least while the rest has it.
-func (k *Keeper) raiseBy(_ *account, e *bbwire.Entry, lack, least bbunit.Tokens) bbunit.Tokens {
+func (k *Keeper) raiseBy(e *bbwire.Entry, lack, least bbunit.Tokens) bbunit.Tokens {
 	rest := Rest(e)
 	fair := rest / bbunit.Tokens(2*k.where().domains)
 	return max(0, min(rest, lack, max(fair, least)))
