Send to the life of an instance that the view has

Cause: an earlier life that resumed and connected afresh became the preferred session, and calls to the name reached it (TestTwoInstancesOfOneName failed so). Change: a session that another life opened than the one in the view is not sent to.

--- a/bluebellport/src/peer_link.go
+++ b/bluebellport/src/peer_link.go
@@ -1,7 +1,9 @@
 package bbport
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,25 +155,44 @@
 	}
 }
 
-// current returns the preferred live session, or nil.
+// current returns the preferred live session, or nil. A session that another
+// life of the instance than the one in the view opened is not used: an earlier
+// life may have resumed.
 func (l *link) current() *session {
+	known := l.known()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best *session
 	for _, s := range l.sessions {
-		if !s.closed() && (best == nil || l.prefer(s, best)) {
+		stranger := known != 0 && s.inc() != known
+		if s.closed() || (stranger && !s.dialed) {
+			continue
+		}
+		if best == nil || l.prefer(s, best, known) {
 			best = s
 		}
 	}
 	return best
 }
 
+// known returns the incarnation in the view, or 0.
+func (l *link) known() bbunit.Incarnation {
+	members := l.peers.parts.Board.View.Load().Members
+	i, ok := slices.BinarySearchFunc(members, l.id, func(m bbmember.Member, id bbunit.InstanceID) int {
+		return cmp.Compare(m.ID, id)
+	})
+	if !ok {
+		return 0
+	}
+	return members[i].Inc
+}
+
 // prefer tells whether the later session b goes before a. Both ends choose the
 // same one: that which the instance with the lower id opened.
-func (l *link) prefer(b, a *session) bool {
+func (l *link) prefer(b, a *session, known bbunit.Incarnation) bool {
 	switch {
-	case a.hello.Inc != b.hello.Inc:
-		return true
+	case a.inc() != b.inc():
+		return a.inc() != known
 	case a.doubt.Load() != b.doubt.Load():
 		return a.doubt.Load()
 	case a.dialed != b.dialed:
@@ -207,7 +228,7 @@
 	if s == nil || !s.heard.Swap(false) {
 		return bbmember.Member{}, false
 	}
-	return bbmember.Member{ID: l.id, Inc: bbunit.Incarnation(s.hello.Inc)}, true
+	return bbmember.Member{ID: l.id, Inc: s.inc()}, true
 }
 
 // probe tells whether the peer can be reached, by the session at hand or by a
--- a/bluebellport/src/session.go
+++ b/bluebellport/src/session.go
@@ -133,6 +133,8 @@
 
 func (s *session) peer() bbunit.InstanceID { return bbunit.InstanceID(s.hello.Instance) }
 
+func (s *session) inc() bbunit.Incarnation { return bbunit.Incarnation(s.hello.Inc) }
+
 func (s *session) touch() { s.used.Store(time.Now().UnixNano()) }
 
 // idle tells whether nothing went either way, and no stream was open, for d.
