--- a/bluebellport/src/load.go
+++ b/bluebellport/src/load.go
@@ -23,6 +23,19 @@
 	Waiting int32 `json:"waiting"`
 	Slots   int32 `json:"slots"`
 	Leaving bool  `json:"leaving"`
+	// At is when the numbers were taken, in milliseconds since the epoch.
+	At int64 `json:"at"`
+}
+
+// at returns when the report was made: by the target's word if that is near the
+// time it was asked, so that a lag shows, and by that time if the target's clock
+// is far behind or it tells none. A time in the future stands; the report is
+// then dropped.
+func (a *loadAnswer) at(asked time.Time) int64 {
+	if a.At < asked.Add(-loadLagMost).UnixMilli() {
+		return asked.UnixMilli()
+	}
+	return a.At
 }
 
 // prober asks a target for its load. It may block up to the context's deadline.
@@ -63,7 +76,7 @@
 	}
 	return &bbwire.Load{
 		Target: string(t.ID), Running: a.Running, Waiting: a.Waiting, Slots: a.Slots,
-		At: at.UnixMilli(), Leaving: a.Leaving,
+		At: a.at(at), Leaving: a.Leaving,
 	}, nil
 }
 
@@ -73,6 +86,7 @@
 	p       Parts
 	probe   prober
 	observe func(loads []*bbwire.Load)
+	told    time.Time // of the goroutine that calls round
 	asked   metrics.Counter
 	failed  metrics.Counter
 }
@@ -125,7 +139,22 @@
 		return
 	}
 	l.observe(loads)
-	l.tell(loads)
+	if now := l.p.Now(); now.Sub(l.told) >= l.tellEvery() {
+		l.told = now
+		l.tell(loads)
+	}
+}
+
+// tellEvery returns how often reports are passed on: more seldom where there
+// are many targets, so that what an instance hears stays below loadRate.
+func (l *loadPoller) tellEvery() time.Duration {
+	n := 0
+	for _, t := range l.p.Board.State.Load().Targets {
+		if !t.Object.Gone && string(t.Object.Domain) == l.p.Opts.Self.Domain {
+			n++
+		}
+	}
+	return time.Duration(float64(n*loadBytes) / loadRate * float64(time.Second))
 }
 
 // tell sends the reports to the other instances of the failure domain.
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -112,8 +112,11 @@
 	finals   map[finalKey][]*bbwire.Slice
 	place    place
 	scan     *scan
-	asked    time.Time // when stuck grantees were last asked
-	away     time.Time // since when the keeper is not home
+	asked    time.Time      // when stuck grantees were last asked
+	away     time.Time      // since when the keeper is not home
+	watched  *bbmember.View // by which the grantees were last looked at
+	missing  bool           // a grantee that has money is gone
+	strands  bool           // such a one has been gone for long
 	retiring bool
 }
 
@@ -204,11 +207,12 @@
 		k.state = t.State
 	}
 	for _, a := range k.ordered() {
-		a.rate.tick(k.now)
+		a.rate.tick(k.now, k.horizon())
 	}
 	k.expire()
 	k.watchHome()
 	k.watchWitness()
+	k.watchGrantees()
 	k.watchHolders()
 	k.watchStuck()
 }
@@ -254,10 +258,14 @@
 			continue
 		}
 		a := k.account(b)
+		if a.share(e.From).stranded {
+			k.retire() // a new holder may grant to it again
+		}
 		if a.share(e.From).granted > seen[b] {
 			k.tell(e.From, a) // the last answer was lost
 			continue
 		}
+		k.missing = k.missing || !k.where().alive[e.From]
 		k.queue(&want{peer: e.From, budget: b, amount: bbunit.Tokens(w.Amount), least: bbunit.Tokens(w.Least), at: k.now})
 	}
 }
@@ -401,6 +409,7 @@
 		}
 		found, a.open = true, true
 		a.drawn, a.seq = bbunit.Tokens(h.Drawn), h.Seq
+		k.adoptStrands(a)
 		witness = ParsePeer(h.Witness)
 	}
 	if lost || k.maybe && !found {
--- a/shared/bbledger/scan.go
+++ b/shared/bbledger/scan.go
@@ -14,6 +14,7 @@
 	view    *bbmember.View
 	home    bool
 	domains int
+	alive   map[Peer]bool
 }
 
 // scan is what the page means for a keeper, worked out once for each page, view,
@@ -28,13 +29,17 @@
 	dead    []*bbwire.Holder // holders that this keeper must close, each once
 	stuck   bool             // an entry has stuck amounts
 	behind  bool             // an entry is older than what is in force
+	spare   bool             // an entry has a stuck amount of 0 that is not needed any more
 }
 
 // where returns what the present view means.
 func (k *Keeper) where() *place {
 	if k.place.view != k.view {
 		m, ok := k.view.Home(HomeKey(k.page), k.self.Domain)
-		k.place = place{view: k.view, home: ok && m.ID == k.self.ID, domains: max(1, len(domains(k.view)))}
+		k.place = place{view: k.view, home: ok && m.ID == k.self.ID, domains: max(1, len(domains(k.view))), alive: make(map[Peer]bool, len(k.view.Members))}
+		for _, m := range k.view.Members {
+			k.place.alive[PeerOf(m)] = true
+		}
 	}
 	return &k.place
 }
@@ -51,6 +56,9 @@
 		s.entries[bbunit.BudgetID(e.Budget)] = e
 		s.stuck = s.stuck || len(e.Stuck) > 0
 		s.behind = s.behind || behind(e, k.state)
+		for _, x := range e.Stuck {
+			s.spare = s.spare || x.Amount == 0 && findHolder(e, bbunit.HolderID(x.Holder)) == nil
+		}
 		for _, h := range e.Holders {
 			if !seen[h.Holder] && k.dead(h) {
 				s.dead = append(s.dead, h)
@@ -65,7 +73,7 @@
 // needsWrite tells, without a copy of the page, whether edit may change it.
 func (k *Keeper) needsWrite() bool {
 	s := k.scanned()
-	if s.behind || s.stuck && len(k.finals) > 0 || k.move != nil && k.move.ready {
+	if s.behind || s.spare || k.canStrand() || s.stuck && len(k.finals) > 0 || k.move != nil && k.move.ready {
 		return true
 	}
 	for _, j := range k.jobs {
