Read the list of instances every second round of gossip

Cause: the pace was a constant, so that tests with a short period still waited 2 s for the list. Change: twice the gossip period, 2 s by default as before. Run: go test -race -count=2 of the peer tests passes (list of tests by name).

--- a/bluebellport/src/member.go
+++ b/bluebellport/src/member.go
@@ -151,7 +151,7 @@
 	}
 	for {
 		size := m.list()
-		wait := max(listPeriod, time.Duration(size)*time.Second/listRate)
+		wait := max(listRounds*m.parts.Opts.Peer.Period, time.Duration(size)*time.Second/listRate)
 		select {
 		case <-time.After(wait):
 		case <-m.peers.ctx.Done():
--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -36,8 +36,9 @@
 
 // Limits of the list of instances and of gossip.
 const (
-	// listPeriod is the least time between two reads of the list.
-	listPeriod = 2 * time.Second
+	// listRounds is the least time between two reads of the list, in periods of
+	// gossip.
+	listRounds = 2
 	// listRate is the most that reading the list costs, in bytes a second.
 	listRate = 2 << 10
 	// listTimeout bounds one read of the list.
