Test that idle sessions are closed, and halve what the list may cost

Cause: closing of idle sessions had no test; with 43 instances in a failure domain the list, paced to 2 KB/s, took a fifth of the 10 KB/s for control. Change: TestIdleSessionsAreClosed; the list is paced to 1 KB/s (its least pause stays two rounds). Guards removed, and the test that then failed: open streams, and recent use, keep a session (TestIdleSessionsAreClosed).

--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -40,7 +40,7 @@
 	// gossip.
 	listRounds = 2
 	// listRate is the most that reading the list costs, in bytes a second.
-	listRate = 2 << 10
+	listRate = 1 << 10
 	// listTimeout bounds one read of the list.
 	listTimeout = 2 * time.Second
 	// maxList is the largest list, in bytes.
--- a/bluebellport/src/session_test.go
+++ b/bluebellport/src/session_test.go
@@ -174,3 +174,36 @@
 		within(t, 3*time.Second, "session closed", mux.IsClosed)
 	})
 }
+
+func TestIdleSessionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	n := startNode(t, "n", "d1", newListFake(t), bbstore.NewMem())
+	release := make(chan struct{})
+	n.peers.HandleStream("long", func(bbunit.InstanceID, net.Conn) { <-release })
+	s := rawPeer(t, n.peers.Address())
+	within(t, 3*time.Second, "a link", func() bool { return n.peers.linkTo("raw") != nil })
+	l := n.peers.linkTo("raw")
+	age := func() { l.current().used.Store(time.Now().Add(-2 * linkIdle).UnixNano()) }
+
+	st, err := openKind(s.mux, "long")
+	is.NoErr(err)
+	within(t, 3*time.Second, "the stream", func() bool { return l.current().mux.NumStreams() == 3 })
+	age()
+	l.closeIdle()
+	time.Sleep(50 * time.Millisecond)
+	is.True(!s.closed()) // a request may stream for long without an envelope
+
+	close(release)
+	is.NoErr(st.Close())
+	within(t, 3*time.Second, "the stream's end", func() bool { return l.current().mux.NumStreams() == 2 })
+	l.current().touch()
+	l.closeIdle()
+	time.Sleep(50 * time.Millisecond)
+	is.True(!s.closed()) // used just now
+	age()
+	l.closeIdle()
+	within(t, 3*time.Second, "the session closed", s.closed)
+	within(t, 3*time.Second, "no session left", l.closeIdle)
+	is.True(n.peers.forget(l))
+	is.True(n.peers.linkTo("raw") == nil)
+}
