--- a/bluebellport/src/peer_tls_test.go
+++ b/bluebellport/src/peer_tls_test.go
@@ -99,8 +99,8 @@
 		"foreign": other.peer(t, "foreign", peerName),
 		"caller":  ca.peer(t, "caller", "api.example"), // same authority, not for an instance
 	} {
-		n := start(id, o)
 		was := a.peers.count.Count()
+		n := start(id, o)
 		within(t, 5*time.Second, id+" knows a", func() bool { _, ok := n.peers.members.address("a"); return ok })
 		is.True(!answers(n, "a"))
 		is.True(!answers(a, bbunit.InstanceID(id)))
