Let services without targets at home use all of other failure domains

Cause: the window of a service whose targets are all in other failure domains, or all unusable at home, was an eighth of a target's slots, so that requests were refused while targets had room (TestWindow, "only another failure domain" and "own failure domain down", seen to fail). Change: the window is then the slots of the other failure domains. TestWindow also holds the other rules of the window.

--- a/shared/bbroute/estimate.go
+++ b/shared/bbroute/estimate.go
@@ -39,11 +39,14 @@
 }
 
 // slots returns the slots to reckon with.
-func (p *Place) slots() float64 {
-	if n := p.Slots(); n > 0 {
-		return float64(n)
+func (p *Place) slots() float64 { return p.slotsOr(defaultSlots) }
+
+// slotsOr returns the slots, or n when the target tells none.
+func (p *Place) slotsOr(n float64) float64 {
+	if s := p.Slots(); s > 0 {
+		return float64(s)
 	}
-	return defaultSlots
+	return n
 }
 
 // Wait returns how long a new request is expected to wait at the target before
--- a/shared/bbroute/gate.go
+++ b/shared/bbroute/gate.go
@@ -153,5 +153,10 @@
 	for i := range g.Near {
 		window += g.Near[i].allowance(now, n)
 	}
-	g.gate.Resize(max(window+g.farRoom, 1), now)
+	if window == 0 {
+		window = g.farSlots // without the own failure domain all of theirs
+	} else {
+		window += g.farRoom
+	}
+	g.gate.Resize(max(window, 1), now)
 }
--- a/shared/bbroute/gate_test.go
+++ b/shared/bbroute/gate_test.go
@@ -87,6 +87,42 @@
 	is.True(errors.Is(err, ErrOverload))
 }
 
+// TestWindow is the table of how many requests an instance lets in, of targets
+// with 8 slots that 4 instances use.
+func TestWindow(t *testing.T) {
+	near := func(running, own int) func(g *Group) {
+		return func(g *Group) {
+			for range own {
+				g.Near[0].Known.Begin(workUnit, false)
+			}
+			_, _ = g.Near[0].Known.Observe(Report{Running: running, Slots: 8, At: testNow}, testNow)
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		domains []bbunit.DomainID
+		set     func(g *Group)
+		want    int
+	}{
+		{"no report: all slots", []bbunit.DomainID{"d1"}, func(*Group) {}, 8},
+		{"idle: its part of the room", []bbunit.DomainID{"d1"}, near(0, 0), 3},
+		{"others have all: the least", []bbunit.DomainID{"d1"}, near(16, 0), 1},
+		{"it has all: the room too", []bbunit.DomainID{"d1"}, near(8, 8), 12},
+		{"over the room: gives up its part", []bbunit.DomainID{"d1"}, near(16, 8), 6},
+		{"a little of another failure domain", []bbunit.DomainID{"d1", "d2"}, func(*Group) {}, 9},
+		{"only another failure domain", []bbunit.DomainID{"d2", "d2"}, func(*Group) {}, 16},
+		{"own failure domain down", []bbunit.DomainID{"d1", "d2"}, func(g *Group) { g.Near[0].Known.Leave(testNow) }, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := testGroup(c.domains...)
+			c.set(g)
+			g.Refresh(testNow, 4)
+			is.Equal(g.Gate().Window(), c.want)
+		})
+	}
+}
+
 // TestGateKeepsCount runs any sequence of steps: never more in than the window
 // that let them in, nobody waits while there is room, and all ends are told once.
 func TestGateKeepsCount(t *testing.T) {
--- a/shared/bbroute/group.go
+++ b/shared/bbroute/group.go
@@ -31,7 +31,9 @@
 	gate    *Gate
 	limiter *Limiter
 	retries *RetryBudget
-	farRoom float64 // requests that other failure domains may take
+	// farRoom is how many requests other failure domains may take beside the
+	// own one, and farSlots without it.
+	farRoom, farSlots float64
 }
 
 // Choice tells what Pick must leave out, and how to break ties.
--- a/shared/bbroute/report.go
+++ b/shared/bbroute/report.go
@@ -71,11 +71,8 @@
 		return 0
 	}
 	r := p.Known.fresh(now)
-	slots := float64(p.Slots())
-	if r == nil || slots == 0 {
-		if slots == 0 {
-			return unlimited
-		}
+	slots := p.slotsOr(unlimited)
+	if r == nil || slots == unlimited {
 		return slots
 	}
 	total := float64(r.Running + r.Waiting)
--- a/shared/bbroute/table.go
+++ b/shared/bbroute/table.go
@@ -106,6 +106,7 @@
 		} else {
 			g.Far = append(g.Far, p)
 			g.farRoom += float64(p.mostFar())
+			g.farSlots += p.slotsOr(unlimited)
 		}
 	}
 	return next
