--- a/shared/bbledger/mark.go
+++ b/shared/bbledger/mark.go
@@ -40,7 +40,7 @@
 		}
 		a.marks = false
 		for _, p := range a.peers() {
-			if s := a.share(p); s.sent > s.acked || s.returned > s.ackedRet {
+			if s := a.share(p); !s.stranded && (s.sent > s.acked || s.returned > s.ackedRet) {
 				batch = append(batch, a.markSlice(k.holder, p))
 				a.marks = true
 			}
