Recall free money of a budget that runs out, and refuse for good only then

Cause: near its end a budget lies in fragments smaller than a request's need, in purses, in marks ahead of need and with keepers; and what open requests have reserved was taken for spent, so that requests were refused for good.

Change: - A keeper that cannot meet a want for which requests wait asks the other grantees of the budget to return what is free (Recall), at most once in 100 ms a budget and without a write. A purse returns it unless its own requests can use it; a purse that is short itself returns only to one whose name comes first, so that two of them do not take turns. What marks allow but was not granted comes back the same way. - What is left in a failure domain and too little for the want is granted all the same, so that a grantee can add it up over failure domains. - "Empty" carries what is not spent (Left). A request is refused for good only when that is below its need, otherwise it waits and is refused for now. - A purse whose keepers all answer "empty" at once asks again after 60 ms, not at once: with the rule above it spun.

TestTreasuryEndsAHoldOnce asked for a refusal for good while an open request had all the money reserved; by the new rule that is a refusal for now. It now demands ErrShare there, and ErrBudget (once) after all is spent.

Guards removed, and the tests that then failed: no recall: Ending, KeeperGrantsWhatARecallBrought, KeeperRecallsOnlyWhatMayHelp; urgency, gone or spent grantees not looked at: KeeperRecallsOnlyWhatMayHelp; no rate limit, recall named for the oldest: KeeperRecallsNowAndThen...; returns to whoever asks: Ending, PurseReturns...; returns what a request can use, asks back at once: PurseReturns...; no scraping: Ending; marks ahead kept: KeeperRecallsWhatOnlyTheMarksSay; Left not looked at: Ending, PurseIsExhausted...; rest counted twice: PurseIsExhausted...; Left without what is lent: Ending, KeeperTells...; no pause between asks: PurseAsksNoFaster...

--- a/bluebellport/src/waiter.go
+++ b/bluebellport/src/waiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -21,6 +22,7 @@
 	err  error
 
 	at     int // which budget is waited for; owned by the loop
+	hope   int // the first budget of which money may come back; -1 for none
 	joined *bbledger.Pot
 }
 
@@ -48,6 +50,7 @@
 		return
 	}
 	t.waiters = append(t.waiters, w)
+	w.hope = -1
 	t.attend(w, 0)
 }
 
@@ -90,9 +93,28 @@
 	clear(t.waiters[len(kept):])
 	t.waiters = kept
 	for _, w := range t.waiters {
-		if t.purse.Exhausted(now, t.view, w.joined) && w.at+1 < len(w.budgets) {
-			t.attend(w, w.at+1)
+		t.moveOn(now, w)
+	}
+}
+
+// moveOn makes the shareWaiter wait for its next budget when the present one can
+// grant nothing; after the last for the first of which money may come back, once
+// it can be asked again.
+func (t *Treasury) moveOn(now time.Time, w *shareWaiter) {
+	if !t.purse.Dry(now, t.view, w.joined) {
+		return
+	}
+	if w.at+1 < len(w.budgets) {
+		if w.hope < 0 && !t.purse.Exhausted(now, t.view, w.joined, w.most) {
+			w.hope = w.at
 		}
+		t.attend(w, w.at+1)
+		return
+	}
+	if w.hope >= 0 && !t.purse.Dry(now, t.view, t.purse.Pot(w.budgets[w.hope])) {
+		at := w.hope
+		w.hope = -1
+		t.attend(w, at)
 	}
 }
 
@@ -107,7 +129,7 @@
 			return true
 		}
 	}
-	if w.at+1 == len(w.budgets) && t.purse.Exhausted(t.p.Now(), t.view, w.joined) {
+	if w.at+1 == len(w.budgets) && w.hope < 0 && t.purse.Exhausted(t.p.Now(), t.view, w.joined, w.most) {
 		w.settle(nil, errors.Annotatef(ErrBudget, "budget %s", w.joined.Budget))
 		return true
 	}
--- a/shared/bbledger/account.go
+++ b/shared/bbledger/account.go
@@ -10,14 +10,15 @@
 
 // account is a keeper's side of one budget under its present holder.
 type account struct {
-	budget bbunit.BudgetID
-	open   bool          // the page names the holder here
-	drawn  bbunit.Tokens // what may be handed out, never above what the page may say
-	seq    uint64
-	shares map[Peer]*share
-	rate   rate
-	calm   time.Time // since when the account has had surplus
-	marks  bool      // a mark may have to be sent
+	budget   bbunit.BudgetID
+	open     bool          // the page names the holder here
+	drawn    bbunit.Tokens // what may be handed out, never above what the page may say
+	seq      uint64
+	shares   map[Peer]*share
+	rate     rate
+	calm     time.Time // since when the account has had surplus
+	marks    bool      // a mark may have to be sent
+	recalled time.Time // when grantees were last asked for what they have free
 }
 
 // share is one grantee's part of an account.
--- a/shared/bbledger/draw.go
+++ b/shared/bbledger/draw.go
@@ -10,7 +10,10 @@
 // serve answers wants out of acknowledged marks and drops those that cannot be
 // met.
 func (k *Keeper) serve() {
-	kept := k.wants[:0]
+	if len(k.wants) == 0 {
+		return
+	}
+	kept := make([]*want, 0, len(k.wants))
 	for _, w := range k.wants {
 		if !k.serveOne(w) {
 			kept = append(kept, w)
@@ -27,14 +30,17 @@
 		give := min(free, w.amount)
 		s.granted += give
 		a.rate.add(give)
-		k.tell(w.peer, a)
+		k.grant(w, a)
 		return true
 	}
 	if a.headroom() >= w.least-(s.sent-s.granted) {
 		return false // the next mark will do
 	}
 	if k.empty(a, w) {
-		k.send(w.peer.ID, &bbwire.GrantTell{Empty: []string{string(w.budget)}})
+		if k.recall(a, w) || k.scrape(a, w) {
+			return false
+		}
+		k.send(w.peer.ID, k.emptyTell(a, &bbwire.GrantTell{}))
 		return true
 	}
 	if k.down() {
@@ -55,10 +61,7 @@
 	if k.cache == nil || k.limbo || k.busy {
 		return false
 	}
-	e := clonePage(&bbwire.Page{Entries: []*bbwire.Entry{entryOrNew(k.cache, a.budget)}}).Entries[0]
-	advance(e, k.state)
-	s := a.share(w.peer)
-	if Rest(e)+a.headroom()+s.sent-s.granted >= w.least {
+	if k.atHand(a, w) >= w.least {
 		return false
 	}
 	if k.now.Sub(k.read) > freshFor {
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -122,11 +122,14 @@
 
 // want is a grantee's open want of one budget.
 type want struct {
-	peer   Peer
-	budget bbunit.BudgetID
-	amount bbunit.Tokens
-	least  bbunit.Tokens
-	at     time.Time
+	peer     Peer
+	budget   bbunit.BudgetID
+	amount   bbunit.Tokens
+	least    bbunit.Tokens
+	at       time.Time
+	urgent   bool      // requests wait for it
+	recalled time.Time // when others were asked for what they have free
+	scraped  bool      // lowered to the last that there is
 }
 
 // NewKeeper returns a keeper of a page. next numbers holders: it must not give
@@ -266,7 +269,7 @@
 			continue
 		}
 		k.missing = k.missing || !k.where().alive[e.From]
-		k.queue(&want{peer: e.From, budget: b, amount: bbunit.Tokens(w.Amount), least: bbunit.Tokens(w.Least), at: k.now})
+		k.queue(&want{peer: e.From, budget: b, amount: bbunit.Tokens(w.Amount), least: bbunit.Tokens(w.Least), at: k.now, urgent: w.Urgent})
 	}
 }
 
@@ -274,7 +277,7 @@
 func (k *Keeper) queue(w *want) {
 	for i, x := range k.wants {
 		if x.peer == w.peer && x.budget == w.budget {
-			w.at = x.at
+			w.at, w.recalled = x.at, x.recalled
 			k.wants[i] = w
 			return
 		}
--- a/shared/bbledger/policy.go
+++ b/shared/bbledger/policy.go
@@ -53,6 +53,14 @@
 	rateLeast = 0.5
 	// emptyFor is how long a purse takes a budget to be empty once told so.
 	emptyFor = 250 * time.Millisecond
+	// recallEvery is how often a keeper asks the grantees of a budget for what
+	// they have free, at most.
+	recallEvery = 100 * time.Millisecond
+	// recallFor is how long a want waits for what a recall brings.
+	recallFor = 100 * time.Millisecond
+	// recallCalm is how long a purse that was asked to return what is free asks
+	// for nothing but what requests wait for.
+	recallCalm = 500 * time.Millisecond
 	// reportEvery is how often a purse reports what it spent.
 	reportEvery = time.Second
 	// askEvery is when a purse repeats an unanswered ask, or asks the next keeper.
--- a/shared/bbledger/pot.go
+++ b/shared/bbledger/pot.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -224,11 +225,26 @@
 
 // asking is what requests that wait for money need of a pot.
 type asking struct {
-	waiting bbunit.Tokens // sum over the waiting requests
-	least   bbunit.Tokens // the smallest of them
-	sent    time.Time     // when a keeper was last asked
-	turn    int           // which keeper is asked: 0 is the own failure domain's
-	empty   map[bbunit.DomainID]time.Time
+	waiting  bbunit.Tokens // sum over the waiting requests
+	least    bbunit.Tokens // the smallest of them
+	sent     time.Time     // when a keeper was last asked
+	last     time.Time     // the same, but never reset
+	turn     int           // which keeper is asked: 0 is the own failure domain's
+	empty    map[bbunit.DomainID]answer
+	recalled time.Time // when a keeper last asked for what is free
+}
+
+// next is the keeper to be asked: the first from the turn on that has not said
+// lately that it can grant nothing. When all have, dry is true.
+func (a *asking) next(now time.Time, turns []bbmember.Member) (m bbmember.Member, dry bool) {
+	for i := range turns {
+		m = turns[(a.turn+i)%len(turns)]
+		if t, ok := a.empty[m.Domain]; !ok || now.Sub(t.at) > emptyFor {
+			a.turn += i
+			return m, false
+		}
+	}
+	return turns[a.turn%len(turns)], true
 }
 
 func (a *asking) reset() { a.turn, a.sent = 0, time.Time{} }
--- a/shared/bbledger/purse.go
+++ b/shared/bbledger/purse.go
@@ -89,19 +89,6 @@
 // Done counts out a request that Wait counted in.
 func (p *Purse) Done(pot *Pot, n bbunit.Tokens) { pot.asking.leave(n) }
 
-// Exhausted tells whether every keeper that the policy lets the pot ask has
-// said, not long ago, that the budget has nothing left.
-func (p *Purse) Exhausted(now time.Time, v *bbmember.View, pot *Pot) bool {
-	turns := p.turns(v, PageOf(pot.Budget))
-	for _, m := range turns {
-		t, ok := pot.asking.empty[m.Domain]
-		if !ok || now.Sub(t) > emptyFor {
-			return false
-		}
-	}
-	return len(turns) > 0
-}
-
 // turns lists the keepers that may be asked, the own failure domain's first. It
 // is worked out once for each view.
 func (p *Purse) turns(v *bbmember.View, page int) []bbmember.Member {
@@ -181,7 +168,7 @@
 func (p *Purse) want(now time.Time, v *bbmember.View, pot *Pot, b *asks) {
 	a := &pot.asking
 	short := a.waiting > 0 && pot.Free() < a.least
-	if !short && !pot.Low() || now.Sub(a.sent) < askEvery {
+	if !short && (!pot.Low() || now.Sub(a.recalled) < recallCalm) || now.Sub(a.sent) < askEvery {
 		return
 	}
 	turns := p.turns(v, PageOf(pot.Budget))
@@ -191,13 +178,9 @@
 	if !short {
 		a.turn = 0
 	}
-	m := turns[a.turn%len(turns)]
-	if t, ok := a.empty[m.Domain]; ok && now.Sub(t) <= emptyFor {
-		if !short {
-			return
-		}
-		a.turn++
-		m = turns[a.turn%len(turns)]
+	m, dry := a.next(now, turns)
+	if !short && (dry || a.turn > 0) || dry && now.Sub(a.last) < askEvery {
+		return
 	}
 	goal := pot.rate.over(p.policy.Grant)
 	amount := saturate(2*a.waiting) + goal - pot.Free()
@@ -205,8 +188,8 @@
 	if short {
 		least = a.least - pot.Free()
 	}
-	a.sent = now
-	b.want(m, pot, max(amount, least), least, m.Domain != p.domain)
+	a.sent, a.last = now, now
+	b.want(m, pot, &bbwire.Want{Amount: int64(max(amount, least)), Least: int64(least), Borrow: m.Domain != p.domain, Urgent: short})
 	a.turn++
 }
 
@@ -232,11 +215,20 @@
 	for _, e := range t.Empty {
 		pot := p.Pot(bbunit.BudgetID(e))
 		if pot.asking.empty == nil {
-			pot.asking.empty = map[bbunit.DomainID]time.Time{}
+			pot.asking.empty = map[bbunit.DomainID]answer{}
 		}
-		pot.asking.empty[domain] = now
+		x := answer{at: now}
+		for _, l := range t.Lefts {
+			if l.Budget == e {
+				x.lent, x.rest = bbunit.Tokens(l.Lent), bbunit.Tokens(l.Rest)
+			}
+		}
+		pot.asking.empty[domain] = x
 		pot.asking.sent = time.Time{}
 	}
+	for _, r := range t.Recalls {
+		out = append(out, p.recall(now, r)...)
+	}
 	return out
 }
 
@@ -309,16 +301,15 @@
 }
 
 // want adds a want, with all slices of that budget that the keeper holds.
-func (b *asks) want(to bbmember.Member, pot *Pot, amount, least bbunit.Tokens, borrow bool) {
+func (b *asks) want(to bbmember.Member, pot *Pot, w *bbwire.Want) {
 	m := b.need(to.ID)
 	for _, s := range pot.slices {
 		if HolderPeer(s.holder) == PeerOf(to) {
 			m.Slices = append(m.Slices, pot.wire(s, b.self))
 		}
 	}
-	m.Wants = append(m.Wants, &bbwire.Want{
-		Budget: string(pot.Budget), Amount: int64(amount), Least: int64(least), Borrow: borrow,
-	})
+	w.Budget = string(pot.Budget)
+	m.Wants = append(m.Wants, w)
 }
 
 func (b *asks) sends() []Send {
