Keep what a stuck grantee has spent in a field of its own

It was a second record whose grantee had the prefix "spent:", so that an instance of such a name would have been misread: never waited for, its stuck amount listed as spent.

A page stored with the old records still counts them as taken; they are listed as stuck until an operator releases them.

TestStuckAmountsTellAnyNameFromWhatIsSpent fails with the old records.

--- a/shared/bbledger/ops.go
+++ b/shared/bbledger/ops.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
@@ -80,10 +79,7 @@
 		})
 	}
 	for _, x := range e.Stuck {
-		if strings.HasPrefix(x.Grantee, knownSpent) {
-			s.Spent += bbunit.Tokens(x.Amount)
-			continue
-		}
+		s.Spent += bbunit.Tokens(x.Spent)
 		if x.Amount == 0 {
 			continue
 		}
--- a/shared/bbledger/ops_test.go
+++ b/shared/bbledger/ops_test.go
@@ -159,3 +159,17 @@
 	is.NoErr(err)
 	is.Equal(len(p.Entries), 0)
 }
+
+func TestStuckAmountsTellAnyNameFromWhatIsSpent(t *testing.T) {
+	is := is.New(t)
+	odd := Peer{"spent:g", 1}
+	e := &bbwire.Entry{Budget: "b", Paid: 100}
+	addStuck(e, "k/1/0-1", rigG, 5, 12)
+	addStuck(e, "k/1/0-1", odd, 7, 3)
+	is.Equal(Taken(e), bbunit.Tokens(27))
+	is.Equal(StatusOf(e).Stuck, bbunit.Tokens(12))
+	is.Equal(StatusOf(e).Spent, bbunit.Tokens(15))
+	is.Equal(dropStuck(e, "k/1/0-1", rigG), int64(12))
+	is.Equal(stuckPeers(e), []finalKey{{"k/1/0-1", odd}}) // it is still waited for
+	is.Equal(Taken(e), bbunit.Tokens(10))
+}
--- a/shared/bbledger/page.go
+++ b/shared/bbledger/page.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -111,7 +110,7 @@
 func Taken(e *bbwire.Entry) bbunit.Tokens {
 	n := e.Settled
 	for _, s := range e.Stuck {
-		n += s.Amount
+		n += s.Amount + s.Spent
 	}
 	for _, h := range e.Holders {
 		n += h.Drawn
@@ -177,32 +176,23 @@
 	return nil
 }
 
-// knownSpent marks the record, beside a stuck amount, of what the grantee had
-// already reported as spent.
-const knownSpent = "spent:"
-
 // addStuck counts what a grantee may still spend, apart from what it is known to
 // have spent.
 func addStuck(e *bbwire.Entry, h bbunit.HolderID, g Peer, rest, spent int64) {
-	e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(h), Grantee: g.String(), Amount: rest})
-	if spent > 0 {
-		e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(h), Grantee: knownSpent + g.String(), Amount: spent})
-	}
+	e.Stuck = append(e.Stuck, &bbwire.Stuck{Holder: string(h), Grantee: g.String(), Amount: rest, Spent: spent})
 }
 
-// dropStuck takes a grantee's stuck amount off the entry and returns what of it
-// was known to be spent.
+// dropStuck takes a grantee's stuck amount off the entry and returns what it was
+// known to have spent beside.
 func dropStuck(e *bbwire.Entry, h bbunit.HolderID, g Peer) int64 {
 	var spent int64
 	kept := e.Stuck[:0:0]
 	for _, s := range e.Stuck {
-		switch {
-		case s.Holder == string(h) && s.Grantee == g.String():
-		case s.Holder == string(h) && s.Grantee == knownSpent+g.String():
-			spent += s.Amount
-		default:
-			kept = append(kept, s)
+		if s.Holder == string(h) && s.Grantee == g.String() {
+			spent += s.Spent
+			continue
 		}
+		kept = append(kept, s)
 	}
 	e.Stuck = kept
 	return spent
@@ -212,9 +202,7 @@
 func stuckPeers(e *bbwire.Entry) []finalKey {
 	var out []finalKey
 	for _, s := range e.Stuck {
-		if !strings.HasPrefix(s.Grantee, knownSpent) {
-			out = append(out, finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)})
-		}
+		out = append(out, finalKey{bbunit.HolderID(s.Holder), ParsePeer(s.Grantee)})
 	}
 	return out
 }
