--- a/bluebellport/src/bill_test.go
+++ b/bluebellport/src/bill_test.go
@@ -227,3 +227,18 @@
 	is.Equal(f.nodes["a1"].billAndWait("r", -1), bbwire.Verdict_MISMATCH)
 	is.Equal(len(f.standing()), 0)
 }
+
+// TestBillsLeaveAHomeThatIsGone has the home die with a batch.
+func TestBillsLeaveAHomeThatIsGone(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 3)
+	home := f.homeOf("r", "a")
+	n := f.awayFrom(home)
+	home.store.hold()
+	n.bill("r", 5)
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	f.kill(home.id)
+	f.eventually("r", bbwire.Record_BILL)
+	is.True(time.Since(begun) < billWait/2)
+}
--- a/bluebellport/src/claim_test.go
+++ b/bluebellport/src/claim_test.go
@@ -237,14 +237,24 @@
 	home := f.homeOf("r", "a")
 	n := f.awayFrom(home)
 	release := home.bus.hold()
+	home.bus.lose(func(e *bbwire.Envelope) bool {
+		rs := e.GetBatch().GetRecords()
+		return len(rs) > 0 && rs[0].Kind == bbwire.Record_WITHDRAWN
+	})
 	is.True(errors.Is(n.claimFor(100*time.Millisecond, "r"), ErrNoClaim))
 	is.NoErr(n.Drain(context.Background())) // withdrawn past the home
+	home.bus.lose(func(e *bbwire.Envelope) bool {
+		rs := e.GetBatch().GetRecords()
+		return len(rs) > 0 && rs[0].Kind == bbwire.Record_WITHDRAWN && home.count.writes.Count() == 0
+	})
 	release()
 	for end := time.Now().Add(5 * time.Second); home.count.writes.Count() == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	is.True(home.count.writes.Count() > 0)
 	f.nothingStands("r")
+	is.NoErr(n.Drain(context.Background()))
+	is.Equal(n.Status().Unacknowledged, int64(0)) // no verdict counted twice
 }
 
 func TestHomeDropsAClaimThatWaitedTooLong(t *testing.T) {
@@ -301,3 +311,13 @@
 		is.True(time.Since(begun) < o.ClaimTimeout/2)
 	}
 }
+
+func TestClaimsPassTheRateAfterAWhile(t *testing.T) {
+	is := is.New(t)
+	o := testRecordOptions()
+	o.ClaimWrites = 0.001
+	f := newRecordFleet(t, o, 1)
+	for i := range 3 {
+		is.NoErr(f.nodes["a1"].request(fmt.Sprint("r", i), 5))
+	}
+}
