--- a/bluebellport/src/bill.go
+++ b/bluebellport/src/bill.go
@@ -7,13 +7,18 @@
 	"bluebellport.example/shared/bbwire"
 )
 
-// Open notes, before a request is sent, what it may cost. It sets r.Owner unless
-// Claim did. Every Open is ended by Bill or Withdraw with the same owner. It
+// Open notes, before a request is sent, what it may cost. It sets r.Kind and
+// r.Owner unless Claim did. Every Open is ended by Bill or Withdraw with the same owner. It
 // does not wait.
 func (r *Recorder) Open(rec *bbwire.Record) {
 	if rec.Owner == "" {
-		rec.Owner = r.newOwner()
+		rec.Kind, rec.Owner = bbwire.Record_OPEN, r.newOwner()
 	}
+	r.note(rec)
+}
+
+// note has the peers keep that the request was sent.
+func (r *Recorder) note(rec *bbwire.Record) {
 	c := bbjournal.Copy(rec)
 	c.Kind, c.Made = bbwire.Record_OPEN, r.Now().UnixMilli()
 	r.shadow.add(c)
@@ -63,12 +68,13 @@
 	log := r.Log.WithFields(recordFields(c))
 	switch v.Kind {
 	case bbwire.Verdict_TAKEN:
-		if c.Kind == bbwire.Record_UNKNOWN {
+		switch {
+		case c.Kind == bbwire.Record_BILL:
+			r.count.bills.Inc(1)
+		case v.Record.GetKind() != bbwire.Record_BILL:
 			r.count.unknowns.Inc(1)
 			log.Warn("outcome unknown")
-			return
 		}
-		r.count.bills.Inc(1)
 	case bbwire.Verdict_LATE:
 		r.count.late.Inc(1)
 		log.Error("bill older than the retention, not recorded")
--- a/bluebellport/src/bill_test.go
+++ b/bluebellport/src/bill_test.go
@@ -242,3 +242,44 @@
 	f.eventually("r", bbwire.Record_BILL)
 	is.True(time.Since(begun) < billWait/2)
 }
+
+func TestClaimOfDeadInstanceBecomesUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 3)
+	n := f.nodes["a1"]
+	r := n.rec("r")
+	r.Amount = 3
+	_, err := n.Claim(context.Background(), r)
+	is.NoErr(err)
+	f.keptElsewhere("a1", 1)
+	f.kill("a1")
+	is.Equal(f.eventually("r", bbwire.Record_UNKNOWN).Amount, int64(3))
+}
+
+// TestUnknownAfterOwnBillIsNotRepeated has the late answer of an attempt billed
+// before its UNKNOWN gets through: the amount is owed, and nothing is unknown.
+func TestUnknownAfterOwnBillIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 1)
+	n := f.nodes["a1"]
+	r := n.rec("r")
+	r.Amount = 5
+	f.expect(n.wait(r), bbwire.Verdict_TAKEN)
+	r.Kind, r.Amount = bbwire.Record_UNKNOWN, 9
+	f.expect(n.wait(r), bbwire.Verdict_TAKEN)
+	is.Equal(n.Status().Unknown, int64(0))
+	is.Equal(f.eventually("r", bbwire.Record_BILL).Amount, int64(5))
+}
+
+func TestWithdrawOfAnOpenRequestWritesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newRecordFleet(t, testRecordOptions(), 1)
+	n := f.nodes["a1"]
+	r := n.rec("r")
+	n.Open(r)
+	n.Withdraw(r)
+	is.NoErr(n.Drain(context.Background()))
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(f.mem.Counts().Writes+f.mem.Counts().Reads, int64(0))
+	is.Equal(n.Status().Open, int64(0))
+}
--- a/bluebellport/src/claim.go
+++ b/bluebellport/src/claim.go
@@ -18,8 +18,9 @@
 	dead atomic.Bool
 }
 
-// Claim records that this instance runs the request of r. It sets r.Owner, which
-// Open, Bill and Withdraw of the same request need, and waits up to the claim
+// Claim records that this instance runs the request of r, and notes it as Open
+// does. It sets r.Kind, and r.Owner, which Bill and Withdraw of the same request
+// need, and waits up to the claim
 // timeout and the context's deadline. ErrClaimed, ErrReused (with the record
 // that stands), ErrStale, ErrNoClaim or bbjournal.ErrRecord: the request must
 // not be sent. After ErrNoClaim the caller may come again with the same id.
@@ -38,8 +39,10 @@
 	s, err := r.claim(ctx, a)
 	if err != nil {
 		r.abandon(a)
+		return s, err
 	}
-	return s, err
+	r.note(rec)
+	return nil, nil
 }
 
 // claim submits the attempt until it is granted or refused.
@@ -95,9 +98,14 @@
 // Withdraw gives up a claim that was granted, or an open reservation, when
 // nothing was sent and nothing will be. It does not wait.
 func (r *Recorder) Withdraw(rec *bbwire.Record) {
-	r.dead.add(rec.Owner)
+	if rec.Owner == "" {
+		return
+	}
 	r.shadow.end(rec.Owner)
-	r.retract(rec)
+	if rec.Kind == bbwire.Record_CLAIM {
+		r.dead.add(rec.Owner)
+		r.retract(rec)
+	}
 }
 
 // retract queues the withdrawal of a claim. The attempt that owns it must be
--- a/shared/bbjournal/rule.go
+++ b/shared/bbjournal/rule.go
@@ -54,14 +54,14 @@
 	return bbwire.Verdict_REPEATED, s
 }
 
+// decideUnknown takes UNKNOWN only from the owner that stands; its own bill goes
+// before it and is not a repetition.
 func decideUnknown(s, r *bbwire.Record) (bbwire.Verdict_Kind, *bbwire.Record) {
 	switch {
 	case s.Owner != r.Owner:
 		return bbwire.Verdict_REPEATED, s
 	case s.Kind == bbwire.Record_CLAIM:
 		return bbwire.Verdict_TAKEN, r
-	case s.Kind == bbwire.Record_UNKNOWN:
-		return bbwire.Verdict_TAKEN, s
 	}
-	return bbwire.Verdict_REPEATED, s
+	return bbwire.Verdict_TAKEN, s
 }
