Say not-run only when no copy of the request is known to have run

Ruled out: claiming before the budget check, which costs two writes a refusal. Change: a refused copy of a request that its caller named looks at what ran here, at the records and at the homes of the other failure domains, and is told unknown where one of them cannot answer. TestRefusedAfterItRan fails without the search.

--- a/bluebellport/src/duplicate.go
+++ b/bluebellport/src/duplicate.go
@@ -23,6 +23,9 @@
 // dupShards is into how many parts the running and kept answers are cut.
 const dupShards = 64
 
+// dupPast is how many requests without a kept answer a shard remembers.
+const dupPast = 1024
+
 // Dups joins the copies of a request: the first one leads and runs, later ones
 // get the same answer from its start, while it runs or from what is kept.
 // An answer is kept when it is whole, for a time and while its shard has room,
@@ -41,6 +44,14 @@
 	runs  map[dupKey]*run
 	kept  list.List // of *run, oldest first
 	bytes int64
+	past  map[dupKey]past
+	order []dupKey // of past, oldest first
+}
+
+// past is a request that ran and whose answer is not kept.
+type past struct {
+	outcome bbunit.Outcome
+	at      time.Time
 }
 
 type dupKey struct {
@@ -67,8 +78,7 @@
 // followers Read the answer and Leave it. ErrReused when the request id stands
 // for another fingerprint. It does not block.
 func (d *Dups) Join(account bbunit.AccountID, id bbunit.RequestID, fingerprint uint64) (*Answer, bool, error) {
-	k := dupKey{account, id}
-	s := &d.shards[xxhash.Sum64String(string(account)+"\x00"+string(id))%dupShards]
+	k, s := d.shard(account, id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d.expire(s)
@@ -126,11 +136,14 @@
 
 // end keeps the answer, or forgets it when it is not whole, so that the request
 // may run again.
-func (d *Dups) end(s *dupShard, r *run, whole bool, size int64) {
+func (d *Dups) end(s *dupShard, r *run, whole bool, size int64, o bbunit.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !whole || s.runs[r.key] != r {
 		s.drop(r)
+		if o != bbunit.OutcomeNotRun {
+			d.remember(s, r.key, o)
+		}
 		return
 	}
 	r.ended, r.size = d.now(), size
@@ -139,6 +152,54 @@
 	d.expire(s)
 }
 
+// remember notes a request that ran and whose answer is not kept. The shard is
+// locked.
+func (d *Dups) remember(s *dupShard, k dupKey, o bbunit.Outcome) {
+	if s.past == nil {
+		s.past = map[dupKey]past{}
+	}
+	if _, ok := s.past[k]; !ok {
+		s.order = append(s.order, k)
+	}
+	s.past[k] = past{outcome: o, at: d.now()}
+	for len(s.order) > dupPast || len(s.order) > 0 && d.now().Sub(s.past[s.order[0]].at) > d.keep {
+		delete(s.past, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// Ran tells whether a copy of the request ran here and ended without an answer
+// that is kept, and how.
+func (d *Dups) Ran(account bbunit.AccountID, id bbunit.RequestID) (bbunit.Outcome, bool) {
+	k, s := d.shard(account, id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.past[k]
+	return p.outcome, ok
+}
+
+// Seen is Ran, and tells also of a copy that runs now, whose outcome is unknown,
+// or whose answer is kept.
+func (d *Dups) Seen(account bbunit.AccountID, id bbunit.RequestID) (bbunit.Outcome, bool) {
+	if o, ok := d.Ran(account, id); ok {
+		return o, true
+	}
+	k, s := d.shard(account, id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch r := s.runs[k]; {
+	case r == nil:
+		return 0, false
+	case r.kept != nil:
+		return bbunit.OutcomeDone, true
+	}
+	return bbunit.OutcomeUnknown, true
+}
+
+func (d *Dups) shard(account bbunit.AccountID, id bbunit.RequestID) (dupKey, *dupShard) {
+	return dupKey{account, id}, &d.shards[xxhash.Sum64String(string(account)+"\x00"+string(id))%dupShards]
+}
+
 // Head begins an answer.
 type Head struct {
 	Status int
--- a/bluebellport/src/duplicate_answer.go
+++ b/bluebellport/src/duplicate_answer.go
@@ -76,7 +76,7 @@
 	}
 	r.wakeUp()
 	r.mu.Unlock()
-	r.dups.end(r.shard, r, whole, size)
+	r.dups.end(r.shard, r, whole, size, o)
 	r.cancel(nil)
 }
 
--- a/bluebellport/src/front.go
+++ b/bluebellport/src/front.go
@@ -55,6 +55,7 @@
 		cut:      metrics.GetOrRegisterCounter("front.cut", p.Metrics),
 		took:     metrics.GetOrRegisterTimer("front.time", p.Metrics),
 	}
+	r.unrun = newFinder(p, f.dups).outcome
 	r.rejoin = func(c *call) (*Answer, bool, error) { return f.dups.Join(c.account.ID, c.id, c.print) }
 	metrics.NewRegisteredFunctionalGauge("front.open", p.Metrics, f.open.Load)
 	f.app = fiber.New(fiber.Config{
@@ -87,10 +88,27 @@
 	return f.refuse(c, "", err)
 }
 
-// refuse answers a request that was not let in.
+// refuseFor answers a request that was not let in. Where it was understood and
+// its caller named it, an earlier copy may have run; where it could not even be
+// told whose it is, nothing is known of others.
+func (f *Front) refuseFor(ctx context.Context, c *fiber.Ctx, w *wire, cl *call, err error) error {
+	switch {
+	case cl != nil:
+		return f.refuseAs(c, cl.id, err, f.runner.unrun(ctx, cl, ""))
+	case errors.Is(err, errNotReady) && w.id != "":
+		return f.refuseAs(c, bbunit.RequestID(w.id), err, bbunit.OutcomeUnknown)
+	}
+	return f.refuse(c, bbunit.RequestID(w.id), err)
+}
+
+// refuse answers a request that did not run.
 func (f *Front) refuse(c *fiber.Ctx, id bbunit.RequestID, err error) error {
+	return f.refuseAs(c, id, err, bbunit.OutcomeNotRun)
+}
+
+func (f *Front) refuseAs(c *fiber.Ctx, id bbunit.RequestID, err error, o bbunit.Outcome) error {
 	f.refusals.Inc(1)
-	r := refuse(err, bbunit.OutcomeNotRun)
+	r := refuse(err, o)
 	f.head(c, id, &Head{Status: r.Status, Fields: append(r.fields(), Field{"Content-Type", "application/problem+json"})})
 	return c.Send(r.body(id))
 }
@@ -112,10 +130,13 @@
 	ctx, span := f.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	w := wireOf(c, service, path)
 	cl, err := f.admit(w, started)
+	if err == nil {
+		err = f.accepting()
+	}
 	if err != nil {
 		span.RecordError(err)
 		span.End()
-		return f.refuse(c, bbunit.RequestID(w.id), err)
+		return f.refuseFor(ctx, c, w, cl, err)
 	}
 	span.SetAttributes(attribute.String("account", string(cl.account.ID)), attribute.String("request", string(cl.id)))
 	out, err := f.join(ctx, cl)
@@ -167,8 +188,8 @@
 
 // admit refuses what can be told without looking at load or money.
 func (f *Front) admit(w *wire, now time.Time) (*call, error) {
-	if err := f.accepting(); err != nil {
-		return nil, err
+	if f.parts.Board.State.Load().Number == 0 {
+		return nil, errors.Trace(errNotReady)
 	}
 	if int64(len(w.body)) > f.opts.Body {
 		return nil, errors.WithType(errors.Errorf("body: %d bytes, at most %d", len(w.body), f.opts.Body), errBody)
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -150,7 +151,7 @@
 	log.SetOutput(io.Discard)
 	p := Parts{
 		Board: NewBoard(bbmember.Member{ID: "i1", Inc: 7, Domain: "d"}), Log: log,
-		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now,
+		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now, Store: bbstore.NewMem(),
 	}
 	p.Board.State.Store(s)
 	router, stop := NewRouter(p)
--- a/bluebellport/src/run.go
+++ b/bluebellport/src/run.go
@@ -25,6 +25,8 @@
 	plains  *plains
 	owner   string
 	tracer  trace.Tracer
+	// unrun is what may be said of a request of which this copy did not run.
+	unrun func(ctx context.Context, c *call, owner string) bbunit.Outcome
 	// rejoin attaches to the answer of a request anew, to lead it.
 	rejoin func(c *call) (*Answer, bool, error)
 	// elsewhere has the instance that owns a claim bring the answer; errHome
@@ -60,12 +62,12 @@
 	defer close(j.ended)
 	pass, err := r.router.Admit(j.ask)
 	if err != nil {
-		j.refuse(err)
+		j.refuse(ctx, err)
 		return
 	}
 	defer pass.Done()
 	if j.hold, err = r.reserve(ctx, c); err != nil {
-		j.refuse(err)
+		j.refuse(ctx, err)
 		return
 	}
 	if stands, err := j.record(ctx); err != nil {
@@ -131,7 +133,7 @@
 // may have run, and the caller is told so.
 func (j *job) unclaimed(ctx context.Context, err error, stands *bbwire.Record) {
 	if !errors.Is(err, ErrClaimed) || stands == nil {
-		j.refuse(err)
+		j.refuse(ctx, err)
 		return
 	}
 	owner, perr := bbjournal.ParseOwner(stands.Owner)
@@ -148,14 +150,18 @@
 // attempts tries targets until one answers or nothing more may be tried.
 func (j *job) attempts(ctx context.Context) error {
 	var state RetryState
+	var last error
 	at, err := j.router.Pick(j.ask, nil)
 	for n := 0; ; n++ {
 		if err != nil {
+			if j.sent && last != nil && !errors.Is(err, ErrPoisoned) {
+				return last // what happened to it says more than that no other is left
+			}
 			return err
 		}
 		end := j.attempt(ctx, at, n, state.Refreshed)
 		at.Done(end)
-		j.sent = j.sent || end.Sent
+		j.sent, last = j.sent || end.Sent, end.Err
 		if end.Err == nil || errors.Is(end.Err, errAnswered) {
 			return end.Err
 		}
@@ -216,7 +222,7 @@
 	case !j.sent:
 		j.hold.End(0)
 		j.ledger.Withdraw(j.rec)
-		j.refuse(err)
+		j.refuse(ctx, err)
 	case !j.c.repeatable:
 		j.bill(bbwire.Record_UNKNOWN, j.c.most)
 		j.fail(err, bbunit.OutcomeUnknown)
@@ -249,9 +255,13 @@
 	})
 }
 
-// refuse ends the answer of a request that did not run.
-func (j *job) refuse(err error) {
-	j.fail(err, bbunit.OutcomeNotRun)
+// refuse ends the answer of a request of which this copy did not run.
+func (j *job) refuse(ctx context.Context, err error) {
+	if errors.Is(err, ErrReused) {
+		j.fail(err, bbunit.OutcomeNotRun) // this body is another request
+		return
+	}
+	j.fail(err, j.unrun(ctx, j.c, j.rec.GetOwner()))
 }
 
 // fail ends the answer with what is known of the request.
--- /dev/null
+++ b/bluebellport/src/seen_test.go
@@ -0,0 +1,104 @@
+package bbport
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbjournal"
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// TestRefusedAfterItRan: a copy that is refused is not called not run when an
+// earlier copy ran.
+func TestRefusedAfterItRan(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) })
+	key := []string{"Idempotency-Key", "k", "X-Request-Deadline-Ms", "500"}
+	resp, body := b.do(t, "POST", "/v1/chat/completions", ask, key...)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.True(strings.Contains(body, `"outcome":"failed"`))
+	b.money.left = 0
+	resp, body = b.do(t, "POST", "/v1/chat/completions", ask, key...)
+	is.Equal(resp.StatusCode, http.StatusPaymentRequired)
+	is.True(strings.Contains(body, `"outcome":"failed"`)) // not not-run
+	b.parts.Board.Draining.Store(true)
+	_, body = b.do(t, "POST", "/v1/chat/completions", ask, key...)
+	is.True(strings.Contains(body, `"outcome":"failed"`))
+	_, body = b.do(t, "POST", "/v1/chat/completions", ask, "Idempotency-Key", "other")
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+}
+
+// seenBus answers questions after copies as told.
+type seenBus struct{ say map[bbunit.InstanceID]*string }
+
+func (s seenBus) Send(bbunit.InstanceID, *bbwire.Envelope) error { return nil }
+
+func (s seenBus) Call(_ context.Context, to bbunit.InstanceID, _ *bbwire.Envelope) (*bbwire.Envelope, error) {
+	if s.say[to] == nil {
+		return nil, ErrPeer
+	}
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Seentell{Seentell: &bbwire.SeenTell{Outcome: *s.say[to]}}}, nil
+}
+
+func (s seenBus) Handle(*bbwire.Envelope, func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
+}
+
+// TestFinder is the table of what may be said of a request that is refused here.
+func TestFinder(t *testing.T) {
+	say := func(s string) *string { return &s }
+	for name, c := range map[string]struct {
+		keyed  bool
+		remote *string // nil cannot be reached
+		record *bbwire.Record
+		down   bool
+		want   bbunit.Outcome
+	}{
+		"unnamed":          {false, nil, nil, true, bbunit.OutcomeNotRun},
+		"nobody-knows":     {true, say(""), nil, false, bbunit.OutcomeNotRun},
+		"home-unreachable": {true, nil, nil, false, bbunit.OutcomeUnknown},
+		"store-down":       {true, say(""), nil, true, bbunit.OutcomeUnknown},
+		"runs-elsewhere":   {true, say("unknown"), nil, false, bbunit.OutcomeUnknown},
+		"done-elsewhere":   {true, say("done"), nil, false, bbunit.OutcomeUnknown},
+		"failed-elsewhere": {true, say("failed"), nil, false, bbunit.OutcomeFailed},
+		"billed":           {true, say(""), &bbwire.Record{Kind: bbwire.Record_BILL, Account: "a", Request: "r", Owner: "x#1/1"}, false, bbunit.OutcomeUnknown},
+		"own-claim":        {true, say(""), &bbwire.Record{Kind: bbwire.Record_CLAIM, Account: "a", Request: "r", Owner: "me#1/1"}, false, bbunit.OutcomeNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			mem := bbstore.NewMem()
+			if c.record != nil {
+				writeLeaf(t, mem, c.record)
+			}
+			mem.SetFaults(bbstore.Faults{Down: c.down})
+			self, other := bbmember.Member{ID: "me", Domain: "d1"}, bbmember.Member{ID: "it", Domain: "d2"}
+			p := Parts{Board: NewBoard(self), Store: mem, Bus: seenBus{map[bbunit.InstanceID]*string{"it": c.remote}}}
+			p.Board.View.Store(&bbmember.View{Self: self, Members: []bbmember.Member{self, other}})
+			o := RecordOptions{}
+			f := newFinder(p, NewDups(&o, nil))
+			cl := &call{id: "r", keyed: c.keyed}
+			cl.account.ID = "a"
+			is.Equal(f.outcome(context.Background(), cl, "me#1/1"), c.want)
+		})
+	}
+}
+
+// writeLeaf puts a record into its leaf.
+func writeLeaf(t *testing.T, mem *bbstore.Mem, r *bbwire.Record) {
+	t.Helper()
+	v, err := proto.Marshal(&bbwire.Leaf{Records: []*bbwire.Record{r}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := bbjournal.PartitionOf(r.Account, r.Request).Prefix() + "1"
+	if _, err := mem.CAS(context.Background(), key, v, 0, 0); err != nil {
+		t.Fatal(err)
+	}
+}
