Take a target for crashed only when it is gone or forgot the request

Change: an engine has crashed when it takes no connection or no longer knows a request that it had taken; a plain service when it takes no connection. TestClosedIsNoCrash fails without the check.

--- a/bluebellport/src/engine.go
+++ b/bluebellport/src/engine.go
@@ -53,7 +53,7 @@
 	return AttemptEnd{
 		Err:     err,
 		Sent:    a.sent,
-		Crashed: errors.Is(err, errTarget) && a.sent && !g.alive(ctx, a),
+		Crashed: errors.Is(err, errCut) && a.sent && g.lost(ctx, a),
 		Reused:  !fresh,
 		First:   a.first,
 		Total:   time.Since(a.started),
@@ -141,7 +141,7 @@
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return errors.WithType(err, errDeadline)
 	}
-	return errors.WithType(err, errTarget)
+	return errors.WithType(err, errCut)
 }
 
 // begin sets the head of an answer.
@@ -270,10 +270,11 @@
 	return s, errors.Trace(json.Unmarshal(b, &s))
 }
 
-// alive tells whether the target still answers at all.
-func (g *engines) alive(ctx context.Context, a *exchange) bool {
+// lost tells whether the engine takes no connection any more, or was started
+// anew and knows the request no more.
+func (g *engines) lost(ctx context.Context, a *exchange) bool {
 	_, err := g.probe(ctx, a)
-	return err == nil || errors.Is(err, errors.NotFound)
+	return errors.Is(err, errNotSent) || errors.Is(err, errors.NotFound) && a.moved.Load() > 0
 }
 
 // watch gives a connection up when nothing arrives on it although the engine
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -419,6 +419,18 @@
 	}
 }
 
+// TestClosedIsNoCrash: a service that closes connections without an answer, but
+// takes new ones, does not make the request poison.
+func TestClosedIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) }, func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) })
+	for range 3 {
+		resp, body := b.do(t, "GET", "/services/desk/x", "")
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+		is.True(!strings.Contains(body, ErrPoisoned.Error()))
+	}
+}
+
 // TestNotRunLeavesNoClaim: when no target can be reached the caller may come
 // again with the same id.
 func TestNotRunLeavesNoClaim(t *testing.T) {
--- a/bluebellport/src/plain.go
+++ b/bluebellport/src/plain.go
@@ -57,7 +57,7 @@
 		}
 	} else {
 		end.Err = broken(err)
-		end.Crashed = sent && errors.Is(end.Err, errTarget)
+		end.Crashed = sent && errors.Is(end.Err, errCut) && !reachable(at.Target.Address)
 	}
 	end.Total = time.Since(started)
 	return end
@@ -110,3 +110,14 @@
 	begin(out, resp.StatusCode(), string(resp.Header.ContentType()), hs)
 	return out.Write(ctx, b)
 }
+
+// reachable tells whether the address takes a connection. A service that closes
+// one without an answer has not crashed by that alone.
+func reachable(address string) bool {
+	c, err := dial(address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- a/bluebellport/src/refusal.go
+++ b/bluebellport/src/refusal.go
@@ -22,6 +22,7 @@
 	errNotReady  = errors.ConstError("instance has no state yet")
 	errFull      = errors.ConstError("too many bills wait for the key-value service")
 	errTarget    = errors.ConstError("target failed")
+	errCut       = errors.ConstError("connection to the target broke")
 	errSilent    = errors.ConstError("no answer seen from the target")
 )
 
@@ -85,6 +86,7 @@
 	{errFull, http.StatusServiceUnavailable, true},
 	{errSilent, http.StatusBadGateway, false},
 	{errTarget, http.StatusBadGateway, true},
+	{errCut, http.StatusBadGateway, true},
 	{ErrLimit, http.StatusTooManyRequests, true},
 	{ErrOverload, http.StatusServiceUnavailable, true},
 	{ErrNoTarget, http.StatusServiceUnavailable, true},
