Bound what a home keeps for others

A home took any number of records of its failure domain; owners that send again after a silence could pile them up. Without the bound TestHomeBoundsTheRecordsOfOthers fails.

--- a/bluebellport/src/claim_test.go
+++ b/bluebellport/src/claim_test.go
@@ -321,3 +321,33 @@
 		is.NoErr(f.nodes["a1"].request(fmt.Sprint("r", i), 5))
 	}
 }
+
+func TestHomeBoundsTheRecordsOfOthers(t *testing.T) {
+	is := is.New(t)
+	o := testRecordOptions()
+	o.Queue = 10
+	f := newRecordFleet(t, o, 1)
+	n := f.nodes["a1"]
+	for _, l := range n.lanes {
+		l.busy.Store(true) // as if paused
+	}
+	for i := range 5 {
+		b := &bbwire.Batch{Id: uint64(i)}
+		for k := range 4 {
+			r := n.rec(fmt.Sprint(i, "-", k))
+			r.Kind, r.Owner = bbwire.Record_BILL, "x#1/1"
+			r.Made = time.Now().UnixMilli()
+			b.Records = append(b.Records, r)
+		}
+		n.takeBatch("x", &bbwire.Envelope{Body: &bbwire.Envelope_Batch{Batch: b}})
+	}
+	is.True(n.foreign.Load() <= int64(o.Queue))
+	for _, l := range n.lanes {
+		l.busy.Store(false)
+	}
+	for end := time.Now().Add(5 * time.Second); n.foreign.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(n.foreign.Load(), int64(0))
+	is.Equal(len(f.standing()), 8)
+}
--- a/bluebellport/src/recorder.go
+++ b/bluebellport/src/recorder.go
@@ -54,6 +54,7 @@
 	count    recordCounts
 
 	unacked  atomic.Int64
+	foreign  atomic.Int64 // records of others that wait here
 	draining atomic.Bool
 }
 
--- a/bluebellport/src/recorder_batch.go
+++ b/bluebellport/src/recorder_batch.go
@@ -163,28 +163,33 @@
 }
 
 // takeBatch queues the records of another instance, which keeps them until it
-// has the verdicts.
+// has the verdicts. Above the bound of the queue it is told to come again.
 func (r *Recorder) takeBatch(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
 	b := e.GetBatch()
 	p := &reply{to: from, id: b.Id, verdicts: make([]*bbwire.Verdict, len(b.Records))}
 	p.left.Store(int64(len(b.Records)))
 	expires := r.Now().Add(r.opts.ClaimTimeout)
+	full := r.foreign.Add(int64(len(b.Records))) > int64(r.opts.Queue)
 	for i, rec := range b.Records {
 		it := &item{rec: rec, done: func(v *bbwire.Verdict) { r.answer(p, i, v) }}
 		if rec.Kind == bbwire.Record_CLAIM {
 			it.dropped = func(now time.Time) bool { return now.After(expires) }
 		}
-		if bbjournal.Check(rec) != nil {
+		switch {
+		case bbjournal.Check(rec) != nil:
 			it.done(&bbwire.Verdict{Kind: bbwire.Verdict_MISMATCH})
-			continue
+		case full:
+			it.done(retryVerdict)
+		default:
+			r.enqueue(it)
 		}
-		r.enqueue(it)
 	}
 	return nil
 }
 
 func (r *Recorder) answer(p *reply, i int, v *bbwire.Verdict) {
 	p.verdicts[i] = v
+	r.foreign.Add(-1)
 	if p.left.Add(-1) > 0 {
 		return
 	}
