Tell a crash to the whole fleet at once

Ruled out: a shorter gossip period, which every instance pays for all the time. Change: news of a crash goes at once to the own failure domain and to one instance of each other one, which tells its own.

--- a/bluebellport/src/poison.go
+++ b/bluebellport/src/poison.go
@@ -37,12 +37,11 @@
 // poisoned tells that the request is refused for good.
 func (p *poisoner) poisoned(fp uint64) bool { return p.crashes(fp) >= p.rule.Crashes }
 
-// crashed notes that the target crashed with the request in flight. A request
-// that has run whole not long ago is not to blame.
-func (p *poisoner) crashed(fp uint64, t bbunit.TargetID, now time.Time) {
-	if fp != 0 && !p.proven.Has(fp) {
-		p.join(fp, []bbunit.TargetID{t}, now)
-	}
+// crashed notes that the target crashed with the request in flight, and tells
+// whether that was news. A request that has run whole not long ago is not to
+// blame.
+func (p *poisoner) crashed(fp uint64, t bbunit.TargetID, now time.Time) bool {
+	return fp != 0 && !p.proven.Has(fp) && p.join(fp, []bbunit.TargetID{t}, now)
 }
 
 // join adds targets to the fingerprint's and tells whether that was news.
@@ -80,17 +79,32 @@
 	}
 	p.mu.Unlock()
 	for _, m := range marks {
-		names := make([]string, len(m.Targets))
-		for i, t := range m.Targets {
-			names[i] = string(t)
+		g.Poisons = append(g.Poisons, wireOfMark(&m))
+	}
+}
+
+// wireOfMark is a mark as a message.
+func wireOfMark(m *bbroute.Mark) *bbwire.Poison {
+	names := make([]string, len(m.Targets))
+	for i, t := range m.Targets {
+		names[i] = string(t)
+	}
+	return &bbwire.Poison{Print: m.Print, Crashes: uint32(len(names)), Targets: names}
+}
+
+// mark returns the fingerprint's mark as a message, nil when there is none.
+func (p *poisoner) mark(fp uint64) *bbwire.Poison {
+	for _, m := range p.table.Load().Marks() {
+		if m.Print == fp {
+			return wireOfMark(&m)
 		}
-		g.Poisons = append(g.Poisons, &bbwire.Poison{Print: m.Print, Crashes: uint32(len(names)), Targets: names})
 	}
+	return nil
 }
 
-// take joins another instance's marks and returns how many it dropped as bad.
-func (p *poisoner) take(poisons []*bbwire.Poison, now time.Time) int {
-	dropped := 0
+// take joins another instance's marks. It returns the fingerprints of which it
+// learned something, and how many marks it dropped as bad.
+func (p *poisoner) take(poisons []*bbwire.Poison, now time.Time) (news []uint64, dropped int) {
 	for _, m := range poisons {
 		if m.GetPrint() == 0 || len(m.GetTargets()) == 0 || len(m.Targets) > poisonNames {
 			dropped++
@@ -100,7 +114,9 @@
 		for i, t := range m.Targets {
 			targets[i] = bbunit.TargetID(t)
 		}
-		p.join(m.Print, targets, now)
+		if p.join(m.Print, targets, now) {
+			news = append(news, m.Print)
+		}
 	}
-	return dropped
+	return news, dropped
 }
--- a/bluebellport/src/router.go
+++ b/bluebellport/src/router.go
@@ -177,8 +177,8 @@
 			r.p.Log.WithField("target", t.ID).WithError(e.Err).Warn("circuit open")
 		}
 	}
-	if e.Crashed {
-		r.poison.crashed(fp, t.ID, now)
+	if e.Crashed && r.poison.crashed(fp, t.ID, now) {
+		r.alarm([]uint64{fp}, true)
 	}
 }
 
--- a/bluebellport/src/rumor.go
+++ b/bluebellport/src/rumor.go
@@ -25,7 +25,11 @@
 // dropped.
 func (r *Router) Take(from bbunit.InstanceID, g *bbwire.Gossip) {
 	now := r.p.Now()
-	dropped := r.poison.take(g.GetPoisons(), now) + r.limits.take(from, g.GetUsages(), now)
+	news, dropped := r.poison.take(g.GetPoisons(), now)
+	dropped += r.limits.take(from, g.GetUsages(), now)
+	if m, ok := r.p.Board.View.Load().Find(from); ok && m.Domain != bbunit.DomainID(r.p.Opts.Self.Domain) {
+		r.alarm(news, false)
+	}
 	table := r.current()
 	for i, id := range g.GetLeaving() {
 		t, ok := table.Target(bbunit.TargetID(id))
@@ -56,3 +60,29 @@
 	})
 	return keys
 }
+
+// alarm tells at once what is newly known of crashes: the own failure domain,
+// and, where the crash was seen here, one instance of each other one, which
+// tells its own.
+func (r *Router) alarm(prints []uint64, far bool) {
+	if len(prints) == 0 || r.p.Bus == nil {
+		return
+	}
+	g := &bbwire.Gossip{Number: uint64(r.p.Board.State.Load().Number)}
+	for _, fp := range prints {
+		if m := r.poison.mark(fp); m != nil && len(g.Poisons) < poisonsTold {
+			g.Poisons = append(g.Poisons, m)
+		}
+	}
+	v := r.p.Board.View.Load()
+	told := map[bbunit.DomainID]bool{}
+	for _, m := range v.Members {
+		near := m.Domain == v.Self.Domain
+		if m.ID == v.Self.ID || !near && (!far || told[m.Domain]) {
+			continue
+		}
+		told[m.Domain] = true
+		// One that cannot be reached learns by gossip.
+		_ = r.p.Bus.Send(m.ID, &bbwire.Envelope{Body: &bbwire.Envelope_Gossip{Gossip: g}})
+	}
+}
