Refuse waiters that would end just past their deadline

Cause: a waiter was kept while its wait and its mean time fitted its deadline, so that about half of those at the edge ran and still came too late; and the mean time of a request followed a rise of the load over some 50 requests. Change: a waiter must have a quarter of its expected time to spare, and the gate's mean follows faster.

--- a/shared/bbroute/constants.go
+++ b/shared/bbroute/constants.go
@@ -10,6 +10,11 @@
 	// newsLife is the part of an answer's time in which a load report loses most
 	// of its weight.
 	newsLife = 0.25
+	// gatePaceWeight is the same for the time that a request takes in all.
+	gatePaceWeight = 0.1
+	// serviceMargin is the part of its expected time that a request which waits
+	// must have left before its deadline.
+	serviceMargin = 1.25
 	// choiceMargin is by how much of a request the second target drawn must be
 	// the less loaded one to be taken.
 	choiceMargin = 0.5
--- a/shared/bbroute/gate.go
+++ b/shared/bbroute/gate.go
@@ -130,7 +130,7 @@
 
 // Took notes how long a request took.
 func (g *Gate) Took(total time.Duration) {
-	g.pace.average(total.Seconds(), paceWeight)
+	g.pace.average(total.Seconds(), gatePaceWeight)
 }
 
 func (g *Gate) paceSeconds() float64 {
--- a/shared/bbroute/gate_test.go
+++ b/shared/bbroute/gate_test.go
@@ -77,8 +77,10 @@
 	is := is.New(t)
 	g := newTestGate(1)
 	is.True(g.Enter())
-	err := g.Join(newWaiter(0, 1500*time.Millisecond), testNow) // waits 1 s, runs 1 s
-	is.True(errors.Is(err, ErrOverload))
+	for _, left := range []time.Duration{1500 * time.Millisecond, 2100 * time.Millisecond} {
+		err := g.Join(newWaiter(0, left), testNow) // waits 1 s, runs 1 s and a margin
+		is.True(errors.Is(err, ErrOverload))
+	}
 	w := newWaiter(0, 2500*time.Millisecond)
 	is.NoErr(g.Join(w, testNow))
 	g.Resize(1, testNow.Add(time.Second)) // still waits, and is now too late
--- a/shared/bbroute/limit_test.go
+++ b/shared/bbroute/limit_test.go
@@ -96,5 +96,7 @@
 	is := is.New(t)
 	l := NewLimiter("k", bbticket.Limit{Rate: 1e-300, Burst: 1})
 	is.NoErr(l.Enter(testNow))
-	is.True(l.Enter(testNow) != nil)
+	for range 3 {
+		is.True(l.Enter(testNow.Add(time.Hour)) != nil)
+	}
 }
--- a/shared/bbroute/line.go
+++ b/shared/bbroute/line.go
@@ -22,7 +22,7 @@
 
 // hopeless tells that the request cannot end in time if it waits that long.
 func (w *Waiter) hopeless(now time.Time, wait time.Duration) bool {
-	return !w.Deadline.IsZero() && now.Add(wait+w.Service).After(w.Deadline)
+	return !w.Deadline.IsZero() && now.Add(wait+time.Duration(float64(w.Service)*serviceMargin)).After(w.Deadline)
 }
 
 // line is a bounded queue, the highest priority first and the oldest first
