Rebuild the routing table only for tickets that change a route

Cause: every ticket rebuilt the table of all targets: 7.8 ms and 4.7 MB at 10,000 targets, also for a top-up. Change: a state knows the last ticket that touched an account, a service or a target; the table is kept while that stays.

--- a/shared/bbroute/table.go
+++ b/shared/bbroute/table.go
@@ -78,6 +78,9 @@
 // Next returns the table of a newer state, seen from failure domain home. What
 // is known of a target stays with it while its address stays.
 func (t *Table) Next(state *bbticket.State, home bbunit.DomainID, rule GateRule, now time.Time) *Table {
+	if t.State != nil && state.Routed > 0 && t.State.Routed == state.Routed {
+		return &Table{State: state, groups: t.groups, known: t.known, limits: t.limits}
+	}
 	next := &Table{
 		State:  state,
 		groups: make(map[bbunit.ServiceID]*Group, len(state.Services)),
--- a/shared/bbticket/apply.go
+++ b/shared/bbticket/apply.go
@@ -26,6 +26,10 @@
 	n.Services = merge(s.Services, t.Services, t.Number, func(v Service) bbunit.ServiceID { return v.ID })
 	n.Targets = merge(s.Targets, t.Targets, t.Number, func(g Target) bbunit.TargetID { return g.ID })
 	n.index(s, t)
+	n.Routed = s.Routed
+	if len(t.Accounts)+len(t.Services)+len(t.Targets) > 0 {
+		n.Routed = max(n.Routed, t.Number)
+	}
 	return n
 }
 
@@ -52,6 +56,16 @@
 	s.indexKeys()
 	s.indexBudgets()
 	s.indexTargets()
+	s.Routed = max(last(s.Accounts), last(s.Services), last(s.Targets))
+}
+
+// last is the highest ticket among the objects.
+func last[K comparable, T any](m map[K]Numbered[T]) bbunit.TicketNumber {
+	var n bbunit.TicketNumber
+	for _, o := range m {
+		n = max(n, o.Number)
+	}
+	return n
 }
 
 // index changes the indexes only where the ticket touches them.
--- a/shared/bbticket/state.go
+++ b/shared/bbticket/state.go
@@ -116,6 +116,10 @@
 	Services map[bbunit.ServiceID]Numbered[Service] `json:"services"`
 	Targets  map[bbunit.TargetID]Numbered[Target]   `json:"targets"`
 
+	// Routed is the last ticket that touched an account, a service or a target:
+	// states in which it is the same route alike. 0 means unknown.
+	Routed bbunit.TicketNumber `json:"-"`
+
 	// Derived indexes, rebuilt by Apply.
 	ByKey     map[string]bbunit.AccountID            `json:"-"`
 	ByAccount map[bbunit.AccountID][]bbunit.BudgetID `json:"-"`
