--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -150,7 +151,7 @@
 	log.SetOutput(io.Discard)
 	p := Parts{
 		Board: NewBoard(bbmember.Member{ID: "i1", Inc: 7, Domain: "d"}), Log: log,
-		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now,
+		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now, Store: bbstore.NewMem(),
 	}
 	p.Board.State.Store(s)
 	router, stop := NewRouter(p)
@@ -418,6 +419,18 @@
 	}
 }
 
+// TestClosedIsNoCrash: a service that closes connections without an answer, but
+// takes new ones, does not make the request poison.
+func TestClosedIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) }, func(w http.ResponseWriter, _ *http.Request) { hijackClose(w) })
+	for range 3 {
+		resp, body := b.do(t, "GET", "/services/desk/x", "")
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+		is.True(!strings.Contains(body, ErrPoisoned.Error()))
+	}
+}
+
 // TestNotRunLeavesNoClaim: when no target can be reached the caller may come
 // again with the same id.
 func TestNotRunLeavesNoClaim(t *testing.T) {
