--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -50,12 +50,14 @@
 	*process
 	id, domain          string
 	listen, admin, peer string
-	relay               *relay // between it and the other instances
+	relay               *relay // between it and the other instances; nil without
+	advertise           string // where other instances reach it
 }
 
 // fleet is a platform, targets and instances, all of them processes.
 type fleet struct {
 	t          *testing.T
+	domains    []string
 	store      string
 	list       string
 	platform   *process
@@ -70,6 +72,9 @@
 
 // fleetOptions set the size of a fleet.
 type fleetOptions struct {
+	domains   []string
+	instances int  // in all, spread over the failure domains; 0 is perDomain in each
+	direct    bool // no relays in between
 	perDomain int
 	engines   int // in each failure domain
 	customers []customer
@@ -77,7 +82,7 @@
 }
 
 func defaultFleet() fleetOptions {
-	return fleetOptions{perDomain: 2, engines: 1, customers: []customer{
+	return fleetOptions{domains: domains, perDomain: 2, engines: 1, customers: []customer{
 		{account: "norra", key: "key-norra", budget: "norra-budget", paid: 1_000_000},
 		{account: "gata", key: "key-gata", budget: "gata-budget", paid: 2_000},
 	}}
@@ -87,7 +92,7 @@
 func startFleet(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, store: freeAddress(t), list: freeAddress(t), customers: o.customers,
+		t: t, domains: o.domains, store: freeAddress(t), list: freeAddress(t), customers: o.customers,
 		storeRelay: map[string]*relay{}, listRelay: map[string]*relay{},
 	}
 	f.platform = startProcess(t, "platform", "bluebellstand", "platform", "--store", f.store, "--list", f.list, "--progress", "1s")
@@ -95,19 +100,23 @@
 	var stop func()
 	f.client, stop = bbstore.NewClient(f.store, bbstore.ClientOptions{})
 	t.Cleanup(stop)
-	for _, d := range domains {
-		f.storeRelay[d] = startRelay(t, f.store)
-		f.listRelay[d] = startRelay(t, f.list)
+	for _, d := range f.domains {
+		if !o.direct {
+			f.storeRelay[d] = startRelay(t, f.store)
+			f.listRelay[d] = startRelay(t, f.list)
+		}
 		for n := range o.engines {
 			f.startTarget(fmt.Sprintf("engine-%s-%d", d, n), engineService, d)
 		}
 		f.startTarget("desk-"+d, plainService, d)
 	}
 	f.apply(f.ticket())
-	for _, d := range domains {
-		for n := range o.perDomain {
-			f.startInstance(fmt.Sprintf("%s-%d", d, n+1), d, o.args...)
-		}
+	if o.instances == 0 {
+		o.instances = o.perDomain * len(f.domains)
+	}
+	for n := range o.instances {
+		d := f.domains[n*len(f.domains)/o.instances]
+		f.startInstance(fmt.Sprintf("%s-%d", d, len(f.of(d))+1), d, o.args...)
 	}
 	for _, i := range f.instances {
 		waitFor(t, i.admin, "/readyz")
@@ -133,17 +142,15 @@
 func (f *fleet) startInstance(id, domain string, args ...string) *instance {
 	f.t.Helper()
 	i := &instance{id: id, domain: domain, listen: freeAddress(f.t), admin: freeAddress(f.t), peer: freeAddress(f.t)}
-	var names []string
-	for _, d := range domains {
-		for n := range 9 {
-			names = append(names, fmt.Sprintf("%s-%d", d, n+1))
-		}
+	store, list, peer := f.store, f.list, i.peer
+	if f.storeRelay[domain] != nil {
+		i.relay = startRelay(f.t, i.peer, f.names()...)
+		store, list, peer = f.storeRelay[domain].address(), f.listRelay[domain].address(), i.relay.address()
 	}
-	i.relay = startRelay(f.t, i.peer, names...)
+	i.advertise = peer
 	i.process = startProcess(f.t, id, "bluebellport", append([]string{
-		"serve", "--instance", id, "--domain", domain,
-		"--store", f.storeRelay[domain].address(), "--list", f.listRelay[domain].address(),
-		"--listen", i.listen, "--admin", i.admin, "--peer", i.peer, "--peer-advertise", i.relay.address(),
+		"serve", "--instance", id, "--domain", domain, "--store", store, "--list", list,
+		"--listen", i.listen, "--admin", i.admin, "--peer", i.peer, "--peer-advertise", peer,
 		"--linger", "1s", "--drain", "20s",
 	}, args...)...)
 	f.enter(i, "live")
@@ -151,9 +158,20 @@
 	return i
 }
 
+// names returns what instances may be called.
+func (f *fleet) names() []string {
+	var out []string
+	for _, d := range f.domains {
+		for n := range 9 {
+			out = append(out, fmt.Sprintf("%s-%d", d, n+1))
+		}
+	}
+	return out
+}
+
 func (f *fleet) enter(i *instance, state string) {
 	f.t.Helper()
-	post(f.t, f.list, "/v1/instances", bbstand.Instance{ID: i.id, Domain: i.domain, Address: i.relay.address(), State: state})
+	post(f.t, f.list, "/v1/instances", bbstand.Instance{ID: i.id, Domain: i.domain, Address: i.advertise, State: state})
 }
 
 // ticket returns the next ticket, with the whole state of all.
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -9,7 +9,10 @@
 	"testing"
 )
 
-var faults = flag.Bool("faults", false, "run all rows of TestFaults, not only the short ones")
+var (
+	faults         = flag.Bool("faults", false, "run all rows of TestFaults, not only the short ones")
+	benchProcesses = flag.Bool("bench-processes", false, "run the measurements of whole processes")
+)
 
 // binaries is the directory that the programs are built into.
 var binaries string
