--- a/bluebellstand/src/engine.go
+++ b/bluebellstand/src/engine.go
@@ -38,7 +38,7 @@
 	Tokens int    `json:"tokens"`
 	Prompt int    `json:"prompt"`
 	State  string `json:"state"`
-	// At is when the request came, in milliseconds since the epoch.
+	// At is when the request came, in microseconds since the epoch.
 	At int64 `json:"at"`
 }
 
@@ -301,7 +301,7 @@
 	defer e.mu.Unlock()
 	out := make([]Ran, len(e.ran))
 	for i, j := range e.ran {
-		out[i] = Ran{Request: j.id, Name: j.name, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMilli()}
+		out[i] = Ran{Request: j.id, Name: j.name, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMicro()}
 	}
 	return out
 }
--- a/bluebellstand/src/load_send.go
+++ b/bluebellstand/src/load_send.go
@@ -41,7 +41,8 @@
 	Start int64 `json:"start"`
 	// Told is what each attempt was told: status, outcome and title.
 	Told []string `json:"told,omitempty"`
-	// NotRun holds when the caller was told "not-run", likewise.
+	// NotRun holds when the caller was told "not-run", in microseconds since
+	// the epoch.
 	NotRun []int64 `json:"notrun,omitempty"`
 	// First and Total are times since the request was due, in nanoseconds.
 	First time.Duration `json:"first"`
@@ -102,7 +103,7 @@
 			out.Told = append(out.Told, fmt.Sprintf("%d %s: %s", out.Status, out.Outcome, out.Title))
 		}
 		if out.Outcome == "not-run" {
-			out.NotRun = append(out.NotRun, time.Now().UnixMilli())
+			out.NotRun = append(out.NotRun, time.Now().UnixMicro())
 		}
 		if !out.again() || out.Attempts > retries {
 			break
--- a/bluebellstand/src/plain.go
+++ b/bluebellstand/src/plain.go
@@ -20,7 +20,7 @@
 	Path    string `json:"path"`
 	Run     int    `json:"run"`
 	State   string `json:"state"`
-	// At is when it ran, in milliseconds since the epoch.
+	// At is when the request came, in microseconds since the epoch.
 	At int64 `json:"at"`
 }
 
@@ -94,12 +94,13 @@
 }
 
 func (p *plain) serve(c *fiber.Ctx) error {
+	came := time.Now()
 	if err := p.enter(); err != nil {
 		return refuse(c, err)
 	}
 	p.slots <- struct{}{}
 	defer p.exit()
-	run, f := p.begin(c)
+	run, f := p.begin(c, came)
 	time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 	p.finish(run)
 	switch {
@@ -133,7 +134,7 @@
 }
 
 // begin records the run and takes one of the counted faults.
-func (p *plain) begin(c *fiber.Ctx) (PlainRan, PlainFault) {
+func (p *plain) begin(c *fiber.Ctx, came time.Time) (PlainRan, PlainFault) {
 	id := c.Get(headerKey)
 	if id == "" {
 		id = c.Get(headerID)
@@ -142,7 +143,7 @@
 	defer p.mu.Unlock()
 	p.waiting--
 	p.running++
-	r := PlainRan{Request: id, Method: c.Method(), Path: c.OriginalURL(), State: stateRunning, At: time.Now().UnixMilli()}
+	r := PlainRan{Request: id, Method: c.Method(), Path: c.OriginalURL(), State: stateRunning, At: came.UnixMicro()}
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		p.writes++
 		r.Run = p.writes
