--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VERSION ?= $(shell git describe --tags --always 2>/dev/null || echo dev)
 export PATH := $(PATH):$(shell go env GOPATH)/bin
 
-.PHONY: build demo test model faults bench lint fmt generate tools
+.PHONY: build demo test model faults bench lint fmt generate man tools
 
 build:
 	go build -ldflags "-X bluebellport.example/shared/bbunit.Version=$(VERSION)" -o bin/ ./bluebellport ./bluebellctl ./bluebellstand
@@ -35,6 +35,12 @@
 generate:
 	cd shared && go generate ./...
 
+# The pages name no version, so that they change only with the settings.
+man:
+	@dir=$$(mktemp -d) && trap 'rm -rf "$$dir"' EXIT && \
+	go build -ldflags "-X bluebellport.example/shared/bbunit.Version=unversioned" -o "$$dir/" ./bluebellport ./bluebellctl ./bluebellstand && \
+	for p in bluebellport bluebellctl bluebellstand; do "$$dir/$$p" --help-man >man/$$p.1 || exit 1; done
+
 tools:
 	go install mvdan.cc/gofumpt@v0.12.0
 	go install github.com/mgechev/revive@v1.17.0
--- /dev/null
+++ b/bluebellport/src/metrics_doc_test.go
@@ -0,0 +1,48 @@
+package bbport
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbstore"
+)
+
+// TestMetricsNamed builds every part on one registry. What is registered and
+// what the page names must be the same.
+func TestMetricsNamed(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	is.NoErr(err)
+	p := newBed(t).parts // with the router and the front
+	p.Bus = startPeersOn(t, p)
+	_, stopTreasury := NewTreasury(p)
+	t.Cleanup(stopTreasury)
+	_, stopRecorder := NewRecorder(p)
+	t.Cleanup(stopRecorder)
+	newOrders(p, nil)
+	p.Metrics.Each(func(name string, _ any) {
+		if !strings.Contains(string(page), "| `"+name+"` |") {
+			t.Errorf("docs/METRICS.md does not name %s", name)
+		}
+	})
+	for _, line := range strings.Split(string(page), "\n") {
+		if name, ok := strings.CutPrefix(line, "| `"); ok {
+			name, _, _ = strings.Cut(name, "`")
+			if p.Metrics.Get(name) == nil {
+				t.Errorf("docs/METRICS.md names %s, which no part registers", name)
+			}
+		}
+	}
+}
+
+// startPeersOn starts peers and a follower that count in the registry of p.
+func startPeersOn(t *testing.T, p Parts) *Peers {
+	t.Helper()
+	l := newListFake(t)
+	parts := testParts("m1", "d", l.srv.Listener.Addr().String(), bbstore.NewMem())
+	parts.Metrics = p.Metrics
+	return startParts(t, parts).peers
+}
