Log an outage of pages once, bound the writing of answers, serve only when ready

Cause: each failed read of a page wrote a line (hundreds in a stop after the service); a caller that stopped reading held its connection for good; the front looked at the state's number instead of the follower's readiness.

--- a/bluebellport/src/admin.go
+++ b/bluebellport/src/admin.go
@@ -35,7 +35,7 @@
 
 func (a *admin) isReady() bool {
 	b := a.parts.Board
-	return !b.Draining.Load() && b.State.Load().Number > 0
+	return !b.Draining.Load() && b.Ready.Load() && b.State.Load().Number > 0
 }
 
 func (a *admin) ready(c *fiber.Ctx) error {
--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -41,6 +41,9 @@
 	targetProbeTimeout = time.Second
 	// cancelTimeout bounds the order to a target to cancel a request.
 	cancelTimeout = 2 * time.Second
+	// writeSlack is how long after the longest deadline a caller may take to
+	// read its answer.
+	writeSlack = 10 * time.Second
 	// retryAfter is when to come back where nothing better is known.
 	retryAfter = time.Second
 )
--- a/bluebellport/src/front.go
+++ b/bluebellport/src/front.go
@@ -64,6 +64,7 @@
 		ReadBufferSize:        maxHeader,
 		ReadTimeout:           f.opts.Timeout,
 		IdleTimeout:           f.opts.Timeout,
+		WriteTimeout:          f.opts.Timeout + writeSlack,
 		UnescapePath:          false,
 		ErrorHandler:          f.fault,
 	})
@@ -202,7 +203,7 @@
 	switch {
 	case f.parts.Board.Draining.Load():
 		return errors.Trace(errDraining)
-	case f.parts.Board.State.Load().Number == 0:
+	case !f.parts.Board.Ready.Load():
 		return errors.Trace(errNotReady)
 	case f.runner.ledger.Full():
 		return errors.Trace(errFull)
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -154,6 +154,7 @@
 		Metrics: metrics.NewRegistry(), Opts: o, Now: time.Now, Store: bbstore.NewMem(),
 	}
 	p.Board.State.Store(s)
+	p.Board.Ready.Store(true)
 	router, stop := NewRouter(p)
 	t.Cleanup(stop)
 	b := &bed{money: &fakeMoney{left: 100000}, ledger: &fakeLedger{claims: map[string]*bbwire.Record{}}}
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -27,6 +27,7 @@
 	ctx     context.Context
 	wg      conc.WaitGroup
 	closing atomic.Bool
+	failing atomic.Bool // the last call for a page failed
 
 	// The rest belongs to the goroutine of run.
 	witness bbledger.Witness
--- a/bluebellport/src/treasury_loop.go
+++ b/bluebellport/src/treasury_loop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbledger"
 	"bluebellport.example/shared/bbstore"
@@ -113,13 +114,25 @@
 		ev.Rev = x.Rev
 		ev.Page, err = bbledger.Decode(x.Value)
 	}
-	if err != nil {
-		t.p.Log.WithError(err).WithField("page", k.Page()).Warn("budget page not read")
-	}
+	t.noteStore(err, "read", k.Page())
 	ev.Err = err
 	t.box.put(func() { t.step(k, ev) })
 }
 
+// noteStore logs when the key-value service stops answering for pages, and when
+// it answers again, but not each call between.
+func (t *Treasury) noteStore(err error, call string, page int) {
+	if failing := err != nil; t.failing.Swap(failing) == failing {
+		return
+	}
+	log := t.p.Log.WithFields(logrus.Fields{"event": "pages", "call": call, "page": page})
+	if err != nil {
+		log.WithError(err).Warn("budget pages cannot be reached")
+		return
+	}
+	log.Info("budget pages are reached again")
+}
+
 // save writes a keeper's page.
 func (t *Treasury) save(k *bbledger.Keeper, a bbledger.Save) {
 	ctx, cancel := context.WithTimeout(t.ctx, pageTimeout)
@@ -136,7 +149,9 @@
 		t.conflicts.Inc(1)
 	default:
 		t.unknowns.Inc(1)
-		t.p.Log.WithError(err).WithField("page", k.Page()).Warn("budget page not written")
+	}
+	if !errors.Is(err, bbstore.ErrConflict) {
+		t.noteStore(err, "write", k.Page())
 	}
 	ev.Err = err
 	t.box.put(func() { t.step(k, ev) })
