--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -95,6 +95,9 @@
 		"money":   func() any { return treasuryTold(treasury.Status()) },
 		"records": func() any { return recorder.Status() },
 	})
+	orders, closeOrders := NewOrders(p)
+	defer closeOrders()
+	a.order = orders.Order
 	return listen(ctx, p, f, a, peers.Leave, func(ctx context.Context) {
 		if err := stderrors.Join(treasury.Drain(ctx), recorder.Drain(ctx)); err != nil {
 			log.WithField("event", "drain").WithError(err).Error("not all was handed back")
