Audit also what engines that died had taken

Cause: a request that ran on an engine which then crashed or was killed was in no record, so a false "not-run" about it could not be seen. Change: the engine logs each request as it takes it, and the audit reads the log of a target that has ended. What each customer was billed is logged beside what its budget says. Shown by: TestRunsOfKilledEngine fails when the line is not logged.

--- a/bluebellstand/src/engine.go
+++ b/bluebellstand/src/engine.go
@@ -69,6 +69,8 @@
 type engine struct {
 	opts EngineOptions
 	exit func(int)
+	// came is told of each request that is taken, before it runs.
+	came func(Ran)
 
 	mu      sync.Mutex
 	running int
@@ -88,7 +90,7 @@
 // newEngine returns an engine, and a function that stops what it runs.
 func newEngine(o EngineOptions) (*engine, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &engine{opts: o, exit: os.Exit, jobs: map[string]*job{}, ctx: ctx}
+	e := &engine{opts: o, exit: os.Exit, came: func(Ran) {}, jobs: map[string]*job{}, ctx: ctx}
 	e.cache = prefixCache{size: o.Cache, gap: o.EventGap}
 	e.loads = loadHistory{lag: o.LoadLag}
 	e.orders = orders{fence: o.Fence}
@@ -118,6 +120,7 @@
 	e.jobs[id] = j
 	e.ran = append(e.ran, j)
 	e.waiting = append(e.waiting, j)
+	e.came(j.record())
 	sort.SliceStable(e.waiting, func(a, b int) bool { return e.waiting[a].priority > e.waiting[b].priority })
 	e.fill()
 	e.wg.Go(func() { e.work(j) })
@@ -301,7 +304,12 @@
 	defer e.mu.Unlock()
 	out := make([]Ran, len(e.ran))
 	for i, j := range e.ran {
-		out[i] = Ran{Request: j.id, Name: j.name, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMicro()}
+		out[i] = j.record()
 	}
 	return out
 }
+
+// record returns how far the request has come; engine.mu is held.
+func (j *job) record() Ran {
+	return Ran{Request: j.id, Name: j.name, Tokens: j.made, Prompt: j.prompt, State: j.state, At: j.at.UnixMicro()}
+}
--- a/bluebellstand/src/engine_http.go
+++ b/bluebellstand/src/engine_http.go
@@ -22,6 +22,8 @@
 	headerRetry    = "Retry-After"
 	requestsPath   = "/v1/requests/"
 	streamSuffix   = "/stream"
+	// LogCame is the message of the log line for each request that an engine takes.
+	LogCame = "came"
 )
 
 // chatRequest is what a chat completion asks for.
@@ -94,6 +96,7 @@
 
 func (o *EngineOptions) run(ctx context.Context, s streams) error {
 	e, stop := newEngine(*o)
+	e.came = func(r Ran) { s.log.WithField("ran", r).Info(LogCame) }
 	return serve(ctx, s, part{name: "engine", addr: o.Listen, mount: e.mount, stop: stop})
 }
 
--- a/e2e/audit_test.go
+++ b/e2e/audit_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
 	bbstand "bluebellport.example/bluebellstand/src"
@@ -101,7 +103,9 @@
 		}
 	}
 	for _, x := range f.targets {
-		if !x.ended() {
+		if x.ended() {
+			a.readLog(f.t, x)
+		} else {
 			a.readRuns(f.t, x)
 		}
 	}
@@ -124,6 +128,20 @@
 	}
 }
 
+// readLog reads what a target that has ended logged of the requests it took.
+func (a *audit) readLog(t *testing.T, x *target) {
+	t.Helper()
+	for line := range strings.Lines(read(t, x.log)) {
+		var l struct {
+			Msg string      `json:"msg"`
+			Ran bbstand.Ran `json:"ran"`
+		}
+		if json.Unmarshal([]byte(line), &l) == nil && l.Msg == bbstand.LogCame {
+			a.runs[l.Ran.Name] = append(a.runs[l.Ran.Name], runOf{at: l.Ran.At})
+		}
+	}
+}
+
 func (a *audit) readBills(f *fleet) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -312,6 +330,11 @@
 	}
 	for _, b := range list {
 		f.t.Logf("%s: paid %d, drawn %d, spent %d, stuck %d, rest %d", b.Budget, b.Paid, b.Drawn, b.Spent, b.Stuck, b.Rest)
+		for _, c := range f.customers {
+			if c.budget == b.Budget {
+				f.t.Logf("%s: billed %d", b.Budget, a.billed(c))
+			}
+		}
 		settled += int64(b.Spent)
 		stuck += int64(b.Stuck)
 	}
@@ -326,6 +349,23 @@
 	return 120
 }
 
+// TestRunsOfKilledEngine checks that the audit knows what an engine that was
+// killed had taken.
+func TestRunsOfKilledEngine(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{t: t}
+	x := f.startTarget("engine", engineService, "uppsala")
+	o := f.load(0, time.Minute)
+	o.Count, o.PlainShare, o.Instances, o.Keys = 3, 0, []string{x.address}, []string{"key"}
+	results := generate(o)
+	live, dead := &audit{runs: map[string][]runOf{}}, &audit{runs: map[string][]runOf{}}
+	live.readRuns(t, x)
+	x.kill()
+	dead.readLog(t, x)
+	is.Equal(len(dead.runs), len(results))
+	is.Equal(dead.runs, live.runs)
+}
+
 // TestAudit shows that each column finds its fault.
 func TestAudit(t *testing.T) {
 	done := func(id string, kind bbstand.LoadKind, tokens int) bbstand.LoadResult {
