--- a/bluebellctl/src/core.go
+++ b/bluebellctl/src/core.go
@@ -40,6 +40,7 @@
 	budgetCommands(app, commands)
 	billCommands(app, commands)
 	statusCommands(app, commands)
+	orderCommands(app, commands)
 	name, code, ok := bbcli.Parse(app, args, stderr, opts.Check)
 	if !ok {
 		return code
