Stop without waiting for holders of others, and tell by the exit code what is left

Change: a keeper is closed once its own holders are; both drains run at once; a failed drain makes the exit code 1; readiness ends with the signal. TestKeeperClosedLeavesOthersHolders fails without the first.

--- a/bluebellport/src/admin.go
+++ b/bluebellport/src/admin.go
@@ -74,7 +74,7 @@
 
 func (a *admin) isReady() bool {
 	b := a.parts.Board
-	return !b.Draining.Load() && b.Ready.Load() && b.State.Load().Number > 0
+	return !b.Leaving.Load() && !b.Draining.Load() && b.Ready.Load() && b.State.Load().Number > 0
 }
 
 func (a *admin) ready(c *fiber.Ctx) error {
--- a/bluebellport/src/admin_test.go
+++ b/bluebellport/src/admin_test.go
@@ -49,7 +49,7 @@
 		})
 	}
 	is := is.New(t)
-	b.parts.Board.Draining.Store(true)
+	b.parts.Board.Leaving.Store(true) // the balancer learns while requests are still taken
 	resp, err := a.app.Test(httptest.NewRequest("GET", "/readyz", nil))
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, 503)
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"go.opentelemetry.io/otel"
 
 	"bluebellport.example/shared/bbcli"
@@ -98,10 +99,8 @@
 	orders, closeOrders := NewOrders(p)
 	defer closeOrders()
 	a.order = orders.Order
-	return listen(ctx, p, f, a, peers.Leave, func(ctx context.Context) {
-		if err := stderrors.Join(treasury.Drain(ctx), recorder.Drain(ctx)); err != nil {
-			log.WithField("event", "drain").WithError(err).Error("not all was handed back")
-		}
+	return listen(ctx, p, f, a, peers.Leave, func(ctx context.Context) error {
+		return drainAll(ctx, treasury.Drain, recorder.Drain)
 	})
 }
 
@@ -137,7 +136,7 @@
 // listen opens both addresses, serves until ctx ends, and stops: it goes on
 // taking requests while the balancer learns that the instance leaves, then
 // refuses new ones, ends the open ones whole, and hands back what it holds.
-func listen(ctx context.Context, p Parts, f *Front, a *admin, leave func(), drain func(context.Context)) error {
+func listen(ctx context.Context, p Parts, f *Front, a *admin, leave func(), drain func(context.Context) error) error {
 	callers, err := listenCallers(&p.Opts.Front)
 	if err != nil {
 		return err
@@ -162,7 +161,10 @@
 	end, cancel := context.WithTimeout(context.Background(), p.Opts.Front.Drain)
 	defer cancel()
 	f.drain(end)
-	drain(end)
+	if left := drain(end); left != nil {
+		p.Log.WithField("event", "drain").WithError(left).Error("not all was handed back")
+		err = stderrors.Join(err, left)
+	}
 	_ = f.app.ShutdownWithTimeout(time.Second)
 	_ = a.app.ShutdownWithTimeout(time.Second)
 	wg.Wait()
@@ -188,6 +190,15 @@
 	return tls.NewListener(ln, &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}), nil
 }
 
+// drainAll runs the drains at the same time, so that none waits for another.
+func drainAll(ctx context.Context, drains ...func(context.Context) error) error {
+	p := pool.New().WithErrors()
+	for _, d := range drains {
+		p.Go(func() error { return d(ctx) })
+	}
+	return p.Wait()
+}
+
 // treasuryTold is a treasury's status, or why there is none.
 func treasuryTold(s TreasuryStatus, err error) any {
 	if err != nil {
--- a/shared/bbledger/keeper.go
+++ b/shared/bbledger/keeper.go
@@ -188,9 +188,15 @@
 // Holder returns the id that the keeper holds under now.
 func (k *Keeper) Holder() bbunit.HolderID { return k.holder }
 
-// Closed tells whether a retired keeper has nothing left on the page.
+// Closed tells whether a retired keeper has nothing left on the page. Holders of
+// other instances that it was closing are left to the next keeper.
 func (k *Keeper) Closed() bool {
-	return k.retiring && !k.opened && !k.maybe && !k.busy && !k.limbo && len(k.jobs) == 0
+	for _, j := range k.jobs {
+		if j.own {
+			return false
+		}
+	}
+	return k.retiring && !k.opened && !k.maybe && !k.busy && !k.limbo
 }
 
 // Idle tells whether a tick would change nothing.
--- a/shared/bbledger/keeper_test.go
+++ b/shared/bbledger/keeper_test.go
@@ -484,3 +484,21 @@
 		r.is.Equal(Taken(e), bbunit.Tokens(30)) // the mark, whatever was reported
 	}
 }
+
+// TestKeeperClosedLeavesOthersHolders: a retired keeper does not wait for the
+// holder of another instance that cannot be closed, since its witness is gone
+// too.
+func TestKeeperClosedLeavesOthersHolders(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.k.jobs["gone/1/1"] = &job{holder: "gone/1/1", answers: map[Peer][]*bbwire.Slice{}}
+	r.step(Retire{})
+	is.True(r.k.jobs["gone/1/1"] != nil)
+	for id, j := range r.k.jobs {
+		if j.own {
+			delete(r.k.jobs, id) // as when the page has been written
+		}
+	}
+	r.k.busy, r.k.limbo = false, false
+	is.True(r.k.Closed())
+}
