--- /dev/null
+++ b/bluebellctl/src/order.go
@@ -0,0 +1,66 @@
+package bbctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// orderCommands declares the command that gives targets orders.
+func orderCommands(app *kingpin.Application, commands map[string]command) {
+	var ask orderAsk
+	o := app.Command("order", "Order a target to load a model, adapter or version, or to change its role.")
+	o.Arg("target", "Id of the target.").Required().StringVar(&ask.Target)
+	o.Arg("action", "What to do, in the target's own words, such as load.").Required().StringVar(&ask.Action)
+	o.Arg("model", "Model, adapter, version or role that the action is about.").StringVar(&ask.Model)
+	commands[o.FullCommand()] = func(_ context.Context, e *env) error { return giveOrder(e, ask) }
+}
+
+// orderAsk is an order as an instance takes it.
+type orderAsk struct {
+	Target string `json:"target"`
+	Action string `json:"action"`
+	Model  string `json:"model"`
+}
+
+// orderTell is what became of an order.
+type orderTell struct {
+	Fence uint64 `json:"fence"`
+	Error string `json:"error"`
+}
+
+// giveOrder has the first instance named by --admin give the order.
+func giveOrder(e *env, ask orderAsk) error {
+	if len(e.opts.Admins) == 0 {
+		return errors.WithType(errors.New("order needs --admin"), errUsage)
+	}
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + e.opts.Admins[0] + "/order")
+	req.SetBodyRaw(body)
+	if err := fasthttp.DoTimeout(req, resp, e.opts.Timeout); err != nil {
+		return errors.Annotate(err, e.opts.Admins[0])
+	}
+	var tell orderTell
+	if err := json.Unmarshal(resp.Body(), &tell); err != nil {
+		return errors.Annotatef(err, "%s answered %d", e.opts.Admins[0], resp.StatusCode())
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		fmt.Fprintf(e.info, "target %s took the order under fencing number %d\n", ask.Target, tell.Fence)
+		return nil
+	case fasthttp.StatusBadRequest, fasthttp.StatusNotFound:
+		return errors.WithType(errors.New(tell.Error), errUsage)
+	}
+	return errors.Errorf("order under fencing number %d is not acknowledged: %s", tell.Fence, tell.Error)
+}
--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -41,6 +41,12 @@
 	targetProbeTimeout = time.Second
 	// cancelTimeout bounds the order to a target to cancel a request.
 	cancelTimeout = 2 * time.Second
+	// writeSlack is how long after the longest deadline a caller may take to
+	// read its answer.
+	writeSlack = 10 * time.Second
+	// orderTimeout is how long an operator's call waits for a target to take an
+	// order.
+	orderTimeout = 10 * time.Second
 	// retryAfter is when to come back where nothing better is known.
 	retryAfter = time.Second
 )
