Write the first claim after a pause at once

Cause (TestBenchHop): every claim waited the whole period in which claims share a write, also alone: p95 +55.9 ms at 20 calls a second. Ruled out: a shorter period, which multiplies the writes under load. Change: a lane waits only for what is left of the period since its last claims; 40 writes of claims a second a failure domain instead of 20.

--- a/bluebellport/src/options.go
+++ b/bluebellport/src/options.go
@@ -211,7 +211,7 @@
 	cmd.Flag("claim-timeout", "Longest wait for a claim to be written before the request is refused.").Envar("BLUEBELLPORT_CLAIM_TIMEOUT").Default("2s").DurationVar(&o.ClaimTimeout)
 	cmd.Flag("record-takeover", "How long an instance is missing before its peers submit its records.").Envar("BLUEBELLPORT_RECORD_TAKEOVER").Default("5s").DurationVar(&o.Takeover)
 	cmd.Flag("record-queue", "Unacknowledged bills above which new work is refused.").Envar("BLUEBELLPORT_RECORD_QUEUE").Default("100000").IntVar(&o.Queue)
-	cmd.Flag("claim-writes", "Writes of claims a second in a failure domain above which claims wait longer for others.").Envar("BLUEBELLPORT_CLAIM_WRITES").Default("20").Float64Var(&o.ClaimWrites)
+	cmd.Flag("claim-writes", "Writes of claims a second in a failure domain above which claims wait longer for others.").Envar("BLUEBELLPORT_CLAIM_WRITES").Default("40").Float64Var(&o.ClaimWrites)
 	cmd.Flag("bill-writes", "Most writes of bills alone a second in a failure domain.").Envar("BLUEBELLPORT_BILL_WRITES").Default("10").Float64Var(&o.BillWrites)
 	cmd.Flag("answer-keep", "How long an answer is kept for repeated requests.").Envar("BLUEBELLPORT_ANSWER_KEEP").Default("10m").DurationVar(&o.AnswerKeep)
 	cmd.Flag("answer-grace", "How long a request goes on when all its callers have left.").Envar("BLUEBELLPORT_ANSWER_GRACE").Default("2s").DurationVar(&o.AnswerGrace)
--- a/bluebellport/src/recorder_lane.go
+++ b/bluebellport/src/recorder_lane.go
@@ -19,6 +19,7 @@
 	queue     []*item
 	claimAt   time.Time // when the first claim is due, zero without any
 	billAt    time.Time
+	claimed   time.Time // when claims were last sent or written
 	notBefore time.Time
 	restUntil time.Time // the home is passed over
 	sweepAt   time.Time
@@ -130,13 +131,14 @@
 	return r.isSelf(r.home(l.p).ID) || now.Before(l.restUntil)
 }
 
-// period is how long a record waits for others. The committer waits the whole
-// period; a claim on its way to the home does not wait.
+// period is how long a record waits for others. A claim on its way to the home
+// does not wait, and at the committer only for what is left of the period since
+// the lane's last claims were written: the first after a pause goes at once.
 func (r *Recorder) period(l *lane, rec *bbwire.Record, now time.Time) time.Duration {
 	here := r.here(l, now)
 	switch {
 	case isClaim(rec) && here:
-		return r.opts.ClaimPeriod
+		return max(0, r.opts.ClaimPeriod-now.Sub(l.claimed))
 	case isClaim(rec):
 		return 0
 	case here:
@@ -148,6 +150,9 @@
 // work sends the lane's records to the home, or commits them here.
 func (r *Recorder) work(ctx context.Context, l *lane) {
 	items := r.wanted(l.queue)
+	if !l.claimAt.IsZero() {
+		l.claimed = r.Now()
+	}
 	l.queue, l.claimAt, l.billAt = nil, time.Time{}, time.Time{}
 	if !r.here(l, r.Now()) {
 		items = r.forward(l, items)
