Take a claimed request's place at the service once its claim stands

Ruled out: a wider window, which lets an overload through to the target; claims before limits. Change: limits first, then money and claim, then the place; a request that finds none gives its claim back, which shares a write with others. TestClaimedRequestsTakeTheirPlaceLate fails when Done always gives a place back.

--- a/bluebellport/src/admit.go
+++ b/bluebellport/src/admit.go
@@ -12,20 +12,47 @@
 // Pass is the admission of one request; Done must be called once it ended.
 type Pass struct {
 	Done func()
+	// placed tells that the request has a place at the service.
+	placed atomic.Bool
 }
 
 // Admit lets the request in, or returns a Refusal. It answers at once, but for
 // requests that wait their turn for a place: these wait no longer than they are
 // expected to be served in time, and end when Cancel is closed.
 func (r *Router) Admit(ask Ask) (*Pass, error) {
-	pass, err := r.admit(&ask)
+	pass, err := r.admit(&ask, true)
 	if err != nil {
 		r.refused.Inc(1)
 	}
 	return pass, err
 }
 
-func (r *Router) admit(ask *Ask) (*Pass, error) {
+// AdmitLimits is Admit without a place at the service, for a request that has to
+// be claimed before it may be sent: it would hold the place while it waits.
+// Enter takes the place then. It answers at once.
+func (r *Router) AdmitLimits(ask Ask) (*Pass, error) {
+	pass, err := r.admit(&ask, false)
+	if err != nil {
+		r.refused.Inc(1)
+	}
+	return pass, err
+}
+
+// Enter takes a place for a request that AdmitLimits let in, as Admit does.
+func (r *Router) Enter(ask Ask, p *Pass) error {
+	g, ok := r.group(ask.Service)
+	if !ok {
+		return &Refusal{Cause: ErrNoTarget}
+	}
+	if err := r.enter(g, &ask, r.p.Now()); err != nil {
+		r.refused.Inc(1)
+		return err
+	}
+	p.placed.Store(true)
+	return nil
+}
+
+func (r *Router) admit(ask *Ask, place bool) (*Pass, error) {
 	now := r.p.Now()
 	g, ok := r.group(ask.Service)
 	switch {
@@ -43,7 +70,7 @@
 		}
 	}
 	err := service.Enter(now)
-	if err == nil {
+	if err == nil && place {
 		if err = r.enter(g, ask, now); err != nil {
 			service.Undo()
 		}
@@ -54,22 +81,27 @@
 		}
 		return nil, err
 	}
-	return newPass(g.Gate(), account, service), nil
+	return newPass(g.Gate(), account, service, place), nil
 }
 
 // newPass returns what gives the place and the limits back, once.
-func newPass(gate *bbroute.Gate, account, service *bbroute.Limiter) *Pass {
+func newPass(gate *bbroute.Gate, account, service *bbroute.Limiter, placed bool) *Pass {
 	var ended atomic.Bool
-	return &Pass{Done: func() {
+	p := &Pass{}
+	p.placed.Store(placed)
+	p.Done = func() {
 		if !ended.CompareAndSwap(false, true) {
 			return
 		}
-		gate.Exit()
+		if p.placed.Load() {
+			gate.Exit()
+		}
 		service.Leave()
 		if account != nil {
 			account.Leave()
 		}
-	}}
+	}
+	return p
 }
 
 // enter takes a place, or lines the request up for one.
--- a/bluebellport/src/admit_test.go
+++ b/bluebellport/src/admit_test.go
@@ -192,3 +192,32 @@
 	_, err = rig.r.PickSame(Ask{Service: "s1"}, "a")
 	is.True(errors.Is(err, ErrNoTarget))
 }
+
+// TestClaimedRequestsTakeTheirPlaceLate: a request that waits for its claim
+// keeps no place from others, and gives back what it took, once.
+func TestClaimedRequestsTakeTheirPlaceLate(t *testing.T) {
+	is := is.New(t)
+	rig := newRouterRig(t, bbticket.Target{ID: "a", Domain: "d1", Slots: 4})
+	rig.load("a", 100, 100) // room for one
+	left := make(chan struct{})
+	close(left)
+	ask := Ask{Service: "s1", Cancel: left}
+	claimed, err := rig.r.AdmitLimits(ask)
+	is.NoErr(err)
+	read, err := rig.r.Admit(ask)
+	is.NoErr(err)
+	is.True(errors.Is(rig.r.Enter(ask, claimed), ErrCancelled)) // it would have to wait
+	read.Done()
+	is.NoErr(rig.r.Enter(ask, claimed))
+	_, err = rig.r.Admit(ask)
+	is.True(errors.Is(err, ErrCancelled))
+	claimed.Done()
+	claimed.Done()
+	g, _ := rig.r.current().Group("s1")
+	is.Equal(g.Gate().Open(), 0)
+	is.Equal(g.Limiter().Tick(0).Open, 0)
+	unplaced, err := rig.r.AdmitLimits(ask)
+	is.NoErr(err)
+	unplaced.Done()
+	is.Equal(g.Gate().Open(), 0)
+}
--- a/bluebellport/src/run.go
+++ b/bluebellport/src/run.go
@@ -53,14 +53,14 @@
 
 // run does the whole request and ends the answer:
 //
-//	admit -> reserve -> claim or open -> attempts -> bill
-//	   \________\___________\______________\______-> refusal
+//	admit -> reserve -> claim or open -> (place) -> attempts -> bill
+//	   \________\___________\______________\__________\______-> refusal
 func (r *runner) run(ctx context.Context, c *call, out *Answer) {
 	ctx, cancel := context.WithDeadlineCause(ctx, c.deadline, errors.Trace(errDeadline))
 	defer cancel()
 	j := &job{runner: r, c: c, out: out, ask: askOf(ctx, c), ended: make(chan struct{})}
 	defer close(j.ended)
-	pass, err := r.router.Admit(j.ask)
+	pass, err := r.admit(j.ask)
 	if err != nil {
 		j.refuse(ctx, err)
 		return
@@ -75,9 +75,24 @@
 		j.unclaimed(ctx, err, stands)
 		return
 	}
+	if !c.repeatable {
+		if err := r.router.Enter(j.ask, pass); err != nil {
+			j.finish(ctx, err)
+			return
+		}
+	}
 	j.finish(ctx, j.attempts(ctx))
 }
 
+// admit lets the request in; one that has to be claimed gets its place at the
+// service afterwards, so that its wait keeps nobody out.
+func (r *runner) admit(ask Ask) (*Pass, error) {
+	if ask.Repeat {
+		return r.router.Admit(ask)
+	}
+	return r.router.AdmitLimits(ask)
+}
+
 func askOf(ctx context.Context, c *call) Ask {
 	a := Ask{
 		Service:  c.service.ID,
