--- /dev/null
+++ b/bluebellport/src/peer_connect.go
@@ -0,0 +1,193 @@
+package bbport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
+
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// connect opens a session with an instance and checks that it is the one meant.
+func (p *Peers) connect(ctx context.Context, to bbunit.InstanceID) (*session, error) {
+	address, ok := p.members.address(to)
+	if !ok {
+		return nil, errors.Errorf("address not known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.tls != nil {
+		conn = tls.Client(conn, p.tls)
+	}
+	s, err := p.open(ctx, conn, true)
+	if err != nil {
+		return nil, err
+	}
+	if s.peer() != to {
+		s.close()
+		return nil, errors.Errorf("%s answers at %s", s.peer(), address)
+	}
+	return s, p.start(s)
+}
+
+// accept takes connections until the listener is closed.
+func (p *Peers) accept() {
+	for {
+		conn, err := p.ln.Accept()
+		if p.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			p.drop("", err)
+			time.Sleep(dialPause)
+			continue
+		}
+		p.wg.Go(func() { p.accepted(conn) })
+	}
+}
+
+func (p *Peers) accepted(conn net.Conn) {
+	remote := conn.RemoteAddr().String()
+	if p.tls != nil {
+		conn = tls.Server(conn, p.tls)
+	}
+	s, err := p.open(p.ctx, conn, false)
+	if err == nil {
+		err = p.start(s)
+	}
+	if err != nil {
+		p.drop("", errors.Annotatef(err, "connection from %s", remote))
+	}
+}
+
+// open shakes hands on a connection, which it closes when that fails.
+func (p *Peers) open(ctx context.Context, conn net.Conn, dialed bool) (*session, error) {
+	if c, ok := conn.(*tls.Conn); ok {
+		hctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if err := c.HandshakeContext(hctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+	}
+	counted := &countedConn{Conn: conn, in: p.bytesIn, out: p.bytesOut}
+	return newSession(ctx, counted, dialed, p.hello(), muxLog{p.log})
+}
+
+// hello says who this instance is.
+func (p *Peers) hello() *bbwire.Hello {
+	m := p.self()
+	return &bbwire.Hello{
+		Instance: string(m.ID), Inc: uint64(m.Inc), Domain: string(m.Domain), Address: m.Address,
+		Number: uint64(p.parts.Board.State.Load().Number),
+	}
+}
+
+// start serves a new session on goroutines of its own.
+func (p *Peers) start(s *session) error {
+	if s.peer() == p.self().ID {
+		s.close()
+		return errors.Annotatef(errHello, "%s is this instance", s.peer())
+	}
+	l, err := p.makeLink(s.peer())
+	if err != nil {
+		s.close()
+		return err
+	}
+	l.add(s)
+	p.members.greeted(s.hello)
+	p.wg.Go(func() { p.serve(l, s) })
+	p.wg.Go(func() { p.acceptStreams(s) })
+	return nil
+}
+
+// serve reads envelopes until the session ends.
+func (p *Peers) serve(l *link, s *session) {
+	stop := context.AfterFunc(p.ctx, s.close)
+	defer stop()
+	s.read(
+		func(e *bbwire.Envelope) { p.take(l.id, e) },
+		func(err error) { p.drop(l.id, err) },
+	)
+	l.remove(s)
+	if l.current() == nil {
+		p.lost(l.id)
+	}
+}
+
+// acceptStreams serves the streams that the peer opens.
+func (p *Peers) acceptStreams(s *session) {
+	for {
+		st, err := s.mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		if s.mux.NumStreams() > maxStreams {
+			p.drop(s.peer(), errors.New("too many streams"))
+			_ = st.Close()
+			continue
+		}
+		p.wg.Go(func() { p.serveStream(s, st) })
+	}
+}
+
+func (p *Peers) serveStream(s *session, st *yamux.Stream) {
+	defer func() { _ = st.Close() }()
+	_ = st.SetReadDeadline(time.Now().Add(dialTimeout))
+	kind, err := readKind(st)
+	if err != nil {
+		p.drop(s.peer(), errors.Annotate(err, "stream header"))
+		return
+	}
+	_ = st.SetReadDeadline(time.Time{})
+	fn, ok := p.streams.Load(kind)
+	if !ok {
+		p.drop(s.peer(), errors.Annotatef(errKind, "%.40q", kind))
+		return
+	}
+	s.touch()
+	if r := panics.Try(func() { fn.(func(bbunit.InstanceID, net.Conn))(s.peer(), st) }); r != nil {
+		p.drop(s.peer(), errors.Annotatef(errPanic, "stream %s: %v", kind, r.Value))
+	}
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	in, out metrics.Counter
+}
+
+// Read counts what it reads.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Inc(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Inc(int64(n))
+	return n, err
+}
+
+// muxLog turns yamux's log lines into debug entries.
+type muxLog struct{ log logrus.FieldLogger }
+
+// Write logs one line.
+func (l muxLog) Write(b []byte) (int, error) {
+	l.log.WithField("lib", "yamux").Debug(string(b))
+	return len(b), nil
+}
