Forget the clients of targets that are no longer in force

Cause: the function that closes them had no caller, so that a replaced target's client stayed for the life of the instance.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	go test -count=1 -timeout 20m -run Faults -v ./e2e -faults
 
 bench: build
-	go test -run '^$$' -bench . -benchmem ./shared/...
+	go test -run '^$$' -bench . -benchmem ./shared/... ./bluebellport/src
 	go test -count=1 -timeout 20m -run Bench -v ./e2e -bench-processes
 
 lint:
--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -37,6 +37,8 @@
 	targetDialTimeout = time.Second
 	// idleTimeout is how long a connection to a target is kept for reuse.
 	idleTimeout = 10 * time.Second
+	// tendEvery is how often targets that are gone are forgotten.
+	tendEvery = time.Minute
 	// targetProbeTimeout bounds the question whether a target still runs a request.
 	targetProbeTimeout = time.Second
 	// cancelTimeout bounds the order to a target to cancel a request.
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -57,7 +57,7 @@
 //	                    |
 //	caller -> Front -> runner: Admit -> Reserve -> Claim/Open -> attempts -> Bill
 //	   ^                                                           |
-//	   +------------------ flow <---------- engines, plains <------+--> target
+//	   +---------------- Answer <---------- engines, plains <------+--> target
 func Serve(ctx context.Context, opts *Options, logs io.Writer) error {
 	log, err := newLog(opts, logs)
 	if err != nil {
@@ -89,7 +89,9 @@
 	defer closeRouter()
 	peers.AddRumor(router)
 
-	f := NewFront(p, newRunner(p, router, treasury, recorder))
+	runner := newRunner(p, router, treasury, recorder)
+	defer runner.engines.up.tend(p.Board)()
+	f := NewFront(p, runner)
 	f.carrier = newCarrier(f, peers)
 	f.runner.elsewhere = f.carrier.fetch
 	a := newAdmin(p, f, map[string]func() any{
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -504,3 +504,22 @@
 		t.Fatal(err)
 	}
 }
+
+// TestForgetsTargets: connections to a target that is no longer in force are
+// closed and its client is dropped; the others stay.
+func TestForgetsTargets(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	resp, _ := b.do(t, "GET", "/services/desk/x", "")
+	is.Equal(resp.StatusCode, 200)
+	up := b.runner.plains.up
+	address := b.parts.Board.State.Load().ByService["desk"][0].Address
+	_, ok := up.pooled.Load(address)
+	is.True(ok)
+	up.forget(map[string]bool{address: true})
+	_, ok = up.pooled.Load(address)
+	is.True(ok)
+	up.forget(nil)
+	_, ok = up.pooled.Load(address)
+	is.True(!ok)
+}
--- a/bluebellport/src/upstream.go
+++ b/bluebellport/src/upstream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -59,6 +60,28 @@
 	return c, nil
 }
 
+// tend forgets, now and then, the targets that are no longer in force, until the
+// function that it returns is called.
+func (u *upstream) tend(b *Board) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for wait(ctx, tendEvery) {
+			keep := map[string]bool{}
+			for _, list := range b.State.Load().ByService {
+				for _, t := range list {
+					keep[t.Address] = true
+				}
+			}
+			u.forget(keep)
+		}
+	})
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
 // forget closes idle connections to targets that are no longer in force.
 func (u *upstream) forget(keep map[string]bool) {
 	for _, m := range []*sync.Map{&u.pooled, &u.fresh} {
