Tell where a ticket's unknown kind of service stands

Cause: the decoder gives no place for an enum's unknown name, so that a long ticket had to be searched.

--- a/shared/bbticket/parse.go
+++ b/shared/bbticket/parse.go
@@ -38,11 +38,47 @@
 	var t Ticket
 	d := yaml.NewDecoder(bytes.NewReader(src), yaml.Strict(), yaml.DisallowUnknownField())
 	if err := d.Decode(&t); err != nil {
-		return Ticket{}, errors.WithType(errors.New(yaml.FormatError(err, false, true)), ErrInvalid)
+		text := yaml.FormatError(err, false, true)
+		if at := badKind(src); at != "" {
+			text = at // the decoder gives no place for a name that is not in an enum
+		}
+		return Ticket{}, errors.WithType(errors.New(text), ErrInvalid)
 	}
 	return t, nil
 }
 
+// badKind tells where the first service stands whose kind is unknown, in the
+// decoder's form, or "" when there is none.
+func badKind(src []byte) string {
+	for i := 0; ; i++ {
+		service, err := yaml.PathString(fmt.Sprintf("$.services[%d]", i))
+		if err != nil {
+			return ""
+		}
+		if _, err := service.ReadNode(bytes.NewReader(src)); err != nil {
+			return ""
+		}
+		path, err := yaml.PathString(fmt.Sprintf("$.services[%d].kind", i))
+		if err != nil {
+			return ""
+		}
+		node, err := path.ReadNode(bytes.NewReader(src))
+		if err != nil {
+			continue // it names none
+		}
+		name := strings.Trim(node.String(), `"'`)
+		if _, err := KindString(name); err == nil {
+			continue
+		}
+		excerpt, err := path.AnnotateSource(src, false)
+		if err != nil {
+			return ""
+		}
+		at := node.GetToken().Position
+		return fmt.Sprintf("[%d:%d] kind: %s or %s, is %q\n%s", at.Line, at.Column, KindEngine, KindPlain, name, excerpt)
+	}
+}
+
 // faults collects what is wrong with a ticket.
 type faults []string
 
--- a/shared/bbticket/parse_test.go
+++ b/shared/bbticket/parse_test.go
@@ -25,18 +25,19 @@
 func TestBadTickets(t *testing.T) {
 	ticket := func(body string) string { return "number: 1\n" + body }
 	for name, src := range map[string]string{
-		"unknown-field": ticket("accounts:\n  - id: a\n    colour: red\n"),
-		"not-yaml":      "number: [",
-		"bad-kind":      ticket("services:\n  - {id: s, kind: magic}\n"),
-		"overflow":      ticket("budgets:\n  - {id: b, account: a, paid: 99999999999999999999999}\n"),
-		"empty":         "number: 1\n",
-		"zero":          "number: 0\nservices: [{id: s, kind: plain}]\n",
-		"negative":      ticket("services: [{id: s, kind: plain, price: {call: -1}}]\n"),
-		"unknown-refs":  ticket("budgets: [{id: b, account: nobody, paid: 1}]\ntargets: [{id: t, service: none, address: here, domain: ''}]\n"),
-		"twice":         ticket("services: [{id: s, kind: plain}, {id: s, kind: plain}]\n"),
-		"plain-key":     ticket("accounts: [{id: a, keys: [secret]}]\n"),
-		"method":        ticket("services: [{id: s, kind: plain, idempotent: [get]}]\n"),
-		"id":            ticket("services: [{id: '../x', kind: plain}]\n"),
+		"unknown-field":  ticket("accounts:\n  - id: a\n    colour: red\n"),
+		"not-yaml":       "number: [",
+		"bad-kind":       ticket("services:\n  - {id: s, kind: magic}\n"),
+		"bad-kind-later": ticket("services:\n  - {id: r}\n  - {id: q, kind: \"plain\"}\n  - {id: s, kind: magic}\n"),
+		"overflow":       ticket("budgets:\n  - {id: b, account: a, paid: 99999999999999999999999}\n"),
+		"empty":          "number: 1\n",
+		"zero":           "number: 0\nservices: [{id: s, kind: plain}]\n",
+		"negative":       ticket("services: [{id: s, kind: plain, price: {call: -1}}]\n"),
+		"unknown-refs":   ticket("budgets: [{id: b, account: nobody, paid: 1}]\ntargets: [{id: t, service: none, address: here, domain: ''}]\n"),
+		"twice":          ticket("services: [{id: s, kind: plain}, {id: s, kind: plain}]\n"),
+		"plain-key":      ticket("accounts: [{id: a, keys: [secret]}]\n"),
+		"method":         ticket("services: [{id: s, kind: plain, idempotent: [get]}]\n"),
+		"id":             ticket("services: [{id: '../x', kind: plain}]\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/shared/bbticket/state.go
+++ b/shared/bbticket/state.go
@@ -6,7 +6,7 @@
 	"bluebellport.example/shared/bbunit"
 )
 
-//go:generate enumer -type=Kind -trimprefix=Kind -transform=kebab -text -yaml -output=kind_enumer.go
+//go:generate enumer -type=Kind -trimprefix=Kind -transform=kebab -text -output=kind_enumer.go
 
 // Kind tells how a service is spoken to.
 type Kind int
