Check a ticket in one place and drop state that nothing reads

The number and the check of a ticket stood in check and in apply, and apply read the whole state once more for its caps; both go through loadFor now. A stream's finished mark was written and never read.

--- a/bluebellctl/src/budget.go
+++ b/bluebellctl/src/budget.go
@@ -110,10 +110,10 @@
 	return nil
 }
 
-// capBudgets keeps the budgets that the ticket lowers from being drawn above
+// capBudgets keeps the budgets that the ticket lowers, by the state s, from being drawn above
 // what it will leave, before the ticket is accepted. The function it returns
 // takes the caps back, for a ticket that was refused.
-func capBudgets(ctx context.Context, e *env, t bbticket.Ticket, nonce string) (func(), error) {
+func capBudgets(ctx context.Context, e *env, s *bbticket.State, t bbticket.Ticket, nonce string) (func(), error) {
 	var capped []bbunit.BudgetID
 	undo := func() {
 		for _, id := range capped {
@@ -122,10 +122,6 @@
 			}
 		}
 	}
-	s, err := bbticket.NewLog(e.store).Load(ctx)
-	if err != nil {
-		return undo, errors.Trace(err)
-	}
 	for _, b := range t.Budgets {
 		paid := b.Paid
 		if b.Gone {
--- a/bluebellctl/src/ticket.go
+++ b/bluebellctl/src/ticket.go
@@ -60,18 +60,27 @@
 	if err != nil {
 		return err
 	}
+	_, err = loadFor(ctx, e, t)
+	if errors.Is(err, bbticket.ErrInvalid) {
+		return errors.Annotatef(err, "%s", file)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.info, "ticket %d can be applied\n", t.Number)
+	return nil
+}
+
+// loadFor returns the state in force, if the ticket may follow it.
+func loadFor(ctx context.Context, e *env, t bbticket.Ticket) (*bbticket.State, error) {
 	s, err := bbticket.NewLog(e.store).Load(ctx)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	if t.Number != s.Number+1 {
-		return &bbticket.NumberError{Asked: t.Number, Head: s.Number}
+		return nil, &bbticket.NumberError{Asked: t.Number, Head: s.Number}
 	}
-	if err := s.Check(t); err != nil {
-		return errors.Annotatef(err, "%s", file)
-	}
-	fmt.Fprintf(e.info, "ticket %d can be applied\n", t.Number)
-	return nil
+	return s, s.Check(t)
 }
 
 func applyTicket(ctx context.Context, e *env, file string) error {
@@ -90,22 +99,15 @@
 // acceptTicket has the ticket accepted. A budget that it lowers is capped first;
 // where more is drawn, the ticket is refused with the figure.
 func acceptTicket(ctx context.Context, e *env, t bbticket.Ticket, nonce string) error {
-	l := bbticket.NewLog(e.store)
-	s, err := l.Load(ctx)
+	s, err := loadFor(ctx, e, t)
 	if err != nil {
-		return errors.Trace(err)
-	}
-	if t.Number != s.Number+1 {
-		return &bbticket.NumberError{Asked: t.Number, Head: s.Number}
-	}
-	if err := s.Check(t); err != nil {
 		return err
 	}
-	undo, err := capBudgets(ctx, e, t, nonce)
+	undo, err := capBudgets(ctx, e, s, t, nonce)
 	if err != nil {
 		return err
 	}
-	err = l.Accept(ctx, t, nonce, time.Now().UTC())
+	err = bbticket.NewLog(e.store).Accept(ctx, t, nonce, time.Now().UTC())
 	if errors.Is(err, bbticket.ErrNumber) || errors.Is(err, bbticket.ErrInvalid) {
 		undo()
 	}
--- a/bluebellport/src/admin.go
+++ b/bluebellport/src/admin.go
@@ -90,7 +90,7 @@
 		Instance: a.parts.Opts.Self.ID(),
 		Domain:   bbunit.DomainID(a.parts.Opts.Self.Domain),
 		Version:  bbunit.Version,
-		Number:   stateOf(b).Number,
+		Number:   b.State.Load().Number,
 		Ready:    a.isReady(),
 		Draining: b.Draining.Load(),
 		Open:     a.front.open.Load(),
@@ -105,8 +105,6 @@
 	return s
 }
 
-func stateOf(b *Board) *bbticket.State { return b.State.Load() }
-
 // metrics writes the registry in the Prometheus text format.
 func (a *admin) metrics(c *fiber.Ctx) error {
 	var lines []string
--- a/bluebellport/src/engine.go
+++ b/bluebellport/src/engine.go
@@ -162,7 +162,7 @@
 	if err := json.Unmarshal(b, &v); err != nil {
 		return errors.WithType(errors.Annotate(err, "answer"), errTarget)
 	}
-	r.usage, r.finished = v.Usage, true
+	r.usage = v.Usage
 	if v.Usage != nil {
 		r.tokens = v.Usage.Completion
 	}
--- a/bluebellport/src/sse.go
+++ b/bluebellport/src/sse.go
@@ -84,7 +84,6 @@
 	before   bbunit.Tokens // tokens of earlier attempts
 	usage    *usage
 	event    int  // last event of this attempt
-	finished bool // a finish reason was seen
 	many     bool // more than one choice, so that the text cannot be continued
 	restarts int
 	begun    bool // the caller has the head
@@ -120,7 +119,6 @@
 		}
 		if ch.Finish != nil {
 			empty = false
-			r.finished = true
 		}
 	}
 	if empty && r.restarts > 0 {
@@ -143,7 +141,7 @@
 	}
 	f["id"], _ = json.Marshal(r.id)
 	if c.Usage != nil {
-		f["usage"], _ = json.Marshal(r.fullUsage(r.total()))
+		f["usage"], _ = json.Marshal(r.total().full())
 	}
 	b, err := json.Marshal(f)
 	return b, errors.Trace(err)
@@ -169,8 +167,8 @@
 	return u
 }
 
-// fullUsage is the usage as callers read it.
-func (r *relay) fullUsage(u usage) map[string]bbunit.Tokens {
+// full is the usage as callers read it.
+func (u usage) full() map[string]bbunit.Tokens {
 	return map[string]bbunit.Tokens{
 		"prompt_tokens":     u.Prompt,
 		"completion_tokens": u.Completion,
