--- /dev/null
+++ b/bluebellport/door/board.go
@@ -0,0 +1,46 @@
+// Package bbdoor is the front door of an instance on the platform: it takes
+// requests as they come over the wire, checks them against what the operators
+// declared, reserves money, places them at targets and passes the answers back.
+package bbdoor
+
+import (
+	"sync/atomic"
+
+	"bluebellport.example/shared/bbplace"
+	"bluebellport.example/shared/bbplan"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Board is what controllers write and requests read: immutable snapshots, each
+// replaced whole by the controller that owns it.
+type Board struct {
+	// Plan is what the operators declared; the plan follower owns it.
+	Plan atomic.Pointer[bbplan.Plan]
+	// Groups are the targets by service; the target follower owns it.
+	Groups atomic.Pointer[map[bbunit.ServiceID]*Group]
+	// Leaving is set once the instance was told to stop.
+	Leaving atomic.Bool
+	// Instances is how many instances share the accounts, at least 1.
+	Instances atomic.Int64
+}
+
+// Group is the targets of one service.
+type Group struct {
+	Servers []*Server
+	// Places are the same targets as decisions see them.
+	Places []*bbplace.Target
+}
+
+// Ready tells whether requests can be served.
+func (b *Board) Ready() bool {
+	return b.Plan.Load() != nil && b.Groups.Load() != nil && !b.Leaving.Load()
+}
+
+// group returns the targets of a service, nil when none is known.
+func (b *Board) group(id bbunit.ServiceID) *Group {
+	groups := b.Groups.Load()
+	if groups == nil {
+		return nil
+	}
+	return (*groups)[id]
+}
--- /dev/null
+++ b/bluebellport/door/constants.go
@@ -0,0 +1,111 @@
+package bbdoor
+
+import "time"
+
+// Bounds of heads and bodies.
+const (
+	// maxHead is the size of a head that is read before the limits in force are
+	// known, in bytes.
+	maxHead = 16 << 10
+	// maxBody is the same of a body, in bytes.
+	maxBody = 4 << 20
+	// maxAnswer is the size of an answer that is read whole, in bytes.
+	maxAnswer = 8 << 20
+	// maxEvent is the size of one event of a stream, in bytes.
+	maxEvent = 1 << 20
+	// maxChunkLine is the length of the line before a chunk, in bytes.
+	maxChunkLine = 256
+	// bufferSize is the buffer of a connection, in bytes.
+	bufferSize = 4 << 10
+	// inlineBody is the size up to which a body is sent before the answer is
+	// read, in bytes; a larger one is sent beside it.
+	inlineBody = 48 << 10
+)
+
+// Times of connections.
+const (
+	// headTime and idleTime hold until the limits in force are known.
+	headTime = 3 * time.Second
+	idleTime = 15 * time.Second
+	// dialTime bounds the opening of a connection to a target.
+	dialTime = 250 * time.Millisecond
+	// writeTime bounds one write to a caller that does not read.
+	writeTime = 3 * time.Second
+	// poolTime is how long an unused connection to a target is kept when the
+	// target names no time.
+	poolTime = 4 * time.Second
+	// poolSlack is how much sooner than the target says it is given up.
+	poolSlack = time.Second
+	// keepAliveIdle and keepAliveEvery find connections that have gone silent.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = 500 * time.Millisecond
+	keepAliveCount = 3
+)
+
+// Times of a request.
+const (
+	// defaultDeadline is for requests that set none.
+	defaultDeadline = 10 * time.Second
+	// answerSlack is how long before its deadline a request that goes on is
+	// answered, so that the answer still finds its caller.
+	answerSlack = 20 * time.Millisecond
+	// shareWait is how long a request waits for a share of its account's money.
+	shareWait = 400 * time.Millisecond
+	// comeBack is when to come back where nothing better is known.
+	comeBack = 500 * time.Millisecond
+)
+
+// Times of the controllers.
+const (
+	// targetsEvery is the pause between two looks at the list of targets.
+	targetsEvery = 700 * time.Millisecond
+	// watchWait is how long one watch of what operators declare waits.
+	watchWait = 20 * time.Second
+	// storePause is the pause after a call to the store that failed.
+	storePause = 250 * time.Millisecond
+	// storeBack is how long after trouble with the store the list of targets
+	// may lack some that are alive.
+	storeBack = 2 * time.Second
+	// moneyTick is the time between two looks at the shares.
+	moneyTick = 250 * time.Millisecond
+	// closeTime bounds the giving back of shares at a stop.
+	closeTime = 700 * time.Millisecond
+	// lingerTime is how long a leaving instance takes new connections while the
+	// balancer learns of it.
+	lingerTime = 3500 * time.Millisecond
+	// graceSlack is how long before the kill a leaving instance ends by itself.
+	graceSlack = 600 * time.Millisecond
+)
+
+// Bounds of what one request tries.
+const (
+	// maxUnsent is how many targets that cannot be reached are tried.
+	maxUnsent = 3
+	// maxForeign is how many answers are read to find the request's own.
+	maxForeign = 4
+	// unseenEvents is how many events of a stream that broke off may have been
+	// made without being seen; their tokens count as spent.
+	unseenEvents = 2
+	// patienceAims is how many times its aim a request that may be repeated
+	// waits for an answer before another target is tried, patienceGaps the same
+	// for a pause between events; leastPatience bounds both from below.
+	patienceAims  = 2
+	patienceGaps  = 4
+	leastPatience = 250 * time.Millisecond
+	// discardTime bounds the reading of an answer that is not passed on.
+	discardTime = 100 * time.Millisecond
+	// lastRead is how long a closed connection is read, so that its last answer
+	// is not lost.
+	lastRead = 500 * time.Millisecond
+)
+
+// Shares of what all instances have together.
+const (
+	// defaultInstances is how many instances are assumed until they are counted.
+	defaultInstances = 8
+	// retryPart is the part of the allowed repeats that is used, so that
+	// instances that have just started do not exceed them.
+	retryPart = 0.6
+	// busyTime is how long a target that refused a request gets no other.
+	busyTime = 50 * time.Millisecond
+)
--- /dev/null
+++ b/bluebellport/door/money.go
@@ -0,0 +1,229 @@
+package bbdoor
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbplan"
+	"bluebellport.example/shared/bbshare"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// moneyPrefix is above the rows of the accounts in the platform's store.
+const moneyPrefix = "bluebellport/money/"
+
+// Rows is the part of the platform's store that money uses.
+type Rows interface {
+	List(ctx context.Context, prefix string) ([]bbstore.Entry, bbstore.Revision, error)
+	Swap(ctx context.Context, rows []bbstore.Entry, lease bbstore.LeaseID) (bbstore.Revision, []bbstore.Entry, error)
+}
+
+// money is the controller of this instance's shares.
+type money struct {
+	rows  Rows
+	board *Board
+	log   logrus.FieldLogger
+	now   func() time.Time
+	poke  chan struct{}
+
+	mu    sync.Mutex // guards book and drawn
+	book  *bbshare.Book
+	drawn chan struct{} // closed after each write and replaced
+	last  time.Time     // last answer of the store
+	plan  *bbplan.Plan
+
+	purses sync.Map // bbunit.AccountID -> *bbshare.Purse
+}
+
+func newMoney(rows Rows, board *Board, log logrus.FieldLogger, now func() time.Time, holder bbunit.HolderID) *money {
+	return &money{
+		rows: rows, board: board, log: log, now: now, poke: make(chan struct{}, 1),
+		book: bbshare.NewBook(holder, moneyPrefix, bbshare.DefaultRule()), drawn: make(chan struct{}),
+	}
+}
+
+// purse returns an account's purse.
+func (m *money) purse(id bbunit.AccountID) *bbshare.Purse {
+	if p, ok := m.purses.Load(id); ok {
+		return p.(*bbshare.Purse)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.book.Line(id).Purse
+	m.purses.Store(id, p)
+	return p
+}
+
+// reserve sets n of an account aside, or says why not. It waits a little for a
+// share, as long as gone stays open.
+func (m *money) reserve(a *bbplan.Account, n bbunit.Tokens, until time.Time, gone <-chan struct{}) (*bbshare.Purse, *Refusal) {
+	p := m.purse(a.ID)
+	if p.Reserve(n) {
+		return p, nil
+	}
+	wait := time.NewTimer(min(shareWait, time.Until(until)))
+	defer wait.Stop()
+	for round := 0; ; round++ {
+		m.mu.Lock()
+		drawn := m.drawn
+		m.mu.Unlock()
+		select {
+		case m.poke <- struct{}{}:
+		default:
+		}
+		select {
+		case <-drawn:
+		case <-gone:
+			return nil, notRun("caller left", 0)
+		case <-wait.C:
+			return nil, notRun("no share of the account's money at hand", comeBack)
+		}
+		if p.Again(n) {
+			return p, nil
+		}
+		if r := m.uncovered(a, n, round); r != nil {
+			return nil, r
+		}
+		if p.Reserve(n) {
+			return p, nil
+		}
+	}
+}
+
+// uncovered refuses what the account cannot cover, as the store has just told.
+func (m *money) uncovered(a *bbplan.Account, n bbunit.Tokens, round int) *Refusal {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.book.Line(a.ID)
+	if !l.Known() || m.now().Sub(m.last) > shareWait || l.Free()+l.Purse.Available() >= n {
+		return nil
+	}
+	if !l.Covers(n, m.book.Holder) {
+		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request"}
+	}
+	if round < 1 {
+		return nil
+	}
+	return notRun("the rest of the account's money is in other instances' shares", comeBack)
+}
+
+// run draws shares until ctx ends.
+func (m *money) run(ctx context.Context) {
+	t := time.NewTicker(moneyTick)
+	defer t.Stop()
+	ticked := m.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-m.poke:
+		}
+		if m.board.Plan.Load() == nil {
+			continue
+		}
+		m.mu.Lock()
+		if now := m.now(); now.Sub(ticked) >= time.Second {
+			m.book.Tick(now)
+			ticked = now
+		}
+		m.mu.Unlock()
+		m.draw(ctx)
+	}
+}
+
+// pay tells the book what accounts have paid.
+func (m *money) pay() {
+	plan := m.board.Plan.Load()
+	if plan == nil || plan == m.plan {
+		return
+	}
+	m.plan = plan
+	for _, a := range plan.Accounts {
+		if a.Metered {
+			m.book.Pay(a.ID, a.Paid)
+		}
+	}
+}
+
+// start reads all rows once, so that the first requests need no conflict.
+func (m *money) start(ctx context.Context) {
+	entries, _, err := m.rows.List(ctx, moneyPrefix)
+	if err != nil {
+		m.log.WithError(err).Warn("money rows not read; they are read with the first write")
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told(m.book.Read(entries))
+}
+
+// draw writes what is due, and once more after a conflict.
+func (m *money) draw(ctx context.Context) {
+	for range 4 {
+		m.mu.Lock()
+		m.pay()
+		d := m.book.Draw(int(m.board.Instances.Load()))
+		m.mu.Unlock()
+		if d == nil {
+			m.wake()
+			return
+		}
+		if !errors.Is(m.write(ctx, d), bbstore.ErrConflict) {
+			return
+		}
+	}
+}
+
+// write carries out one write and takes its outcome.
+func (m *money) write(ctx context.Context, d *bbshare.Draw) error {
+	rev, now, err := m.rows.Swap(ctx, d.Rows, 0)
+	m.mu.Lock()
+	m.told(m.book.Done(d, rev, now, err))
+	if err == nil || errors.Is(err, bbstore.ErrConflict) {
+		m.last = m.now()
+	}
+	m.mu.Unlock()
+	if !errors.Is(err, bbstore.ErrConflict) {
+		m.wake()
+	}
+	if err != nil && !errors.Is(err, bbstore.ErrConflict) {
+		sleep(ctx, storePause)
+	}
+	return err
+}
+
+// wake lets those that wait for a share look again.
+func (m *money) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.drawn)
+	m.drawn = make(chan struct{})
+}
+
+func (m *money) told(bad []error) {
+	for _, err := range bad {
+		m.log.WithError(err).Error("money row not readable; nothing is drawn from it")
+	}
+}
+
+// close gives back what is unspent.
+func (m *money) close(ctx context.Context) {
+	for range 3 {
+		m.mu.Lock()
+		d := m.book.Close()
+		m.mu.Unlock()
+		if d == nil {
+			return
+		}
+		if err := m.write(ctx, d); err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/bluebellport/door/refusal.go
@@ -0,0 +1,81 @@
+package bbdoor
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Refusal is an answer of the fleet's own.
+type Refusal struct {
+	Status int
+	// Reason tells people why.
+	Reason string
+	// After is when to come back; 0 gives no time.
+	After time.Duration
+	// Close ends the connection after the answer.
+	Close bool
+}
+
+// Error makes a refusal an error.
+func (r *Refusal) Error() string { return r.Reason }
+
+// outcome tells what is known of the request.
+func (r *Refusal) outcome() string {
+	switch r.Status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		return "unknown"
+	}
+	return "not-run"
+}
+
+type problemJSON struct {
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+}
+
+// bytes returns the refusal as it goes over the wire.
+func (r *Refusal) bytes(attempt string, closing bool) []byte {
+	text := http.StatusText(r.Status)
+	body, err := json.Marshal(problemJSON{Title: text, Status: r.Status, Detail: r.Reason, Outcome: r.outcome()})
+	if err != nil {
+		body = nil // strings and a number always encode
+	}
+	b := make([]byte, 0, 512)
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(r.Status), 10)
+	b = append(b, ' ')
+	b = append(b, text...)
+	b = append(b, "\r\n"...)
+	if attempt != "" {
+		b = appendField(b, "Attempt-Id", attempt)
+	}
+	b = appendField(b, "Content-Type", "application/problem+json")
+	b = appendField(b, "Content-Length", strconv.Itoa(len(body)))
+	if r.After > 0 {
+		b = appendField(b, "Retry-After", strconv.FormatFloat(r.After.Seconds(), 'f', 2, 64))
+	}
+	if closing {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// notRun refuses a request that has not run and never will.
+func notRun(reason string, after time.Duration) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, After: after}
+}
+
+// mayHaveRun ends a request of which nothing certain is known.
+func mayHaveRun(reason string) *Refusal {
+	return &Refusal{Status: http.StatusBadGateway, Reason: reason}
+}
+
+// late ends a request whose time is over.
+func late(reason string) *Refusal {
+	return &Refusal{Status: http.StatusGatewayTimeout, Reason: reason}
+}
--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -33,12 +33,24 @@
 	for _, g := range opts.groups() {
 		g.flags(serve)
 	}
-	if _, code, ok := bbcli.Parse(app, args, stderr, opts.Check); !ok {
+	native := app.Command("native", "Take requests on the platform, as its settings file says, until told to stop.")
+	check := func() []string {
+		if len(args) > 0 && args[0] == native.FullCommand() {
+			return nil // the settings file is checked when it is read
+		}
+		return opts.Check()
+	}
+	command, code, ok := bbcli.Parse(app, args, stderr, check)
+	if !ok {
 		return code
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := Serve(ctx, opts, stderr); err != nil {
+	run := func() error { return Serve(ctx, opts, stderr) }
+	if command == native.FullCommand() {
+		run = func() error { return Native(ctx, stdout) }
+	}
+	if err := run(); err != nil {
 		fmt.Fprintf(stderr, "bluebellport: %s\n", err)
 		return bbcli.ExitFailed
 	}
--- /dev/null
+++ b/shared/bbplan/plan.go
@@ -0,0 +1,169 @@
+// Package bbplan holds what the operators have declared: routes, services,
+// client accounts and limits, as one immutable state with a version.
+package bbplan
+
+import (
+	"strings"
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// Version orders the states that operators declare.
+type Version int64
+
+// RouteID names a route.
+type RouteID string
+
+// Kind tells how a request may be repeated and how its answer comes.
+type Kind int
+
+// Kinds of requests.
+const (
+	// KindOnce is a request that must run at most once.
+	KindOnce Kind = iota
+	// KindRepeatable is an idempotent request.
+	KindRepeatable
+	// KindStream is a generation whose answer is a stream of events; it may run
+	// once, unless its route lets streams resume.
+	KindStream
+)
+
+// Share is a service's part of the traffic of a route.
+type Share struct {
+	Service bbunit.ServiceID
+	Weight  float64
+}
+
+// Route sends requests of one host and path prefix to services.
+type Route struct {
+	ID     RouteID
+	Host   string // lower case
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Aim is the time within which an answer, or the first event, is on time.
+	Aim time.Duration
+	// Gap is the longest pause between events of a stream that is on time.
+	Gap      time.Duration
+	Priority int // 0 is the most urgent
+	Shares   []Share
+	// Attempts is the most targets that one request may be sent to.
+	Attempts int
+	// Open routes need no key.
+	Open bool
+	// Resume lets a broken stream go on at another target.
+	Resume bool
+}
+
+// Repeat tells whether a request of the route may run more than once.
+func (r *Route) Repeat() bool { return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resume }
+
+// Service is a model service or a plain one.
+type Service struct {
+	ID bbunit.ServiceID
+	// Conns is the most connections that one target takes from all callers.
+	Conns int
+	// Engine is set for model services.
+	Engine *Engine
+}
+
+// Engine tells what the targets of a model service are.
+type Engine struct {
+	Slots  int           // requests that run at once
+	Memory bbunit.Tokens // of running requests and cached parts
+	Stride bbunit.Tokens // most tokens of one event
+}
+
+// Account is a client account.
+type Account struct {
+	ID bbunit.AccountID
+	// Priority goes before the route's where set; -1 is none.
+	Priority int
+	// Paid is what the account may consume; Metered tells that it is bounded.
+	Paid    bbunit.Tokens
+	Metered bool
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	Header, Body int // bytes
+	// HeaderTime is how long a client may take to send a head.
+	HeaderTime time.Duration
+	// Idle is how long a connection may stay idle.
+	Idle time.Duration
+}
+
+// Plan is a whole declared state. It is immutable.
+type Plan struct {
+	Version  Version
+	Limits   Limits
+	Services map[bbunit.ServiceID]*Service
+	Accounts map[bbunit.AccountID]*Account
+	// Locked tells that requests need a key, unless their route is open.
+	Locked bool
+
+	keys  map[string]*Account
+	hosts map[string]map[string]*Route // host, prefix
+}
+
+// New returns a plan of these parts. Keys maps each key to its account.
+func New(p Plan, routes []*Route, keys map[string]*Account) *Plan {
+	p.keys = keys
+	p.hosts = map[string]map[string]*Route{}
+	for _, r := range routes {
+		if p.hosts[r.Host] == nil {
+			p.hosts[r.Host] = map[string]*Route{}
+		}
+		p.hosts[r.Host][r.Prefix] = r
+	}
+	return &p
+}
+
+// Route returns the route of a host and a path without its query, nil when there
+// is none: the longest prefix wins.
+func (p *Plan) Route(host, path string) *Route {
+	prefixes := p.hosts[hostName(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := len(path); end > 0; {
+		i := strings.LastIndexByte(path[:end], '/')
+		if i < 0 {
+			return nil
+		}
+		if r := prefixes[path[:i+1]]; r != nil {
+			return r
+		}
+		end = i
+	}
+	return nil
+}
+
+// Key returns the account of a key, nil when no account has it.
+func (p *Plan) Key(key string) *Account { return p.keys[key] }
+
+// hostName is a Host field without port, in lower case.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Pick returns the service of a route that a number in [0,1) draws.
+func (r *Route) Pick(draw float64) bbunit.ServiceID {
+	var sum float64
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	draw *= sum
+	for _, s := range r.Shares {
+		if draw < s.Weight {
+			return s.Service
+		}
+		draw -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- /dev/null
+++ b/shared/bbshare/book.go
@@ -0,0 +1,264 @@
+package bbshare
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Rule sets how much an instance draws.
+type Rule struct {
+	// Horizon is the demand that a share is to last for.
+	Horizon time.Duration
+	// Low is the part of that below which more is drawn.
+	Low float64
+	// Part bounds a share: at most this part of what is free, divided by the
+	// number of instances.
+	Part float64
+	// Rows is the most accounts in one write.
+	Rows int
+}
+
+// DefaultRule draws for a few seconds of demand.
+func DefaultRule() Rule {
+	return Rule{Horizon: 3 * time.Second, Low: 0.5, Part: 0.5, Rows: 32}
+}
+
+// rateWeight is how far one second of demand moves the mean.
+const rateWeight = 0.4
+
+// Book holds an instance's accounts. All its methods but those of the purses
+// belong to one controller.
+type Book struct {
+	Holder bbunit.HolderID
+	rule   Rule
+	prefix string
+	lines  map[bbunit.AccountID]*Line
+}
+
+// NewBook returns an empty book whose rows stand under prefix.
+func NewBook(holder bbunit.HolderID, prefix string, rule Rule) *Book {
+	return &Book{Holder: holder, rule: rule, prefix: prefix, lines: map[bbunit.AccountID]*Line{}}
+}
+
+// Line is one account in a book.
+type Line struct {
+	Account bbunit.AccountID
+	Purse   *Purse
+	paid    bbunit.Tokens
+
+	row     Row
+	rev     bbstore.Revision
+	known   bool          // the row has been read
+	ours    bbunit.Tokens // what this instance counts as granted
+	fenced  bool          // another life of the instance has closed this one
+	rate    float64       // tokens a second that requests ask for
+	asked   int64
+	lastAt  time.Time
+	largest int64
+}
+
+// Line returns an account's line, which it makes when there is none.
+func (b *Book) Line(id bbunit.AccountID) *Line {
+	l := b.lines[id]
+	if l == nil {
+		l = &Line{Account: id, Purse: &Purse{}}
+		b.lines[id] = l
+	}
+	return l
+}
+
+// Pay sets what an account has paid in all.
+func (b *Book) Pay(id bbunit.AccountID, paid bbunit.Tokens) { b.Line(id).paid = paid }
+
+// Free returns what no holder has been granted, as far as the row is known.
+func (l *Line) Free() bbunit.Tokens { return l.paid - l.row.Out() }
+
+// Known tells whether the row has been read.
+func (l *Line) Known() bool { return l.known }
+
+// Covers tells whether the account may still cover n: as far as known, what is
+// free and what other holders may give back reach it.
+func (l *Line) Covers(n bbunit.Tokens, holder bbunit.HolderID) bool {
+	return l.Free()+l.Purse.Available()+l.row.Unspent(holder) >= n
+}
+
+// Stuck returns what the holder would leave behind if it died now.
+func (l *Line) Stuck() bbunit.Tokens { return l.Purse.Available() }
+
+// Read takes rows as they stand in the store. Rows that cannot be read are left
+// out and named in bad.
+func (b *Book) Read(entries []bbstore.Entry) (bad []error) {
+	for _, e := range entries {
+		if len(e.Key) <= len(b.prefix) || e.Key[:len(b.prefix)] != b.prefix {
+			continue
+		}
+		l := b.Line(bbunit.AccountID(e.Key[len(b.prefix):]))
+		if err := b.read(l, e); err != nil {
+			bad = append(bad, errors.Annotate(err, e.Key))
+		}
+	}
+	return bad
+}
+
+func (b *Book) read(l *Line, e bbstore.Entry) error {
+	if l.known && e.Rev < l.rev {
+		return nil // older than what is known
+	}
+	row, err := ParseRow(e.Value)
+	if err != nil {
+		return err
+	}
+	l.row, l.rev, l.known = row, e.Rev, true
+	g, have := row.Holders[b.Holder]
+	if !have && l.ours > 0 {
+		l.fenced = true
+	}
+	if !l.fenced {
+		l.settle(g.Granted)
+	}
+	return nil
+}
+
+// settle makes what is granted here what the row says: no earlier write can
+// still take effect, since the row has moved on from what it expected.
+func (l *Line) settle(granted bbunit.Tokens) {
+	l.Purse.avail.Add(int64(granted - l.ours))
+	l.ours = granted
+}
+
+// Tick measures demand; it is called about once a second.
+func (b *Book) Tick(now time.Time) {
+	for _, l := range b.lines {
+		l.tick(now)
+	}
+}
+
+func (l *Line) tick(now time.Time) {
+	asked := l.Purse.asked.Load()
+	if dt := now.Sub(l.lastAt).Seconds(); !l.lastAt.IsZero() && dt > 0 {
+		w := min(rateWeight*dt, 1)
+		l.rate += w * (float64(asked-l.asked)/dt - l.rate)
+	}
+	l.asked, l.lastAt = asked, now
+	l.largest = max(l.Purse.most.Swap(0), l.largest*9/10)
+}
+
+// Draw is one write that a book asks for.
+type Draw struct {
+	Rows  []bbstore.Entry
+	moves []move
+}
+
+// move is what a write changes for one line.
+type move struct {
+	line *Line
+	row  Row
+	to   bbunit.Tokens // granted
+}
+
+// Draw returns the write that is due, nil when none is. Instances is how many
+// share the accounts. What the write gives back is set aside at once.
+func (b *Book) Draw(instances int) *Draw {
+	type want struct {
+		l     *Line
+		to    bbunit.Tokens
+		short int64
+	}
+	var wants []want
+	for _, l := range b.lines {
+		unmet := l.Purse.unmet.Swap(0)
+		if to, ok := b.target(l, unmet, instances); ok {
+			wants = append(wants, want{l, to, unmet})
+		}
+	}
+	if len(wants) == 0 {
+		return nil
+	}
+	slices.SortFunc(wants, func(a, c want) int {
+		return cmp.Or(cmp.Compare(c.short, a.short), cmp.Compare(a.l.Account, c.l.Account))
+	})
+	d := &Draw{}
+	for _, w := range wants[:min(len(wants), b.rule.Rows)] {
+		if back := w.l.ours - w.to; back > 0 {
+			w.l.ours -= bbunit.Tokens(w.l.Purse.takeUpTo(int64(back)))
+			w.to = w.l.ours
+		}
+		d.add(b, w.l, w.l.row.with(b.Holder, Grant{Granted: w.to, Spent: bbunit.Tokens(w.l.Purse.spent.Load())}), w.to)
+	}
+	return d
+}
+
+func (d *Draw) add(b *Book, l *Line, row Row, to bbunit.Tokens) {
+	d.Rows = append(d.Rows, bbstore.Entry{Key: b.prefix + string(l.Account), Value: row.Encode(), Rev: l.rev})
+	d.moves = append(d.moves, move{line: l, row: row, to: to})
+}
+
+// target returns what the line's grant should become, and whether a write is
+// worth it.
+func (b *Book) target(l *Line, unmet int64, instances int) (bbunit.Tokens, bool) {
+	if l.fenced || l.paid <= 0 && l.ours == 0 {
+		return 0, false
+	}
+	free := max(l.Free(), 0)
+	if !l.known {
+		free = 0 // a write with the unknown row's revision reads it
+	}
+	share := l.rate * b.rule.Horizon.Seconds()
+	if l.rate > 0 || unmet > 0 {
+		share = max(share, float64(2*l.largest))
+	}
+	have := l.Purse.avail.Load()
+	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))/float64(max(instances, 1)))
+	goal := int64(share) + unmet
+	to := min(l.ours+bbunit.Tokens(goal-have), l.ours+free)
+	switch {
+	case unmet > 0:
+		return to, !l.known || to > l.ours
+	case to > l.ours:
+		return to, float64(have) < b.rule.Low*share
+	case to < l.ours:
+		return to, have > 3*goal+int64(l.largest)
+	}
+	return to, false
+}
+
+// Done takes the outcome of a write: its revision, or the error and the rows
+// that the store returned with a conflict.
+func (b *Book) Done(d *Draw, rev bbstore.Revision, now []bbstore.Entry, err error) (bad []error) {
+	switch {
+	case err == nil:
+		for _, m := range d.moves {
+			m.line.row, m.line.rev, m.line.known = m.row, rev, true
+			m.line.settle(m.to)
+		}
+	case errors.Is(err, bbstore.ErrConflict):
+		bad = b.Read(now)
+	}
+	return bad
+}
+
+// Close returns the write that ends this holder and gives back what is unspent;
+// nil when there is nothing to end. Nothing may be reserved any more.
+func (b *Book) Close() *Draw {
+	d := &Draw{}
+	for _, l := range b.lines {
+		if l.fenced || !l.known {
+			continue
+		}
+		if _, have := l.row.Holders[b.Holder]; !have {
+			continue
+		}
+		l.ours -= bbunit.Tokens(l.Purse.takeUpTo(1 << 62))
+		d.add(b, l, l.row.without(b.Holder, l.ours), 0)
+	}
+	if len(d.Rows) == 0 {
+		return nil
+	}
+	return d
+}
--- /dev/null
+++ b/shared/bbshare/row.go
@@ -0,0 +1,117 @@
+package bbshare
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// ErrRow marks a row that cannot be read. Nothing is drawn from it.
+const ErrRow = errors.ConstError("bad money row")
+
+// Grant is what one holder has of an account. Both only concern its life: a
+// holder's id is never used twice.
+type Grant struct {
+	// Granted is all that the holder may spend, what it has spent included.
+	Granted bbunit.Tokens `json:"granted"`
+	// Spent is what it is known to have spent, at least.
+	Spent bbunit.Tokens `json:"spent"`
+}
+
+// Row is one account's state in the store.
+type Row struct {
+	// Closed is what holders had that are no more.
+	Closed  bbunit.Tokens             `json:"closed"`
+	Holders map[bbunit.HolderID]Grant `json:"holders,omitempty"`
+}
+
+// ParseRow reads a row; an empty value is a new row.
+func ParseRow(value []byte) (Row, error) {
+	var r Row
+	if len(value) == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(value, &r); err != nil {
+		return r, errors.WithType(err, ErrRow)
+	}
+	for id, g := range r.Holders {
+		if g.Granted < 0 {
+			return r, errors.WithType(errors.Errorf("holder %s: granted %d", id, g.Granted), ErrRow)
+		}
+	}
+	if r.Closed < 0 {
+		return r, errors.WithType(errors.Errorf("closed %d", r.Closed), ErrRow)
+	}
+	return r, nil
+}
+
+// Encode returns the row as it stands in the store.
+func (r Row) Encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // maps of named strings and numbers always encode
+	}
+	return b
+}
+
+// Out returns what the row grants in all.
+func (r Row) Out() bbunit.Tokens {
+	sum := r.Closed
+	for _, g := range r.Holders {
+		sum += g.Granted
+	}
+	return sum
+}
+
+// Unspent returns what holders other than id may still have.
+func (r Row) Unspent(id bbunit.HolderID) bbunit.Tokens {
+	var sum bbunit.Tokens
+	for other, g := range r.Holders {
+		if other != id {
+			sum += max(g.Granted-g.Spent, 0)
+		}
+	}
+	return sum
+}
+
+// with returns a copy in which the holder has the grant, and earlier lives of
+// its instance are closed at all that they were granted.
+func (r Row) with(id bbunit.HolderID, g Grant) Row {
+	next := Row{Closed: r.Closed, Holders: maps.Clone(r.Holders)}
+	if next.Holders == nil {
+		next.Holders = map[bbunit.HolderID]Grant{}
+	}
+	for other, old := range r.Holders {
+		if other != id && instanceOf(other) == instanceOf(id) {
+			next.Closed += old.Granted
+			delete(next.Holders, other)
+		}
+	}
+	next.Holders[id] = g
+	return next
+}
+
+// without returns a copy in which the holder is closed at what it has spent.
+func (r Row) without(id bbunit.HolderID, spent bbunit.Tokens) Row {
+	next := r.with(id, Grant{})
+	delete(next.Holders, id)
+	next.Closed += spent
+	return next
+}
+
+// NewHolder returns the id of one life of an instance.
+func NewHolder(instance bbunit.InstanceID, life string) bbunit.HolderID {
+	return bbunit.HolderID(string(instance) + "/" + life)
+}
+
+func instanceOf(id bbunit.HolderID) string {
+	s := string(id)
+	if i := strings.LastIndexByte(s, '/'); i >= 0 {
+		return s[:i]
+	}
+	return s
+}
