--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -26,7 +26,7 @@
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 3 * time.Second, Low: 0.5, Part: 0.5, Rows: 32}
+	return Rule{Horizon: 10 * time.Second, Low: 0.7, Part: 0.5, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
