--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -68,6 +68,8 @@
 	storeBack = 2 * time.Second
 	// moneyTick is the time between two looks at the shares.
 	moneyTick = 250 * time.Millisecond
+	// moneyTold is the time between two log lines that tell the shares held.
+	moneyTold = 4 * time.Second
 	// closeTime bounds the giving back of shares at a stop.
 	closeTime = 700 * time.Millisecond
 	// lingerTime is how long a leaving instance takes new connections while the
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -117,7 +117,7 @@
 func (m *money) run(ctx context.Context) {
 	t := time.NewTicker(moneyTick)
 	defer t.Stop()
-	ticked := m.now()
+	ticked, told := m.now(), m.now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -132,6 +132,10 @@
 		if now := m.now(); now.Sub(ticked) >= time.Second {
 			m.book.Tick(now)
 			ticked = now
+			if now.Sub(told) >= moneyTold {
+				told = now
+				m.log.WithFields(logrus.Fields{"event": "money", "age": now.Sub(m.last).Milliseconds(), "accounts": m.book.Status()}).Info("shares held")
+			}
 		}
 		m.mu.Unlock()
 		m.draw(ctx)
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -17,6 +17,10 @@
 	Horizon time.Duration
 	// Low is the part of that below which more is drawn.
 	Low float64
+	// Floor is the least share of an account without demand, in parts of what
+	// it has paid, so that a request that comes while the store is out of reach
+	// finds some.
+	Floor float64
 	// Part bounds a share: at most this part of what is free, divided by the
 	// number of instances.
 	Part float64
@@ -26,7 +30,7 @@
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 10 * time.Second, Low: 0.7, Part: 0.5, Rows: 32}
+	return Rule{Horizon: 20 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.5, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
@@ -39,6 +43,8 @@
 	rule   Rule
 	prefix string
 	lines  map[bbunit.AccountID]*Line
+	// largest is the largest request of late, of any account.
+	largest int64
 }
 
 // NewBook returns an empty book whose rows stand under prefix.
@@ -134,8 +140,10 @@
 
 // Tick measures demand; it is called about once a second.
 func (b *Book) Tick(now time.Time) {
+	b.largest = b.largest * 95 / 100
 	for _, l := range b.lines {
 		l.tick(now)
+		b.largest = max(b.largest, l.largest)
 	}
 }
 
@@ -210,9 +218,7 @@
 		free = 0 // a write with the unknown row's revision reads it
 	}
 	share := l.rate * b.rule.Horizon.Seconds()
-	if l.rate > 0 || unmet > 0 {
-		share = max(share, float64(2*l.largest))
-	}
+	share = max(share, float64(2*b.largest), float64(l.paid)*b.rule.Floor)
 	have := l.Purse.avail.Load()
 	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))/float64(max(instances, 1)))
 	goal := int64(share) + unmet
@@ -262,3 +268,26 @@
 	}
 	return d
 }
+
+// Status is what one line holds.
+type Status struct {
+	Account bbunit.AccountID `json:"account"`
+	Paid    bbunit.Tokens    `json:"paid"`
+	Free    bbunit.Tokens    `json:"free"`
+	Here    bbunit.Tokens    `json:"here"` // available to this instance
+	Spent   bbunit.Tokens    `json:"spent"`
+	Rate    bbunit.Tokens    `json:"rate"` // asked for here, a second
+}
+
+// Status returns what each line holds, by account.
+func (b *Book) Status() []Status {
+	out := make([]Status, 0, len(b.lines))
+	for _, l := range b.lines {
+		out = append(out, Status{
+			Account: l.Account, Paid: l.paid, Free: l.Free(), Here: l.Purse.Available(),
+			Spent: bbunit.Tokens(l.Purse.spent.Load()), Rate: bbunit.Tokens(l.rate),
+		})
+	}
+	slices.SortFunc(out, func(a, c Status) int { return cmp.Compare(a.Account, c.Account) })
+	return out
+}
