--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -60,7 +60,7 @@
 	// targetsEvery is the pause between two looks at the list of targets.
 	targetsEvery = 700 * time.Millisecond
 	// watchWait is how long one watch of what operators declare waits.
-	watchWait = 20 * time.Second
+	watchWait = 4 * time.Second
 	// storePause is the pause after a call to the store that failed.
 	storePause = 250 * time.Millisecond
 	// storeBack is how long after trouble with the store the list of targets
@@ -111,3 +111,19 @@
 	// busyTime is how long a target that refused a request gets no other.
 	busyTime = 50 * time.Millisecond
 )
+
+// Times of what instances tell each other.
+const (
+	// relayEvery is the time between two rounds of news.
+	relayEvery = 500 * time.Millisecond
+	// relayWait bounds one question to a peer.
+	relayWait = 400 * time.Millisecond
+	// relayFan is how many peers hear at once of a newer plan.
+	relayFan = 8
+	// leaseTime is how long an entry in the list of instances stands without
+	// being renewed, leaseRenew the time between renewals.
+	leaseTime  = 8 * time.Second
+	leaseRenew = 2500 * time.Millisecond
+	// listEvery is the longest time between two looks at the list of instances.
+	listEvery = 20 * time.Second
+)
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -47,7 +47,7 @@
 
 // Serve runs the door until ctx ends, and then stops it without cutting a
 // request.
-func Serve(ctx context.Context, set bbplatform.Settings, log logrus.FieldLogger) error {
+func Serve(ctx context.Context, set bbplatform.Settings, fleet Fleet, log logrus.FieldLogger) error {
 	d := &Door{set: set, domain: set.Domain, board: &Board{}, log: log, start: time.Now(), callers: map[*caller]bool{}}
 	d.poisons.Store(&bbroute.Poisons{})
 	d.board.Instances.Store(defaultInstances)
@@ -66,7 +66,7 @@
 
 	back, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
-	d.follow(back, &wg, store)
+	d.follow(back, &wg, store, fleet)
 	wg.Go(func() { d.accept(front) })
 	wg.Go(func() { d.answerReady(ready) })
 	log.WithFields(logrus.Fields{"event": "start", "listen": set.Callers, "domain": set.Domain}).Info("serving")
@@ -83,11 +83,15 @@
 }
 
 // follow starts the controllers.
-func (d *Door) follow(ctx context.Context, wg *conc.WaitGroup, store *bbplatform.Store) {
-	plans := newFollower(store, d.board, d.log, d.now)
-	targets := newFollower(store, d.board, d.log, d.now)
-	wg.Go(func() { plans.followPlan(ctx) })
-	wg.Go(func() { targets.followTargets(ctx) })
+func (d *Door) follow(ctx context.Context, wg *conc.WaitGroup, store *bbplatform.Store, fleet Fleet) {
+	f := newFollower(store, d.board, d.log, d.now)
+	news := newRelay(fleet, f)
+	reg := newRegister(store, fleet, d.board, d.log, d.set)
+	wg.Go(func() { f.followPlan(ctx) })
+	wg.Go(func() { f.followTargets(ctx) })
+	wg.Go(func() { news.run(ctx) })
+	wg.Go(func() { reg.keep(ctx) })
+	wg.Go(func() { reg.watch(ctx) })
 	wg.Go(func() {
 		d.money.start(ctx)
 		d.money.run(ctx)
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/platform"
-	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
 )
@@ -28,18 +29,22 @@
 	log   logrus.FieldLogger
 	now   func() time.Time
 
-	planRev   bbstore.Revision
+	down bool // the followers of the plan and of the targets log the store's loss once
+
+	mu        sync.Mutex // guards the rest, which peers also feed
+	plan      bbstore.Entry
 	roster    *Roster
-	revs      map[bbunit.TargetID]bbstore.Revision
-	troubleAt time.Time // last trouble with the store, on the targets' side
+	entries   map[bbunit.TargetID]bbstore.Entry // as last read; gone ones without value
+	troubleAt time.Time                         // last trouble with the store, on the targets' side
 	gone      map[bbunit.TargetID]time.Time
-	down      bool
+	// fresh is called, without the lock, when the store told of a newer plan.
+	fresh func()
 }
 
 func newFollower(store Watched, board *Board, log logrus.FieldLogger, now func() time.Time) *follower {
 	return &follower{
 		store: store, board: board, log: log, now: now,
-		roster: NewRoster(now), revs: map[bbunit.TargetID]bbstore.Revision{}, gone: map[bbunit.TargetID]time.Time{},
+		roster: NewRoster(now), entries: map[bbunit.TargetID]bbstore.Entry{}, gone: map[bbunit.TargetID]time.Time{}, fresh: func() {},
 	}
 }
 
@@ -48,7 +53,9 @@
 	for ctx.Err() == nil {
 		entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
 		if err == nil {
-			f.takePlan(entry)
+			if f.takePlan(entry) {
+				f.fresh()
+			}
 			err = f.watchPlan(ctx, entry.Rev)
 		}
 		f.dependency(err)
@@ -71,8 +78,8 @@
 			return err
 		}
 		for _, e := range events {
-			if e.Key == bbplatform.KeyPlan {
-				f.takePlan(e.Entry)
+			if e.Key == bbplatform.KeyPlan && f.takePlan(e.Entry) {
+				f.fresh()
 			}
 		}
 		if at < from {
@@ -83,25 +90,28 @@
 }
 
 // takePlan puts a plan in force unless it is older than the one that is.
-func (f *follower) takePlan(e bbstore.Entry) {
-	if len(e.Value) == 0 || e.Rev <= f.planRev {
-		return
+func (f *follower) takePlan(e bbstore.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(e.Value) == 0 || e.Rev <= f.plan.Rev {
+		return false
 	}
 	plan, bad, err := bbplatform.ParsePlan(e.Value)
 	if err != nil {
 		f.log.WithError(err).WithField("revision", e.Rev).Warn("plan not readable; the last good one stays")
-		return
+		return false
 	}
 	for _, b := range bad {
 		f.log.WithError(b).Warn("entry of the plan left out")
 	}
 	old := f.board.Plan.Load()
 	if old != nil && plan.Version <= old.Version {
-		return
+		return false
 	}
-	f.planRev = e.Rev
+	f.plan = e
 	f.board.Plan.Store(plan)
 	f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts)}).Info("plan in force")
+	return true
 }
 
 // dependency logs the loss and the return of the store once each.
@@ -120,10 +130,12 @@
 	for ctx.Err() == nil {
 		entries, at, err := f.store.List(ctx, bbplatform.PrefixTargets)
 		if err == nil {
-			f.takeTargets(entries)
+			f.takeTargets(entries, at)
 			f.watchTargets(ctx, at)
 		}
+		f.mu.Lock()
 		f.troubleAt = f.now()
+		f.mu.Unlock()
 		sleep(ctx, storePause)
 	}
 }
@@ -137,13 +149,7 @@
 			return
 		}
 		from = at
-		changed := f.expire()
-		for _, e := range events {
-			changed = f.takeEvent(e) || changed
-		}
-		if changed {
-			f.publish()
-		}
+		f.takeEvents(events)
 		sleep(ctx, targetsEvery)
 		if ctx.Err() != nil {
 			return
@@ -151,50 +157,60 @@
 	}
 }
 
-// takeTargets takes a whole list. What it lacks is gone.
-func (f *follower) takeTargets(entries []bbstore.Entry) {
-	have := map[bbunit.TargetID]bool{}
-	for _, e := range entries {
-		t, err := bbplatform.ParseTarget(e.Key, e.Value)
-		if err != nil {
-			f.log.WithError(err).Debug("entry of a target left out")
-			continue
-		}
-		have[t.ID] = true
-		f.put(t, e.Rev)
+// takeTargets takes a whole list as it stood at a revision. What it lacks is
+// gone.
+func (f *follower) takeTargets(list []bbstore.Entry, at bbstore.Revision) {
+	have := map[string]bool{}
+	events := make([]bbstore.Event, 0, len(list))
+	for _, e := range list {
+		have[e.Key] = true
+		events = append(events, bbstore.Event{Entry: e})
 	}
-	for id := range f.roster.servers {
-		if !have[id] {
-			f.lose(id)
+	f.mu.Lock()
+	for _, e := range f.entries {
+		if !have[e.Key] && e.Value != nil && e.Rev <= at {
+			events = append(events, bbstore.Event{Entry: bbstore.Entry{Key: e.Key, Rev: at}})
 		}
 	}
-	f.publish()
+	f.mu.Unlock()
+	f.takeEvents(events)
+}
+
+// takeEvents takes changes of the list in any order: for each target the one of
+// the highest revision stands.
+func (f *follower) takeEvents(events []bbstore.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.expire() || f.board.Groups.Load() == nil
+	for _, e := range events {
+		changed = f.takeEvent(e) || changed
+	}
+	if changed {
+		f.board.Groups.Store(f.roster.Groups())
+	}
 }
 
 func (f *follower) takeEvent(e bbstore.Event) bool {
+	name, ok := strings.CutPrefix(e.Key, bbplatform.PrefixTargets)
+	id := bbunit.TargetID(name)
+	if !ok || e.Rev <= f.entries[id].Rev {
+		return false
+	}
+	f.entries[id] = e.Entry
 	if e.Value == nil {
-		return f.lose(bbunit.TargetID(e.Key[min(len(e.Key), len(bbplatform.PrefixTargets)):]))
+		return f.lose(id)
 	}
 	t, err := bbplatform.ParseTarget(e.Key, e.Value)
 	if err != nil {
 		f.log.WithError(err).Debug("entry of a target left out")
 		return false
 	}
-	return f.put(t, e.Rev)
-}
-
-func (f *follower) put(t bbplan.Target, rev bbstore.Revision) bool {
-	if rev < f.revs[t.ID] {
-		return false
-	}
-	f.revs[t.ID] = rev
-	_, returned := f.gone[t.ID]
-	delete(f.gone, t.ID)
+	delete(f.gone, id)
 	changed := f.roster.Put(t)
 	if changed {
-		f.log.WithFields(logrus.Fields{"event": "target", "target": t.ID, "address": t.Address, "domain": t.Domain, "leaving": t.Leaving, "revision": rev}).Info("target changed")
+		f.log.WithFields(logrus.Fields{"event": "target", "target": t.ID, "address": t.Address, "domain": t.Domain, "leaving": t.Leaving, "revision": e.Rev}).Info("target changed")
 	}
-	return changed || returned
+	return changed
 }
 
 // lose forgets a target whose entry is gone. Just after trouble with the store
@@ -230,8 +246,6 @@
 	return changed
 }
 
-func (f *follower) publish() { f.board.Groups.Store(f.roster.Groups()) }
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- /dev/null
+++ b/bluebellport/door/relay.go
@@ -0,0 +1,171 @@
+package bbdoor
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// Fleet is how an instance speaks with the others.
+type Fleet interface {
+	Send(to bbunit.InstanceID, e *bbwire.Envelope) error
+	Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error)
+	Handle(sample *bbwire.Envelope, fn func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope)
+	View() *bbmember.View
+	// Listed takes the platform's list of instances.
+	Listed(list []bbmember.Listed)
+}
+
+// relay tells peers what the store says, so that an instance that has lost the
+// store still follows.
+type relay struct {
+	fleet  Fleet
+	follow *follower
+	asking chan struct{} // holds one token while a peer is asked
+}
+
+func newRelay(fleet Fleet, f *follower) *relay {
+	r := &relay{fleet: fleet, follow: f, asking: make(chan struct{}, 1)}
+	fleet.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newsask{}}, r.answer)
+	fleet.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newstell{}}, r.heard)
+	f.fresh = r.announce
+	return r
+}
+
+// run tells one peer of the plan now and then, and asks one while the store is
+// out of reach, until ctx ends.
+func (r *relay) run(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		sleep(ctx, relayEvery)
+		peers := r.peers(1)
+		if len(peers) == 0 {
+			continue
+		}
+		if r.follow.cut() {
+			r.ask(ctx, peers[0], true)
+			continue
+		}
+		if round%2 == 0 {
+			r.tell(peers)
+		}
+	}
+}
+
+// announce tells several peers that a newer plan is in force.
+func (r *relay) announce() { r.tell(r.peers(relayFan)) }
+
+func (r *relay) tell(to []bbunit.InstanceID) {
+	rev := r.follow.planRevision()
+	if rev == 0 {
+		return
+	}
+	for _, id := range to {
+		_ = r.fleet.Send(id, &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: &bbwire.NewsTell{Revision: int64(rev)}}})
+	}
+}
+
+// answer tells a peer what it lacks.
+func (r *relay) answer(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+	q := e.GetNewsask()
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: r.follow.news(bbstore.Revision(q.Revision), q.Targets)}}
+}
+
+// heard asks a peer that has a newer plan for it.
+func (r *relay) heard(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+	if bbstore.Revision(e.GetNewstell().Revision) > r.follow.planRevision() {
+		go func() {
+			sleep(context.Background(), relayWait) // the store's own word is mostly on its way
+			if bbstore.Revision(e.GetNewstell().Revision) > r.follow.planRevision() {
+				r.ask(context.Background(), from, false)
+			}
+		}()
+	}
+	return nil
+}
+
+// ask takes what a peer knows; only one is asked at a time.
+func (r *relay) ask(ctx context.Context, peer bbunit.InstanceID, targets bool) {
+	select {
+	case r.asking <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-r.asking }()
+	ctx, cancel := context.WithTimeout(ctx, relayWait)
+	defer cancel()
+	q := &bbwire.NewsAsk{Revision: int64(r.follow.planRevision()), Targets: targets}
+	a, err := r.fleet.Call(ctx, peer, &bbwire.Envelope{Body: &bbwire.Envelope_Newsask{Newsask: q}})
+	if err != nil || a.GetNewstell() == nil {
+		return
+	}
+	r.follow.takeNews(a.GetNewstell())
+}
+
+// peers returns up to n other instances at random.
+func (r *relay) peers(n int) []bbunit.InstanceID { return peersOf(r.fleet.View(), n) }
+
+func peersOf(v *bbmember.View, n int) []bbunit.InstanceID {
+	var out []bbunit.InstanceID
+	for _, i := range rand.Perm(len(v.Members)) {
+		if m := v.Members[i]; m.ID != v.Self.ID && len(out) < n {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// cut tells that the store has been out of reach of late.
+func (f *follower) cut() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.board.Plan.Load() == nil || f.board.Groups.Load() == nil || !f.troubleAt.IsZero() && f.now().Sub(f.troubleAt) < cutTime
+}
+
+func (f *follower) planRevision() bbstore.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.plan.Rev
+}
+
+// news returns what a peer with that plan lacks.
+func (f *follower) news(have bbstore.Revision, targets bool) *bbwire.NewsTell {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &bbwire.NewsTell{Revision: int64(f.plan.Rev)}
+	if f.plan.Rev > have {
+		t.Plan = f.plan.Value
+	}
+	if targets {
+		for _, e := range f.entries {
+			t.Targets = append(t.Targets, &bbwire.Kept{Key: e.Key, Value: e.Value, Revision: int64(e.Rev), Gone: e.Value == nil})
+		}
+	}
+	return t
+}
+
+// takeNews takes what a peer knows.
+func (f *follower) takeNews(t *bbwire.NewsTell) {
+	if len(t.Plan) > 0 {
+		f.takePlan(bbstore.Entry{Value: t.Plan, Rev: bbstore.Revision(t.Revision)})
+	}
+	if len(t.Targets) == 0 {
+		return
+	}
+	events := make([]bbstore.Event, 0, len(t.Targets))
+	for _, k := range t.Targets {
+		e := bbstore.Event{Entry: bbstore.Entry{Key: k.Key, Rev: bbstore.Revision(k.Revision)}}
+		if !k.Gone {
+			e.Value = append([]byte{}, k.Value...)
+		}
+		events = append(events, e)
+	}
+	f.takeEvents(events)
+}
+
+// cutTime is how long after a failed call the store counts as out of reach.
+const cutTime = 2 * time.Second
