Share money by what each instance spent

Cause: tenants' clients sit in few failure domains, and a share was bounded by an equal part for each instance, so that the one instance of a domain ran out in a cut of 8 s while 80 in 100 of the balance was free.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -66,6 +66,9 @@
 	// storeBack is how long after trouble with the store the list of targets
 	// may lack some that are alive.
 	storeBack = 2 * time.Second
+	// returnTime is how long a target whose entry lapsed with many others is
+	// still used.
+	returnTime = 1200 * time.Millisecond
 	// moneyTick is the time between two looks at the shares.
 	moneyTick = 250 * time.Millisecond
 	// moneyTold is the time between two log lines that tell the shares held.
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -239,9 +239,13 @@
 	}
 }
 
-// refused logs an answer of the fleet's own.
+// refused logs an answer of the fleet's own, with what decided it.
 func (d *Door) refused(attempt string, r *Refusal) {
-	d.log.WithFields(logrus.Fields{"request": attempt, "status": r.Status, "reason": r.Reason, "after": r.After.Seconds()}).Info("refused")
+	f := logrus.Fields{"request": attempt, "status": r.Status, "reason": r.Reason, "after": r.After.Seconds()}
+	for k, v := range r.Inputs {
+		f[k] = v
+	}
+	d.log.WithFields(f).Info("refused")
 }
 
 // circuitRule sets when a target that fails is left alone.
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -150,7 +150,11 @@
 		}
 		from = at
 		f.takeEvents(events)
-		sleep(ctx, targetsEvery)
+		pause := targetsEvery
+		if f.waiting() {
+			pause = returnTime / 4
+		}
+		sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
@@ -190,6 +194,13 @@
 	}
 }
 
+// waiting tells that some targets are given time to return.
+func (f *follower) waiting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.gone) > 0
+}
+
 func (f *follower) takeEvent(e bbstore.Event) bool {
 	name, ok := strings.CutPrefix(e.Key, bbplatform.PrefixTargets)
 	id := bbunit.TargetID(name)
@@ -214,15 +225,16 @@
 }
 
 // lose forgets a target whose entry is gone. Just after trouble with the store
-// an entry may be missing though its target lives; it is given time to return.
+// the entries of most targets of a service may be missing though they live;
+// those are given a short time to return.
 func (f *follower) lose(id bbunit.TargetID) bool {
 	s := f.roster.servers[id]
 	if s == nil {
 		return false
 	}
-	if !s.Leaving && !f.troubleAt.IsZero() && f.now().Sub(f.troubleAt) < storeBack {
+	if !s.Leaving && f.lapsed(s.Service) {
 		if _, ok := f.gone[id]; !ok {
-			f.gone[id] = f.now().Add(storeBack)
+			f.gone[id] = f.now().Add(returnTime)
 		}
 		return false
 	}
@@ -232,6 +244,26 @@
 	return true
 }
 
+// lapsed tells that the loss of one more entry of the service is rather the
+// store's than the target's: the store was in trouble just now, and half of the
+// service's entries are missing.
+func (f *follower) lapsed(id bbunit.ServiceID) bool {
+	if f.troubleAt.IsZero() || f.now().Sub(f.troubleAt) > storeBack {
+		return false
+	}
+	all, missing := 0, 1
+	for _, s := range f.roster.servers {
+		if s.Service != id {
+			continue
+		}
+		all++
+		if f.entries[s.ID].Value == nil {
+			missing++
+		}
+	}
+	return 2*missing > all
+}
+
 // expire forgets targets that were given time and did not return.
 func (f *follower) expire() bool {
 	changed := false
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -82,7 +82,9 @@
 		case <-gone:
 			return nil, notRun("caller left", 0)
 		case <-wait.C:
-			return nil, notRun("no share of the account's money at hand", comeBack)
+			r := notRun("no share of the account's money at hand", comeBack)
+			r.Inputs = m.inputs(a, n)
+			return nil, r
 		}
 		if p.Again(n) {
 			return p, nil
@@ -105,12 +107,28 @@
 		return nil
 	}
 	if !l.Covers(n, m.book.Holder) {
-		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request"}
+		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", Inputs: m.facts(l, n)}
 	}
 	if round < 1 {
 		return nil
 	}
-	return notRun("the rest of the account's money is in other instances' shares", comeBack)
+	r := notRun("the rest of the account's money is in other instances' shares", comeBack)
+	r.Inputs = m.facts(l, n)
+	return r
+}
+
+// inputs are what decided that a share was not to be had.
+func (m *money) inputs(a *bbplan.Account, n bbunit.Tokens) logrus.Fields {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.facts(m.book.Line(a.ID), n)
+}
+
+func (m *money) facts(l *bbshare.Line, n bbunit.Tokens) logrus.Fields {
+	return logrus.Fields{
+		"account": l.Account, "tokens": n, "here": l.Purse.Available(), "free": l.Free(), "others": l.Others(m.book.Holder),
+		"age": m.now().Sub(m.last).Milliseconds(),
+	}
 }
 
 // run draws shares until ctx ends.
--- a/bluebellport/door/refusal.go
+++ b/bluebellport/door/refusal.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Refusal is an answer of the fleet's own.
@@ -16,6 +18,8 @@
 	After time.Duration
 	// Close ends the connection after the answer.
 	Close bool
+	// Inputs are what decided it, for the log.
+	Inputs logrus.Fields
 }
 
 // Error makes a refusal an error.
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -21,16 +21,19 @@
 	// it has paid, so that a request that comes while the store is out of reach
 	// finds some.
 	Floor float64
-	// Part bounds a share: at most this part of what is free, divided by the
-	// number of instances.
+	// Part bounds the shares of all holders together, in parts of what is free;
+	// each gets of it as much as its part of what was spent.
 	Part float64
+	// Prior is what each instance counts as having spent before it has, in parts
+	// of what the account has paid.
+	Prior float64
 	// Rows is the most accounts in one write.
 	Rows int
 }
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 20 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.5, Rows: 32}
+	return Rule{Horizon: 20 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.5, Prior: 0.002, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
@@ -94,6 +97,9 @@
 	return l.Free()+l.Purse.Available()+l.row.Unspent(holder) >= n
 }
 
+// Others returns what other holders may still have, as far as known.
+func (l *Line) Others(holder bbunit.HolderID) bbunit.Tokens { return l.row.Unspent(holder) }
+
 // Stuck returns what the holder would leave behind if it died now.
 func (l *Line) Stuck() bbunit.Tokens { return l.Purse.Available() }
 
@@ -220,7 +226,7 @@
 	share := l.rate * b.rule.Horizon.Seconds()
 	share = max(share, float64(2*b.largest), float64(l.paid)*b.rule.Floor)
 	have := l.Purse.avail.Load()
-	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))/float64(max(instances, 1)))
+	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, instances))
 	goal := int64(share) + unmet
 	to := min(l.ours+bbunit.Tokens(goal-have), l.ours+free)
 	switch {
@@ -234,6 +240,22 @@
 	return to, false
 }
 
+// weight is this instance's part of what has been spent, as the row tells.
+func (b *Book) weight(l *Line, instances int) float64 {
+	prior := b.rule.Prior * float64(l.paid)
+	sum := prior * float64(max(instances, 1))
+	for id, g := range l.row.Holders {
+		if id != b.Holder {
+			sum += float64(g.Spent)
+		}
+	}
+	own := float64(l.Purse.spent.Load())
+	if sum+own <= 0 {
+		return 1 / float64(max(instances, 1))
+	}
+	return (own + prior) / (sum + own)
+}
+
 // Done takes the outcome of a write: its revision, or the error and the rows
 // that the store returned with a conflict.
 func (b *Book) Done(d *Draw, rev bbstore.Revision, now []bbstore.Entry, err error) (bad []error) {
