Stop servers also before they have registered their listener

Cause: a shutdown that comes before Serve knows its listener does nothing, and the accept loop stays (make test hung 5 minutes on a fresh machine). Change: one bbserve.Stop closes the listener besides; the programs and tests use it. TestStopAtOnceAfterTheStart fails without (5.0 s) and passes with it (0.01 s).

--- a/bluebellport/src/core.go
+++ b/bluebellport/src/core.go
@@ -21,6 +21,7 @@
 
 	"bluebellport.example/shared/bbcli"
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbserve"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
 )
@@ -179,8 +180,8 @@
 		p.Log.WithField("event", "drain").WithError(left).Error("not all was handed back")
 		err = stderrors.Join(err, left)
 	}
-	_ = f.app.ShutdownWithTimeout(time.Second)
-	_ = a.app.ShutdownWithTimeout(time.Second)
+	_ = bbserve.Stop(f.app, callers, time.Second)
+	_ = bbserve.Stop(a.app, operators, time.Second)
 	wg.Wait()
 	p.Log.WithField("event", "stopped").Info("stopped")
 	return errors.Trace(err)
--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbserve"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
@@ -164,7 +165,7 @@
 		t.Fatal(err)
 	}
 	go func() { _ = b.app.Listener(ln) }()
-	t.Cleanup(func() { _ = b.app.Shutdown() })
+	t.Cleanup(func() { _ = bbserve.Stop(b.app, ln, time.Second) })
 	b.url = "http://" + ln.Addr().String()
 	return b
 }
--- a/bluebellstand/src/core_test.go
+++ b/bluebellstand/src/core_test.go
@@ -5,12 +5,14 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
 	"bluebellport.example/shared/bbcli"
+	"bluebellport.example/shared/bbserve"
 )
 
 // startPart serves a part on loopback and returns its base URL.
@@ -22,7 +24,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = app.Listener(l) })
 	t.Cleanup(func() {
-		_ = app.ShutdownWithTimeout(stopTime / 10)
+		_ = bbserve.Stop(app, l, stopTime/10)
 		wg.Wait()
 	})
 	return "http://" + l.Addr().String()
@@ -56,3 +58,23 @@
 		})
 	}
 }
+
+// A stop may come before the server has registered its listener.
+func TestStopAtOnceAfterTheStart(t *testing.T) {
+	for range 300 {
+		l, err := listen("127.0.0.1:0")
+		is.New(t).NoErr(err)
+		app := fiber.New(fiber.Config{DisableStartupMessage: true})
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = app.Listener(l)
+		}()
+		_ = bbserve.Stop(app, l, stopTime/10)
+		select {
+		case <-served:
+		case <-time.After(5 * time.Second):
+			t.Fatal("the server did not end")
+		}
+	}
+}
--- a/bluebellstand/src/serve.go
+++ b/bluebellstand/src/serve.go
@@ -12,6 +12,8 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc/pool"
 	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbserve"
 )
 
 // stopTime is how long open requests may take to end at a stop.
@@ -54,7 +56,7 @@
 		group.Go(func(ctx context.Context) error {
 			<-ctx.Done()
 			p.stop()
-			err := app.ShutdownWithTimeout(stopTime)
+			err := bbserve.Stop(app, listeners[i], stopTime)
 			if errors.Is(err, context.DeadlineExceeded) {
 				return nil
 			}
