Refuse at once for want of a share while the store is away

Cause: requests waited 400 ms for a share that a lost store could not give, and waiters woke each other in a loop while no draw was due (0.071 of a core). Change: the money controller knows since when the store does not answer; then requests are refused at once and told to come back after as long again.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -51,6 +51,12 @@
 	answerSlack = 20 * time.Millisecond
 	// shareWait is how long a request waits for a share of its account's money.
 	shareWait = 400 * time.Millisecond
+	// shareRounds is how many draws it waits for.
+	shareRounds = 3
+	// swapTime bounds one write of shares.
+	swapTime = 700 * time.Millisecond
+	// comeBackMost is the latest that a client is told to come back.
+	comeBackMost = 3 * time.Second
 	// comeBack is when to come back where nothing better is known.
 	comeBack = 500 * time.Millisecond
 )
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +39,7 @@
 	last  time.Time     // last answer of the store
 	plan  *bbplan.Plan
 
+	lost   atomic.Int64 // since when the store does not answer, in ns of the steady clock; 0: it does
 	purses sync.Map // bbunit.AccountID -> *bbshare.Purse
 }
 
@@ -60,8 +62,9 @@
 	return p
 }
 
-// reserve sets n of an account aside, or says why not. It waits a little for a
-// share, as long as gone stays open.
+// reserve sets n of an account aside, or says why not. While the store answers
+// it waits a little for a share, as long as gone stays open; while it does not,
+// the answer is given at once.
 func (m *money) reserve(a *bbplan.Account, n bbunit.Tokens, until time.Time, gone <-chan struct{}) (*bbshare.Purse, *Refusal) {
 	p := m.purse(a.ID)
 	if p.Reserve(n) {
@@ -69,7 +72,10 @@
 	}
 	wait := time.NewTimer(min(shareWait, time.Until(until)))
 	defer wait.Stop()
-	for round := 0; ; round++ {
+	for round := 0; round < shareRounds; round++ {
+		if m.lostSince() > 0 {
+			break
+		}
 		m.mu.Lock()
 		drawn := m.drawn
 		m.mu.Unlock()
@@ -82,20 +88,35 @@
 		case <-gone:
 			return nil, notRun("caller left", 0)
 		case <-wait.C:
-			r := notRun("no share of the account's money at hand", comeBack)
-			r.Inputs = m.inputs(a, n)
-			return nil, r
+			return nil, m.short(a, n)
 		}
-		if p.Again(n) {
+		if p.Reserve(n) {
 			return p, nil
 		}
 		if r := m.uncovered(a, n, round); r != nil {
 			return nil, r
 		}
-		if p.Reserve(n) {
-			return p, nil
-		}
 	}
+	return nil, m.short(a, n)
+}
+
+// lostSince returns for how long the store has not answered, 0 when it does.
+func (m *money) lostSince() time.Duration {
+	lost := m.lost.Load()
+	if lost == 0 {
+		return 0
+	}
+	return max(m.now().Sub(time.Unix(0, lost)), 1)
+}
+
+// short refuses for want of a share. The store is expected to be away as long
+// again as it has been.
+func (m *money) short(a *bbplan.Account, n bbunit.Tokens) *Refusal {
+	r := notRun("no share of the account's money at hand", min(max(m.lostSince(), comeBack), comeBackMost))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.Inputs = m.facts(m.book.Line(a.ID), n)
+	return r
 }
 
 // uncovered refuses what the account cannot cover, as the store has just told.
@@ -117,13 +138,7 @@
 	return r
 }
 
-// inputs are what decided that a share was not to be had.
-func (m *money) inputs(a *bbplan.Account, n bbunit.Tokens) logrus.Fields {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.facts(m.book.Line(a.ID), n)
-}
-
+// facts are what decides whether a share is to be had.
 func (m *money) facts(l *bbshare.Line, n bbunit.Tokens) logrus.Fields {
 	return logrus.Fields{
 		"account": l.Account, "tokens": n, "here": l.Purse.Available(), "free": l.Free(), "others": l.Others(m.book.Holder),
@@ -205,11 +220,16 @@
 
 // write carries out one write and takes its outcome.
 func (m *money) write(ctx context.Context, d *bbshare.Draw) error {
-	rev, now, err := m.rows.Swap(ctx, d.Rows, 0)
+	call, cancel := context.WithTimeout(ctx, swapTime)
+	rev, now, err := m.rows.Swap(call, d.Rows, 0)
+	cancel()
 	m.mu.Lock()
 	m.told(m.book.Done(d, rev, now, err))
 	if err == nil || errors.Is(err, bbstore.ErrConflict) {
 		m.last = m.now()
+		m.lost.Store(0)
+	} else {
+		m.lost.CompareAndSwap(0, m.now().UnixNano())
 	}
 	m.mu.Unlock()
 	if !errors.Is(err, bbstore.ErrConflict) {
--- a/shared/bbshare/purse.go
+++ b/shared/bbshare/purse.go
@@ -34,15 +34,6 @@
 	return false
 }
 
-// Again tries once more for a request that Reserve has counted as unmet.
-func (p *Purse) Again(n bbunit.Tokens) bool {
-	if !p.take(int64(n)) {
-		return false
-	}
-	p.asked.Add(int64(n))
-	return true
-}
-
 // End ends a reservation of n of which used was spent.
 func (p *Purse) End(n, used bbunit.Tokens) {
 	used = min(max(used, 0), n)
