--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -33,7 +33,7 @@
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 20 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.5, Prior: 0.002, Rows: 32}
+	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.3, Prior: 0.002, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
