Let instances lend each other parts of their shares

Change: a loan moves money between purses by one answered question; the lender counts it as spent, the borrower takes an answer once and may give back below zero in the store. A lost loan stays spent.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -136,3 +136,15 @@
 	// listEvery is the longest time between two looks at the list of instances.
 	listEvery = 20 * time.Second
 )
+
+// Bounds of loans between instances.
+const (
+	// loanWait bounds one question to a peer.
+	loanWait = 100 * time.Millisecond
+	// loanPeers is how many peers are asked for one request.
+	loanPeers = 4
+	// loanEvery is the least time between two rounds of asking for an account.
+	loanEvery = 100 * time.Millisecond
+	// muteTime is how long a peer that did not answer is left alone.
+	muteTime = 2 * time.Second
+)
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbroute"
@@ -62,7 +63,7 @@
 	}
 	store, closeStore := bbplatform.NewStore(set.Store)
 	defer closeStore()
-	d.money = newMoney(store, d.board, log, d.now, bbshare.NewHolder(set.Instance, newLife()))
+	d.money = newMoney(store, d.board, log, d.now, bbshare.NewHolder(set.Instance, bbunit.InstanceID(set.Peers), newLife()))
 
 	back, stop := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
@@ -86,6 +87,7 @@
 func (d *Door) follow(ctx context.Context, wg *conc.WaitGroup, store *bbplatform.Store, fleet Fleet) {
 	f := newFollower(store, d.board, d.log, d.now)
 	news := newRelay(fleet, f)
+	d.money.loans = newLoans(d.money, fleet)
 	reg := newRegister(store, fleet, d.board, d.log, d.set)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -120,7 +122,10 @@
 		d.open.Add(1)
 		go func() {
 			defer d.open.Done()
-			c.serve()
+			if p := panics.Try(c.serve); p != nil {
+				_ = c.Close()
+				d.log.WithField("event", "panic").Error(p.String())
+			}
 			d.mu.Lock()
 			delete(d.callers, c)
 			d.mu.Unlock()
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -41,12 +41,17 @@
 
 	lost   atomic.Int64 // since when the store does not answer, in ns of the steady clock; 0: it does
 	purses sync.Map // bbunit.AccountID -> *bbshare.Purse
+
+	loans *loans
+	asked map[bbunit.AccountID]time.Time // last round of asking peers; guarded by mu
+	mute  sync.Map                       // bbunit.InstanceID -> time.Time: peers that did not answer
 }
 
 func newMoney(rows Rows, board *Board, log logrus.FieldLogger, now func() time.Time, holder bbunit.HolderID) *money {
 	return &money{
 		rows: rows, board: board, log: log, now: now, poke: make(chan struct{}, 1),
 		book: bbshare.NewBook(holder, moneyPrefix, bbshare.DefaultRule()), drawn: make(chan struct{}),
+		asked: map[bbunit.AccountID]time.Time{},
 	}
 }
 
@@ -93,13 +98,27 @@
 		if p.Reserve(n) {
 			return p, nil
 		}
-		if r := m.uncovered(a, n, round); r != nil {
-			return nil, r
+		if m.drained(a, n) {
+			break
 		}
 	}
+	if m.loans != nil && m.loans.borrow(a, n) && p.Reserve(n) {
+		return p, nil
+	}
+	if r := m.uncovered(a, n); r != nil {
+		return nil, r
+	}
 	return nil, m.short(a, n)
 }
 
+// drained tells that a draw cannot bring n, as the store has just told.
+func (m *money) drained(a *bbplan.Account, n bbunit.Tokens) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.book.Line(a.ID)
+	return l.Known() && l.Free()+l.Purse.Available() < n
+}
+
 // lostSince returns for how long the store has not answered, 0 when it does.
 func (m *money) lostSince() time.Duration {
 	lost := m.lost.Load()
@@ -119,8 +138,9 @@
 	return r
 }
 
-// uncovered refuses what the account cannot cover, as the store has just told.
-func (m *money) uncovered(a *bbplan.Account, n bbunit.Tokens, round int) *Refusal {
+// uncovered refuses what the account cannot cover, as the store has just told,
+// or what only other instances' shares could.
+func (m *money) uncovered(a *bbplan.Account, n bbunit.Tokens) *Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.book.Line(a.ID)
@@ -130,9 +150,6 @@
 	if !l.Covers(n, m.book.Holder) {
 		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", Inputs: m.facts(l, n)}
 	}
-	if round < 1 {
-		return nil
-	}
 	r := notRun("the rest of the account's money is in other instances' shares", comeBack)
 	r.Inputs = m.facts(l, n)
 	return r
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -65,6 +65,9 @@
 	rev     bbstore.Revision
 	known   bool          // the row has been read
 	ours    bbunit.Tokens // what this instance counts as granted
+	// lent and borrowed are sums over this life.
+	lent, borrowed bbunit.Tokens
+
 	fenced  bool          // another life of the instance has closed this one
 	rate    float64       // tokens a second that requests ask for
 	asked   int64
@@ -128,7 +131,7 @@
 	}
 	l.row, l.rev, l.known = row, e.Rev, true
 	g, have := row.Holders[b.Holder]
-	if !have && l.ours > 0 {
+	if !have && l.ours != 0 {
 		l.fenced = true
 	}
 	if !l.fenced {
--- a/shared/bbshare/row.go
+++ b/shared/bbshare/row.go
@@ -16,7 +16,9 @@
 // Grant is what one holder has of an account. Both only concern its life: a
 // holder's id is never used twice.
 type Grant struct {
-	// Granted is all that the holder may spend, what it has spent included.
+	// Granted is all that the holder may spend, what it has spent included and
+	// less what it was lent: it is below 0 once a holder gives back borrowed
+	// money, which its lender counts as spent.
 	Granted bbunit.Tokens `json:"granted"`
 	// Spent is what it is known to have spent, at least.
 	Spent bbunit.Tokens `json:"spent"`
@@ -38,14 +40,6 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return r, errors.WithType(err, ErrRow)
 	}
-	for id, g := range r.Holders {
-		if g.Granted < 0 {
-			return r, errors.WithType(errors.Errorf("holder %s: granted %d", id, g.Granted), ErrRow)
-		}
-	}
-	if r.Closed < 0 {
-		return r, errors.WithType(errors.Errorf("closed %d", r.Closed), ErrRow)
-	}
 	return r, nil
 }
 
@@ -103,9 +97,16 @@
 	return next
 }
 
-// NewHolder returns the id of one life of an instance.
-func NewHolder(instance bbunit.InstanceID, life string) bbunit.HolderID {
-	return bbunit.HolderID(string(instance) + "/" + life)
+// NewHolder returns the id of one life of an instance, which its peers reach at
+// an address.
+func NewHolder(instance, address bbunit.InstanceID, life string) bbunit.HolderID {
+	return bbunit.HolderID(string(instance) + "@" + string(address) + "/" + life)
+}
+
+// addressOf returns where the peers of a holder reach it.
+func addressOf(id bbunit.HolderID) bbunit.InstanceID {
+	_, address, _ := strings.Cut(instanceOf(id), "@")
+	return bbunit.InstanceID(address)
 }
 
 func instanceOf(id bbunit.HolderID) string {
