Give shares back from the order to stop on

Change: a leaving instance draws nothing ahead and returns what lies unused at once, store calls end with their context, and the last return is tried until the grace is over.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -79,13 +79,13 @@
 	moneyTick = 250 * time.Millisecond
 	// moneyTold is the time between two log lines that tell the shares held.
 	moneyTold = 4 * time.Second
-	// closeTime bounds the giving back of shares at a stop.
+	// closeTime is how long after the last request shares are still given back.
 	closeTime = 700 * time.Millisecond
 	// lingerTime is how long a leaving instance takes new connections while the
 	// balancer learns of it.
 	lingerTime = 3500 * time.Millisecond
 	// graceSlack is how long before the kill a leaving instance ends by itself.
-	graceSlack = 600 * time.Millisecond
+	graceSlack = 1200 * time.Millisecond
 )
 
 // Bounds of what one request tries.
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -73,12 +73,15 @@
 	log.WithFields(logrus.Fields{"event": "start", "listen": set.Callers, "domain": set.Domain}).Info("serving")
 
 	<-ctx.Done()
-	d.leave(front)
+	end := time.Now().Add(set.Grace - graceSlack)
+	d.leave(front, end)
 	stop()
 	_ = ready.Close()
 	_ = front.Close()
 	wg.Wait()
-	d.giveBack()
+	last, cancel := context.WithDeadline(context.Background(), end.Add(closeTime))
+	defer cancel()
+	d.money.close(last)
 	log.WithField("event", "stop").Info("stopped")
 	return nil
 }
@@ -135,10 +138,10 @@
 
 // leave stops taking work: not ready at once, new connections a little longer,
 // and open requests to their end.
-func (d *Door) leave(front net.Listener) {
+func (d *Door) leave(front net.Listener, end time.Time) {
 	d.board.Leaving.Store(true)
+	d.money.leave()
 	d.log.WithField("event", "leaving").Info("leaving")
-	end := time.Now().Add(d.set.Grace - graceSlack)
 	time.Sleep(min(lingerTime, time.Until(end)))
 	d.closing.Store(true)
 	_ = front.Close()
@@ -166,12 +169,6 @@
 	}
 }
 
-func (d *Door) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
-	defer cancel()
-	d.money.close(ctx)
-}
-
 // ended takes what an attempt tells of its target.
 func (d *Door) ended(x *exchange, s *Server, out *ending) {
 	now := d.now()
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -272,16 +272,34 @@
 	}
 }
 
-// close gives back what is unspent.
+// leave gives back what lies unused; requests still find what they ask for.
+func (m *money) leave() {
+	m.mu.Lock()
+	m.book.Leave()
+	m.mu.Unlock()
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+// close gives back what is unspent, and tries until ctx ends.
 func (m *money) close(ctx context.Context) {
-	for range 3 {
+	for {
 		m.mu.Lock()
 		d := m.book.Close()
 		m.mu.Unlock()
 		if d == nil {
+			m.log.WithField("event", "money-closed").Info("nothing to give back")
+			return
+		}
+		err := m.write(ctx, d)
+		if err == nil {
+			m.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": len(d.Rows)}).Info("shares given back")
 			return
 		}
-		if err := m.write(ctx, d); err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			m.log.WithError(err).WithField("event", "money-stuck").Warn("shares not given back; they count as spent")
 			return
 		}
 	}
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -33,7 +33,7 @@
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.01, Part: 0.3, Prior: 0.002, Rows: 32}
+	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Prior: 0.002, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
@@ -48,6 +48,8 @@
 	lines  map[bbunit.AccountID]*Line
 	// largest is the largest request of late, of any account.
 	largest int64
+	// leaving tells that nothing is drawn ahead any more.
+	leaving bool
 }
 
 // NewBook returns an empty book whose rows stand under prefix.
@@ -227,9 +229,12 @@
 		free = 0 // a write with the unknown row's revision reads it
 	}
 	share := l.rate * b.rule.Horizon.Seconds()
-	share = max(share, float64(2*b.largest), float64(l.paid)*b.rule.Floor)
+	share = max(share, float64(b.largest), float64(l.paid)*b.rule.Floor)
 	have := l.Purse.avail.Load()
 	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, instances))
+	if b.leaving {
+		share = 0
+	}
 	goal := int64(share) + unmet
 	to := min(l.ours+bbunit.Tokens(goal-have), l.ours+free)
 	switch {
@@ -238,7 +243,7 @@
 	case to > l.ours:
 		return to, float64(have) < b.rule.Low*share
 	case to < l.ours:
-		return to, have > 3*goal+int64(l.largest)
+		return to, b.leaving || have > 3*goal+int64(l.largest)
 	}
 	return to, false
 }
@@ -274,6 +279,10 @@
 	return bad
 }
 
+// Leave makes the book give back what lies unused, and draw no more than
+// requests ask for.
+func (b *Book) Leave() { b.leaving = true }
+
 // Close returns the write that ends this holder and gives back what is unspent;
 // nil when there is nothing to end. Nothing may be reserved any more.
 func (b *Book) Close() *Draw {
@@ -302,6 +311,9 @@
 	Here    bbunit.Tokens    `json:"here"` // available to this instance
 	Spent   bbunit.Tokens    `json:"spent"`
 	Rate    bbunit.Tokens    `json:"rate"` // asked for here, a second
+	Lent    bbunit.Tokens    `json:"lent,omitempty"`
+	Granted bbunit.Tokens    `json:"granted"`
+	Closed  bbunit.Tokens    `json:"closed"` // of holders that are no more
 }
 
 // Status returns what each line holds, by account.
@@ -311,6 +323,7 @@
 		out = append(out, Status{
 			Account: l.Account, Paid: l.paid, Free: l.Free(), Here: l.Purse.Available(),
 			Spent: bbunit.Tokens(l.Purse.spent.Load()), Rate: bbunit.Tokens(l.rate),
+			Lent: l.lent, Granted: l.ours, Closed: l.row.Closed,
 		})
 	}
 	slices.SortFunc(out, func(a, c Status) int { return cmp.Compare(a.Account, c.Account) })
