Choose targets by the prompts that they still have to read

Cause: streams paused over 300 ms beside large prompts (up to 37,000 tokens, 266 ms) that several instances sent to one target; a count of requests does not tell of them. Ruled out: slow passing on (own part of an answer is level). Change: the cost of a target is a time: prompts still to be read there, this one without what its home keeps, load, failures, domain; peers hear of prompts above 2,500 tokens.

--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -61,6 +61,7 @@
 	s.Known.Begin()
 	defer s.Known.End()
 	x.sends++
+	x.door.prefills.sent(s, x.unread)
 	out := x.exchangeWith(s, c)
 	x.hold(nil)
 	if out.kind != endDone && x.left() {
--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -148,3 +148,13 @@
 	// muteTime is how long a peer that did not answer is left alone.
 	muteTime = 2 * time.Second
 )
+
+// What instances tell each other of prompts.
+const (
+	// largePrompt is the number of tokens to be read from which peers are told.
+	largePrompt = 2500
+	// maxPrompt is the largest number of tokens that a peer is believed.
+	maxPrompt = 1 << 20
+	// prefillPeers is how many peers are told.
+	prefillPeers = 16
+)
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -29,11 +29,12 @@
 //	   ^                                                     |
 //	   +------------------ answer, stream, refusal <---------+
 type Door struct {
-	set    bbplatform.Settings
-	domain bbunit.DomainID
-	board  *Board
-	log    logrus.FieldLogger
-	money  *money
+	set      bbplatform.Settings
+	domain   bbunit.DomainID
+	board    *Board
+	log      logrus.FieldLogger
+	money    *money
+	prefills *prefills
 
 	poisons atomic.Pointer[bbroute.Poisons]
 	proven  bbroute.Proven
@@ -91,6 +92,7 @@
 	f := newFollower(store, d.board, d.log, d.now)
 	news := newRelay(fleet, f)
 	d.money.loans = newLoans(d.money, fleet)
+	d.prefills = newPrefills(fleet, d.board, d.now)
 	reg := newRegister(store, fleet, d.board, d.log, d.set)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -180,6 +182,7 @@
 			d.proven.Add(x.print)
 			d.budget(x.service).Earn(d.retryRule())
 		}
+		d.served(x, s)
 		return
 	case endGone:
 		return
@@ -201,6 +204,21 @@
 	d.log.WithFields(x.fields(s, out)).Info("attempt failed")
 }
 
+// served logs an answer that was passed on whole.
+func (d *Door) served(x *exchange, s *Server) {
+	f := logrus.Fields{
+		"request": x.q.Attempt, "service": x.service, "target": s.ID, "sends": x.sends,
+		"ms": time.Since(x.q.At).Milliseconds(), "inflight": s.Known.InFlight(),
+	}
+	if x.stream.events > 0 {
+		f["first"] = x.stream.first.Sub(x.q.At).Milliseconds()
+		f["gap"] = x.stream.gap.Milliseconds()
+		f["events"] = x.stream.events
+		f["prompt"] = x.q.Prompt
+	}
+	d.log.WithFields(f).Info("served")
+}
+
 // suspect looks whether a target that broke a request off is down: then the
 // request may be what crashed it.
 func (d *Door) suspect(print uint64, s *Server) {
--- a/bluebellport/door/exchange.go
+++ b/bluebellport/door/exchange.go
@@ -34,8 +34,9 @@
 	reserved bbunit.Tokens
 	stride   bbunit.Tokens
 
-	sends int // attempts of which bytes left
-	tried []bbunit.TargetID
+	unread bbunit.Tokens // of the prompt, at the target chosen last
+	sends  int           // attempts of which bytes left
+	tried  []bbunit.TargetID
 	// ran tells that a target may have run the request.
 	ran    bool
 	stream stream
@@ -201,12 +202,15 @@
 	if g == nil {
 		return nil, notRun("no target of the service is known", comeBack)
 	}
+	now := x.door.now()
 	ask := bbplace.Ask{Domain: x.door.domain, Tried: x.tried, Draw: rand.Uint64()}
 	if x.stride > 0 {
-		ask.Prompt = x.q.PromptKey()
+		ask.Prompt, ask.Shared = x.q.Shared()
+		ask.Tokens = x.q.Prompt
 	}
-	i, why := bbplace.Choose(g.Places, &ask, x.door.now())
+	i, why := bbplace.Choose(g.Places, &ask, now)
 	if i >= 0 {
+		x.unread = ask.Unread(bbplace.Home(g.Places, i, &ask, now))
 		return g.Servers[i], nil
 	}
 	if why == bbplace.FullLoad {
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -40,7 +40,7 @@
 	plan  *bbplan.Plan
 
 	lost   atomic.Int64 // since when the store does not answer, in ns of the steady clock; 0: it does
-	purses sync.Map // bbunit.AccountID -> *bbshare.Purse
+	purses sync.Map     // bbunit.AccountID -> *bbshare.Purse
 
 	loans *loans
 	asked map[bbunit.AccountID]time.Time // last round of asking peers; guarded by mu
--- a/bluebellport/door/request.go
+++ b/bluebellport/door/request.go
@@ -120,12 +120,17 @@
 	return h.Sum64()
 }
 
-// PromptKey is what requests with the same cached parts share: all parts of the
-// prompt but the last, which is the request's own.
-func (q *Request) PromptKey() uint64 {
+// Shared returns a hash of what the prompt shares with others, and its tokens:
+// all parts but the last, which is the request's own.
+func (q *Request) Shared() (uint64, bbunit.Tokens) {
 	text := q.Fields.Value(bbplatform.HeaderPrompt)
-	if i := strings.LastIndexByte(text, ','); i >= 0 {
-		return xxhash.Sum64String(text[:i])
+	i := strings.LastIndexByte(text, ',')
+	if i < 0 {
+		return 0, 0
 	}
-	return 0
+	var n bbunit.Tokens
+	for _, p := range bbplatform.Parts(text[:i]) {
+		n += p.Tokens
+	}
+	return xxhash.Sum64String(text[:i]), min(n, q.Prompt)
 }
--- a/bluebellport/door/stream.go
+++ b/bluebellport/door/stream.go
@@ -15,7 +15,20 @@
 	begun  bool
 	whole  bool
 	events int
-	last   int64 // id of the last event passed on
+	first  time.Time     // when the first event came
+	at     time.Time     // when the last one came
+	gap    time.Duration // the longest pause
+	last   int64         // id of the last event passed on
+}
+
+// came notes the time of an event.
+func (s *stream) came(now time.Time) {
+	if s.first.IsZero() {
+		s.first = now
+	} else {
+		s.gap = max(s.gap, now.Sub(s.at))
+	}
+	s.at = now
 }
 
 // lastID is the id after which another target has to go on; empty when the
@@ -125,6 +138,7 @@
 		default:
 			x.stream.last = id
 			x.stream.events++
+			x.stream.came(time.Now())
 		}
 		end += len(event)
 	}
--- a/shared/bbplace/place.go
+++ b/shared/bbplace/place.go
@@ -19,20 +19,25 @@
 const (
 	// reportKeep is how long a report of load is of use.
 	reportKeep = 1500 * time.Millisecond
-	// otherDomain is what it costs to leave the failure domain, in parts of a
-	// target's slots.
-	otherDomain = 0.04
-	// notCached is the same for a target that is not the first for a prompt;
-	// the second costs half of it.
-	notCached = 0.30
-	// failWeight is the cost of a target all of whose answers fail.
-	failWeight = 3.0
+	// otherDomain is what it costs to leave the failure domain.
+	otherDomain = 3 * time.Millisecond
+	// slotsTime is what a target with all slots taken costs more than an empty
+	// one.
+	slotsTime = 60 * time.Millisecond
+	// failTime is the cost of a target all of whose answers fail.
+	failTime = 250 * time.Millisecond
+	// chanceTime bounds the part of chance in a cost, which keeps instances that
+	// know the same from all choosing the same target.
+	chanceTime = 2 * time.Millisecond
 	// resultWeight is how far one result moves the mean of failures.
 	resultWeight = 0.15
 	// full is the load above which a target gets nothing, in parts of its slots.
 	full = 1.6
 	// defaultSlots is for targets that name none.
 	defaultSlots = 8
+	// prefillRate is how many tokens of a prompt an engine reads in a
+	// millisecond.
+	prefillRate = 140
 )
 
 // Known is what one instance knows of a target. The zero value knows nothing.
@@ -42,6 +47,7 @@
 	report   atomic.Pointer[report]
 	fails    atomic.Uint64 // bits of the mean of failures, 0 to 1
 	busy     atomic.Int64  // gets nothing until, in ns of the steady clock
+	prefill  atomic.Int64  // reads prompts until, in ns of the steady clock
 }
 
 type report struct {
@@ -67,6 +73,28 @@
 // Busy keeps requests away until a time.
 func (k *Known) Busy(until time.Time) { k.busy.Store(until.UnixNano()) }
 
+// Prefill notes that the target has been sent a prompt of which it has to read
+// that many tokens.
+func (k *Known) Prefill(n bbunit.Tokens, now time.Time) {
+	took := int64(prefillTime(n))
+	for {
+		old := k.prefill.Load()
+		if k.prefill.CompareAndSwap(old, max(old, now.UnixNano())+took) {
+			return
+		}
+	}
+}
+
+// prefillTime is how long an engine reads that many tokens of a prompt.
+func prefillTime(n bbunit.Tokens) time.Duration {
+	return time.Duration(n) * time.Millisecond / prefillRate
+}
+
+// backlog is how long the target is still thought to read prompts.
+func (k *Known) backlog(now time.Time) time.Duration {
+	return max(time.Duration(k.prefill.Load()-now.UnixNano()), 0)
+}
+
 // Result notes whether a request that the target took ended well.
 func (k *Known) Result(ok bool) {
 	v := 0.0
@@ -113,8 +141,9 @@
 type Ask struct {
 	Domain bbunit.DomainID
 	// Prompt is a hash of the parts that the prompt shares with others; 0 for
-	// none.
-	Prompt uint64
+	// none. Shared is how many tokens they have, of Tokens in all.
+	Prompt         uint64
+	Shared, Tokens bbunit.Tokens
 	// Tried are targets that are not to be used again.
 	Tried []bbunit.TargetID
 	// Draw breaks ties.
@@ -132,10 +161,13 @@
 	FullLoad
 )
 
-// Choose returns the index of the target with the least cost, or -1 and why.
+// Choose returns the index of the target with the least cost, or -1 and why. The
+// cost is a time: how long the target still reads other prompts, how long it
+// would read this one, and what its load, its failures and its failure domain
+// are counted as.
 func Choose(targets []*Target, ask *Ask, now time.Time) (int, Full) {
-	first, second := ranks(targets, ask, now)
-	best, least := -1, math.Inf(1)
+	home := homeOf(targets, ask, now)
+	best, least := -1, time.Duration(math.MaxInt64)
 	why := FullNone
 	for i, t := range targets {
 		if !usable(t, ask, now) {
@@ -146,22 +178,12 @@
 			why = FullLoad
 			continue
 		}
-		cost := load + failWeight*math.Float64frombits(t.Known.fails.Load())
+		cost := t.Known.backlog(now) + prefillTime(ask.Unread(i == home)) + time.Duration(load*float64(slotsTime))
+		cost += time.Duration(float64(failTime) * math.Float64frombits(t.Known.fails.Load()))
 		if t.Domain != ask.Domain {
 			cost += otherDomain
 		}
-		if ask.Prompt != 0 {
-			switch t {
-			case first:
-			case second:
-				cost += notCached / 2
-			default:
-				cost += notCached
-			}
-		}
-		// A small part of chance keeps instances with the same reports from
-		// all choosing the same target.
-		cost += 0.02 * float64(scramble(ask.Draw+uint64(i))>>40) / (1 << 24)
+		cost += time.Duration(scramble(ask.Draw+uint64(i)) % uint64(chanceTime))
 		if cost < least {
 			best, least = i, cost
 		}
@@ -169,24 +191,35 @@
 	return best, why
 }
 
-// ranks returns the two targets that a prompt hashes to.
-func ranks(targets []*Target, ask *Ask, now time.Time) (first, second *Target) {
+// Unread returns how many tokens of the prompt a target has to read, which is
+// the prompt's home or not.
+func (a *Ask) Unread(home bool) bbunit.Tokens {
+	if home {
+		return a.Tokens - a.Shared
+	}
+	return a.Tokens
+}
+
+// Home tells whether a target is where the prompt's shared parts are kept.
+func Home(targets []*Target, i int, ask *Ask, now time.Time) bool {
+	return i >= 0 && homeOf(targets, ask, now) == i
+}
+
+// homeOf returns the index of the target that a prompt hashes to, -1 for none.
+func homeOf(targets []*Target, ask *Ask, now time.Time) int {
+	home, high := -1, uint64(0)
 	if ask.Prompt == 0 {
-		return nil, nil
+		return home
 	}
-	var high, next uint64
-	for _, t := range targets {
+	for i, t := range targets {
 		if t.Leaving || !t.Known.Circuit.Usable(now) {
 			continue
 		}
-		switch h := scramble(ask.Prompt ^ xxhash.Sum64String(string(t.ID))); {
-		case first == nil || h > high:
-			first, second, high, next = t, first, h, high
-		case second == nil || h > next:
-			second, next = t, h
+		if h := scramble(ask.Prompt ^ xxhash.Sum64String(string(t.ID))); home < 0 || h > high {
+			home, high = i, h
 		}
 	}
-	return first, second
+	return home
 }
 
 func usable(t *Target, ask *Ask, now time.Time) bool {
