--- /dev/null
+++ b/bluebellport/door/door_test.go
@@ -0,0 +1,303 @@
+package bbdoor
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+)
+
+// What a caller gets when the first of two targets misbehaves: who may be asked
+// again, and what may be said of a request that may have run.
+func TestFaultsOfTargets(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  bbplatformstand.Fault
+		path   string
+		status int
+		runs   int // over both targets
+	}{
+		{"shed, idempotent", bbplatformstand.FaultShed, "/read/1", 200, 1},
+		{"shed, once", bbplatformstand.FaultShed, "/book/1", 200, 1},
+		{"error, idempotent", bbplatformstand.FaultError, "/read/1", 200, 2},
+		{"error, once", bbplatformstand.FaultError, "/book/1", 500, 1},
+		{"reset, idempotent", bbplatformstand.FaultReset, "/read/1", 200, 2},
+		{"reset, once", bbplatformstand.FaultReset, "/book/1", 502, 1},
+		{"mute, idempotent", bbplatformstand.FaultMute, "/read/1", 200, 2},
+		{"mute, once", bbplatformstand.FaultMute, "/book/1", 504, 1},
+		{"torn, idempotent", bbplatformstand.FaultTorn, "/read/1", 200, 2},
+		{"torn, once", bbplatformstand.FaultTorn, "/book/1", 502, 1},
+		{"unsigned, idempotent", bbplatformstand.FaultUnsigned, "/read/1", 200, 2},
+		{"unsigned, once", bbplatformstand.FaultUnsigned, "/book/1", 502, 1},
+		{"foreign answer first", bbplatformstand.FaultForeign, "/book/1", 200, 1},
+		{"extra answer", bbplatformstand.FaultExtra, "/book/1", 200, 1},
+		{"no length", bbplatformstand.FaultUnframed, "/book/1", 200, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, 1000)
+			one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+			two := b.target(bbplatformstand.TargetOptions{ID: "t2", Service: "desk", Domain: "gavle"}) // the second choice
+			one.Fail(c.fault, 1)
+			b.start()
+			r := b.call("POST", c.path, "body")
+			is.Equal(r.status, c.status)
+			is.Equal(len(one.Runs())+len(two.Runs()), c.runs)
+			if c.status == 200 {
+				is.Equal(r.body, "ran attempt-1")
+			}
+			if c.status == 502 || c.status == 504 {
+				is.Equal(r.outcome, "unknown")
+			}
+			for range 3 { // nothing of the fault is left on the connections
+				is.Equal(b.call("POST", "/book/2", "body").body, fmt.Sprintf("ran attempt-%d", b.calls))
+			}
+		})
+	}
+}
+
+// A target gets the request as the client sent it, with the account in place of
+// the key and a deadline no longer than the client's.
+func TestWhatATargetGets(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	b.start()
+	r := b.call("POST", "/book/a?x=%2f&y", strings.Repeat("b", 100_000), "Tenant", "forged", "tenant_", "x", "Expected-Instance", "forged")
+	is.Equal(r.status, 200)
+	run := one.Runs()[0]
+	is.Equal(run.Path, "/book/a?x=%2f&y")
+	is.Equal(len(run.Body), 100_000)
+	is.Equal(run.Account, "a")
+	is.Equal(run.Key, "")
+	is.Equal(run.Expect, "t1")
+	is.True(run.Left > 0 && run.Left <= 1500*time.Millisecond)
+}
+
+// A target that answers before it has the whole body gets no other bytes in
+// place of the rest.
+func TestAnswerBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	one.Fail(bbplatformstand.FaultEarly, 1)
+	b.start()
+	is.Equal(b.call("POST", "/book/1", strings.Repeat("b", 250_000)).status, 413)
+	is.Equal(b.call("POST", "/book/2", "body").status, 200)
+	is.Equal(one.Runs()[0].Body, "body")
+}
+
+// Requests that the declared state does not allow are refused and reach no
+// target.
+func TestRefusals(t *testing.T) {
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	b.target(bbplatformstand.TargetOptions{ID: "t2", Service: "llm", Engine: true, Events: 3})
+	b.start()
+	cases := []struct {
+		name, path string
+		fields     []string
+		status     int
+	}{
+		{"no route", "/none/1", nil, 404},
+		{"unknown key", "/read/1", []string{bbplatform.HeaderKey, "another"}, 401},
+		{"open route without a key", "/open/1", []string{bbplatform.HeaderKey, ""}, 200},
+		{"above the balance", "/draft/1", []string{bbplatform.HeaderUsage, "990,20"}, 402},
+		{"no usage", "/draft/1", nil, 400},
+		{"bad usage", "/draft/1", []string{bbplatform.HeaderUsage, "-1,3"}, 400},
+		{"bad deadline", "/read/1", []string{bbplatform.HeaderDeadline, "soon"}, 400},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(b.call("GET", c.path, "", c.fields...).status, c.status) })
+	}
+	is.New(t).Equal(len(one.Runs()), 1)
+}
+
+// Bytes that could be read in two ways are refused, and nothing is passed on.
+func TestMalformedRequests(t *testing.T) {
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	b.start()
+	head := "POST /book/1 HTTP/1.1\r\nHost: " + callHost + "\r\nAttempt-Id: x\r\nCredential: " + callKey + "\r\n"
+	cases := []struct{ name, text, status string }{
+		{"two lengths", head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+		{"length and chunks", head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+		{"unknown coding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "400"},
+		{"signed length", head + "Content-Length: +1\r\n\r\na", "400"},
+		{"bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n", "400"},
+		{"bad chunk end", head + "Transfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n", "400"},
+		{"folded field", head + "A: b\r\n c\r\nContent-Length: 0\r\n\r\n", "400"},
+		{"space before colon", head + "Content-Length : 0\r\n\r\n", "400"},
+		{"bare line feed", "GET /book/1 HTTP/1.1\nHost: a\n\n", "400"},
+		{"no host", "GET /book/1 HTTP/1.1\r\n\r\n", "400"},
+		{"two hosts", head + "Host: b\r\n\r\n", "400"},
+		{"two keys", head + "credential: b\r\n\r\n", "400"},
+		{"no version", "GET /book/1\r\n\r\n", "400"},
+		{"head too large", head + "A: " + strings.Repeat("a", 9000) + "\r\n\r\n", "431"},
+		{"body too large", head + "Content-Length: 300001\r\n\r\n", "413"},
+		{"head too slow", head, "408"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).True(strings.HasPrefix(b.raw(c.text), "HTTP/1.1 "+c.status))
+		})
+	}
+	is.New(t).Equal(len(one.Runs()), 0)
+}
+
+// A chunked body is passed on whole, and the connection serves the next request.
+func TestPipelinedAndChunked(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	b.start()
+	head := "POST /book/1 HTTP/1.1\r\nHost: " + callHost + "\r\nAttempt-Id: x%d\r\nCredential: " + callKey + "\r\n"
+	text := fmt.Sprintf(head, 1) + "Transfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\n" + fmt.Sprintf(head, 2) + "Content-Length: 1\r\nConnection: close\r\n\r\nf"
+	is.True(strings.HasPrefix(b.raw(text), "HTTP/1.1 200"))
+	b.eventually("both ran", func() bool { return len(one.Runs()) == 2 })
+	is.Equal(one.Runs()[0].Body, "abcde")
+	is.Equal(one.Runs()[1].Body, "f")
+}
+
+// events returns the ids of a stream in order.
+func events(body string) string {
+	var ids []string
+	for line := range strings.SplitSeq(body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return strings.Join(ids, " ")
+}
+
+// A stream that breaks in the middle of an event goes on at another target from
+// the last whole one where its route allows it, and ends without its end where
+// not.
+func TestBrokenStreams(t *testing.T) {
+	cases := []struct {
+		name, path string
+		whole      bool
+		ids        string
+	}{
+		{"resumed", "/draft/1", true, "1 2 3 4 5 6"},
+		{"not resumed", "/once/1", false, "1 2 3"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, 1000)
+			one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 6})
+			two := b.target(bbplatformstand.TargetOptions{ID: "t2", Service: "llm", Engine: true, Events: 6, Domain: "gavle"})
+			one.Fail(bbplatformstand.FaultTorn, 1)
+			b.start()
+			r := b.call("POST", c.path, "prompt", bbplatform.HeaderUsage, "100,60")
+			is.Equal(r.status, 200)
+			is.Equal(r.err == nil, c.whole)
+			is.Equal(events(r.body), c.ids)
+			is.Equal(r.header.Get(bbplatform.HeaderSignature), "t1")
+			if c.whole {
+				is.Equal(two.Runs()[0].Last, "3")
+			}
+		})
+	}
+}
+
+// What a stream cost is spent, its reservation is not: the balance serves as many
+// as fit, and then says that it does not cover more.
+func TestMoney(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 5})
+	b.start()
+	served := 0
+	for range 12 {
+		r := b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "100,200")
+		if r.status == 200 {
+			served++
+			continue
+		}
+		is.Equal(r.status, 402)
+	}
+	is.Equal(served, 5) // 150 each, and 300 must be there at the start
+	b.plan(2, 1200)
+	b.eventually("a top-up is in force", func() bool {
+		return b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "100,200").status == 200
+	})
+}
+
+// A client that leaves ends the target's work.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 1000, Pause: 10 * time.Millisecond})
+	b.start()
+	r, err := http.NewRequest("POST", "http://"+b.set.Callers+"/once/1", strings.NewReader("p"))
+	is.NoErr(err)
+	r.Host = callHost
+	r.Header.Set(bbplatform.HeaderAttempt, "gone")
+	r.Header.Set(bbplatform.HeaderKey, callKey)
+	r.Header.Set(bbplatform.HeaderUsage, "10,100")
+	tr := &http.Transport{}
+	resp, err := tr.RoundTrip(r)
+	is.NoErr(err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 10))
+	is.NoErr(err)
+	is.Equal(one.Open(), 1)
+	_ = resp.Body.Close()
+	tr.CloseIdleConnections()
+	b.eventually("the target's connection is closed", func() bool { return one.Open() == 0 })
+}
+
+// A planned stop ends no request: an open stream comes to its end, and what the
+// instance held of money is given back.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 100_000)
+	b.set.Grace = 4 * time.Second
+	b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 20, Pause: 20 * time.Millisecond})
+	b.start()
+	done := make(chan result, 1)
+	go func() { done <- b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "100,200") }()
+	time.Sleep(100 * time.Millisecond)
+	b.stop()
+	r := <-done
+	is.NoErr(r.err)
+	is.Equal(events(r.body), "1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20")
+	is.NoErr(<-b.served)
+	b.served <- nil
+	row, err := b.mem.Get(t.Context(), moneyPrefix+"a")
+	is.NoErr(err)
+	is.Equal(string(row.Value), `{"closed":300}`)
+}
+
+// While the store is away requests are served from what is known, and targets
+// that are leaving get nothing new once the store is back.
+func TestStoreAway(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 1000)
+	one := b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"})
+	two := b.target(bbplatformstand.TargetOptions{ID: "t2", Service: "desk"})
+	b.start()
+	b.mem.SetFaults(storeDown)
+	is.Equal(b.call("POST", "/book/1", "body").status, 200)
+	b.mem.SetFaults(storeUp)
+	is.NoErr(one.Register(t.Context(), b.mem, "draining"))
+	b.eventually("the leaving target gets nothing", func() bool {
+		n := len(one.Runs())
+		for range 5 {
+			if b.call("POST", "/book/1", "body").status != 200 {
+				return false
+			}
+		}
+		return len(one.Runs()) == n
+	})
+	is.True(len(two.Runs()) >= 5)
+}
--- a/shared/bbstore/mem.go
+++ b/shared/bbstore/mem.go
@@ -98,6 +98,11 @@
 // set writes or deletes the key at a new revision and wakes the watches.
 func (m *Mem) set(key string, value []byte, lease LeaseID) {
 	m.rev++
+	m.put(key, value, lease)
+}
+
+// put writes or deletes the key at the revision in force and wakes the watches.
+func (m *Mem) put(key string, value []byte, lease LeaseID) {
 	if value == nil {
 		delete(m.keys, key)
 	} else {
--- /dev/null
+++ b/shared/bbstore/mem_swap.go
@@ -0,0 +1,83 @@
+package bbstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Swap writes all rows at one revision if each key is at the row's revision, or
+// none; a nil value deletes. On ErrConflict it returns the rows as they are.
+func (m *Mem) Swap(ctx context.Context, rows []Entry, lease LeaseID) (Revision, []Entry, error) {
+	own := make([]Entry, len(rows))
+	for i, r := range rows {
+		if len(r.Value) > MaxValue {
+			return 0, nil, errors.Annotatef(ErrTooLarge, "%s: %d bytes", r.Key, len(r.Value))
+		}
+		own[i] = r
+		if r.Value != nil {
+			own[i].Value = append([]byte{}, r.Value...)
+		}
+	}
+	rev, err := m.write(ctx, func() (Revision, error) { return m.swapAll(own, lease) })
+	if !errors.Is(err, ErrConflict) {
+		return rev, nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := make([]Entry, len(rows))
+	for i, r := range rows {
+		now[i] = m.entry(r.Key)
+	}
+	return 0, now, err
+}
+
+func (m *Mem) swapAll(rows []Entry, lease LeaseID) (Revision, error) {
+	for _, r := range rows {
+		if at := m.keys[r.Key].rev; at != r.Rev {
+			return 0, errors.Annotatef(ErrConflict, "%s at %d, not %d", r.Key, at, r.Rev)
+		}
+	}
+	if lease != 0 && m.leases[lease] == nil {
+		return 0, ErrLease
+	}
+	m.rev++
+	for _, r := range rows {
+		m.put(r.Key, r.Value, lease)
+	}
+	return m.rev, nil
+}
+
+// Poll waits up to wait for changes under prefix after a revision, and returns
+// them with the revision to go on from.
+func (m *Mem) Poll(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error) {
+	broken, muted, err := m.openWatch(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer m.closeWatch()
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	for {
+		m.mu.Lock()
+		at := m.rev
+		m.mu.Unlock()
+		events, changed, err := m.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, at, err
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			return nil, at, nil
+		case <-broken:
+			return nil, 0, errors.Trace(ErrDown)
+		case <-muted:
+			<-ctx.Done()
+			return nil, 0, errors.Annotate(ErrDown, ctx.Err().Error())
+		case <-ctx.Done():
+			return nil, 0, errors.Annotate(ErrDown, ctx.Err().Error())
+		}
+	}
+}
