--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -127,6 +127,11 @@
 	relayEvery = 500 * time.Millisecond
 	// relayWait bounds one question to a peer.
 	relayWait = 400 * time.Millisecond
+	// dutySilence is how long the watcher of a failure domain may be silent
+	// before the others of it watch the store themselves.
+	dutySilence = 1200 * time.Millisecond
+	// dutyEvery is the time between two looks at who watches.
+	dutyEvery = 100 * time.Millisecond
 	// relayFan is how many peers hear at once of a newer plan.
 	relayFan = 8
 	// leaseTime is how long an entry in the list of instances stands without
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -93,7 +93,7 @@
 	news := newRelay(fleet, f)
 	d.money.loans = newLoans(d.money, fleet)
 	d.prefills = newPrefills(fleet, d.board, d.now)
-	reg := newRegister(store, fleet, d.board, d.log, d.set)
+	reg := newRegister(store, fleet, d.board, d.log, d.set, news.duty)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { news.run(ctx) })
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -37,20 +37,29 @@
 	entries   map[bbunit.TargetID]bbstore.Entry // as last read; gone ones without value
 	troubleAt time.Time                         // last trouble with the store, on the targets' side
 	gone      map[bbunit.TargetID]time.Time
-	// fresh is called, without the lock, when the store told of a newer plan.
+	// fresh is called, without the lock, when the store told of a newer plan,
+	// heard when it told of targets, with those that changed.
 	fresh func()
+	heard func(changed []bbstore.Entry)
+	// duty tells whether this instance watches the store.
+	duty func() bool
 }
 
 func newFollower(store Watched, board *Board, log logrus.FieldLogger, now func() time.Time) *follower {
 	return &follower{
 		store: store, board: board, log: log, now: now,
-		roster: NewRoster(now), entries: map[bbunit.TargetID]bbstore.Entry{}, gone: map[bbunit.TargetID]time.Time{}, fresh: func() {},
+		roster: NewRoster(now), entries: map[bbunit.TargetID]bbstore.Entry{}, gone: map[bbunit.TargetID]time.Time{},
+		fresh: func() {}, heard: func([]bbstore.Entry) {}, duty: func() bool { return true },
 	}
 }
 
 // followPlan reads the plan and watches for new ones until ctx ends.
 func (f *follower) followPlan(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.duty() {
+			sleep(ctx, dutyEvery)
+			continue
+		}
 		entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
 		if err == nil {
 			if f.takePlan(entry) {
@@ -82,7 +91,7 @@
 				f.fresh()
 			}
 		}
-		if at < from {
+		if at < from || !f.duty() {
 			return nil
 		}
 		from = at
@@ -128,10 +137,16 @@
 // followTargets reads the list of targets and looks for changes until ctx ends.
 func (f *follower) followTargets(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.duty() {
+			sleep(ctx, dutyEvery)
+			continue
+		}
 		entries, at, err := f.store.List(ctx, bbplatform.PrefixTargets)
 		if err == nil {
-			f.takeTargets(entries, at)
-			f.watchTargets(ctx, at)
+			f.heard(f.takeTargets(entries, at))
+			if f.watchTargets(ctx, at) {
+				continue
+			}
 		}
 		f.mu.Lock()
 		f.troubleAt = f.now()
@@ -140,30 +155,30 @@
 	}
 }
 
-// watchTargets looks for changes every targetsEvery; it returns when the list
-// has to be read anew.
-func (f *follower) watchTargets(ctx context.Context, from bbstore.Revision) {
+// watchTargets looks for changes every targetsEvery. It returns when the list has
+// to be read anew, or, with true, when another instance watches.
+func (f *follower) watchTargets(ctx context.Context, from bbstore.Revision) bool {
 	for {
 		events, at, err := f.store.Poll(ctx, bbplatform.PrefixTargets, from, time.Second)
 		if err != nil || at < from {
-			return
+			return false
 		}
 		from = at
-		f.takeEvents(events)
+		f.heard(f.takeEvents(events))
 		pause := targetsEvery
 		if f.waiting() {
 			pause = returnTime / 4
 		}
 		sleep(ctx, pause)
-		if ctx.Err() != nil {
-			return
+		if ctx.Err() != nil || !f.duty() {
+			return true
 		}
 	}
 }
 
 // takeTargets takes a whole list as it stood at a revision. What it lacks is
 // gone.
-func (f *follower) takeTargets(list []bbstore.Entry, at bbstore.Revision) {
+func (f *follower) takeTargets(list []bbstore.Entry, at bbstore.Revision) []bbstore.Entry {
 	have := map[string]bool{}
 	events := make([]bbstore.Event, 0, len(list))
 	for _, e := range list {
@@ -177,21 +192,25 @@
 		}
 	}
 	f.mu.Unlock()
-	f.takeEvents(events)
+	return f.takeEvents(events)
 }
 
 // takeEvents takes changes of the list in any order: for each target the one of
-// the highest revision stands.
-func (f *follower) takeEvents(events []bbstore.Event) {
+// the highest revision stands. It returns those that changed anything.
+func (f *follower) takeEvents(events []bbstore.Event) []bbstore.Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := f.expire() || f.board.Groups.Load() == nil
+	var news []bbstore.Entry
 	for _, e := range events {
-		changed = f.takeEvent(e) || changed
+		if f.takeEvent(e) {
+			news = append(news, e.Entry)
+		}
 	}
-	if changed {
+	if changed || len(news) > 0 {
 		f.board.Groups.Store(f.roster.Groups())
 	}
+	return news
 }
 
 // waiting tells that some targets are given time to return.
--- a/bluebellport/door/register.go
+++ b/bluebellport/door/register.go
@@ -35,6 +35,7 @@
 	board  *Board
 	log    logrus.FieldLogger
 	set    bbplatform.Settings
+	duty   func() bool // tells whether this instance watches the store
 	listed map[string]bbmember.Listed
 }
 
@@ -43,8 +44,8 @@
 	Domain bbunit.DomainID `json:"domain"`
 }
 
-func newRegister(store Registry, fleet Fleet, board *Board, log logrus.FieldLogger, set bbplatform.Settings) *register {
-	r := &register{store: store, fleet: fleet, board: board, log: log, set: set, listed: map[string]bbmember.Listed{}}
+func newRegister(store Registry, fleet Fleet, board *Board, log logrus.FieldLogger, set bbplatform.Settings, duty func() bool) *register {
+	r := &register{store: store, fleet: fleet, board: board, log: log, set: set, duty: duty, listed: map[string]bbmember.Listed{}}
 	var seeds []bbmember.Listed
 	for _, a := range set.Seeds {
 		if a != set.Peers {
@@ -111,6 +112,11 @@
 // watch follows the list of instances until ctx ends.
 func (r *register) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !r.duty() {
+			r.board.Instances.Store(int64(max(len(r.fleet.View().Members), 1)))
+			sleep(ctx, time.Second)
+			continue
+		}
 		entries, at, err := r.store.List(ctx, instancesPrefix)
 		if err == nil {
 			clear(r.listed)
@@ -138,6 +144,10 @@
 		if len(events) > 0 {
 			r.tell()
 		}
+		sleep(ctx, 2*storePause) // many join at once
+		if ctx.Err() != nil || !r.duty() {
+			return
+		}
 	}
 }
 
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"bluebellport.example/shared/bbmember"
@@ -27,16 +28,50 @@
 	fleet  Fleet
 	follow *follower
 	asking chan struct{} // holds one token while a peer is asked
+	// watched is when the watcher of this failure domain last told of the
+	// store, in ns of the steady clock.
+	watched atomic.Int64
 }
 
 func newRelay(fleet Fleet, f *follower) *relay {
 	r := &relay{fleet: fleet, follow: f, asking: make(chan struct{}, 1)}
 	fleet.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newsask{}}, r.answer)
 	fleet.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newstell{}}, r.heard)
-	f.fresh = r.announce
+	f.fresh, f.heard, f.duty = r.announce, r.share, r.duty
 	return r
 }
 
+// duty tells whether this instance watches the store: it is the first of its
+// failure domain, or has not heard from the one that is.
+func (r *relay) duty() bool {
+	v := r.fleet.View()
+	first := v.Rank(watchKey, v.Self.Domain, 1)
+	if len(first) == 0 || first[0].ID == v.Self.ID || v.Self.Leaving {
+		return true
+	}
+	return r.follow.now().Sub(time.Unix(0, r.watched.Load())) > dutySilence
+}
+
+// watchKey ranks the instances of a failure domain for watching the store.
+const watchKey = "watch"
+
+// share tells the failure domain what the store has just told, if this is its
+// watcher.
+func (r *relay) share(changed []bbstore.Entry) {
+	v := r.fleet.View()
+	first := v.Rank(watchKey, v.Self.Domain, 1)
+	if len(first) == 0 || first[0].ID != v.Self.ID {
+		return
+	}
+	t := r.follow.digest()
+	t.Targets = keep(changed)
+	for _, m := range v.Members {
+		if m.Domain == v.Self.Domain && m.ID != v.Self.ID {
+			_ = r.fleet.Send(m.ID, &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: t}})
+		}
+	}
+}
+
 // run tells one peer of the plan now and then, and asks one while the store is
 // out of reach, until ctx ends.
 func (r *relay) run(ctx context.Context) {
@@ -75,12 +110,23 @@
 	return &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: r.follow.news(bbstore.Revision(q.Revision), q.Targets)}}
 }
 
-// heard asks a peer that has a newer plan for it.
+// heard takes what a peer tells unasked, and asks it for what is lacking: its
+// watcher at once, another one if the store's own word does not come first.
 func (r *relay) heard(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
-	if bbstore.Revision(e.GetNewstell().Revision) > r.follow.planRevision() {
+	t := e.GetNewstell()
+	if t.Watch {
+		r.watched.Store(r.follow.now().UnixNano())
+		r.follow.takeNews(t)
+		behind := t.Digest != r.follow.digest().Digest
+		if behind || bbstore.Revision(t.Revision) > r.follow.planRevision() {
+			go r.ask(context.Background(), from, behind)
+		}
+		return nil
+	}
+	if bbstore.Revision(t.Revision) > r.follow.planRevision() {
 		go func() {
 			sleep(context.Background(), relayWait) // the store's own word is mostly on its way
-			if bbstore.Revision(e.GetNewstell().Revision) > r.follow.planRevision() {
+			if bbstore.Revision(t.Revision) > r.follow.planRevision() {
 				r.ask(context.Background(), from, false)
 			}
 		}()
@@ -141,13 +187,30 @@
 		t.Plan = f.plan.Value
 	}
 	if targets {
+		all := make([]bbstore.Entry, 0, len(f.entries))
 		for _, e := range f.entries {
-			t.Targets = append(t.Targets, &bbwire.Kept{Key: e.Key, Value: e.Value, Revision: int64(e.Rev), Gone: e.Value == nil})
+			all = append(all, e)
 		}
+		t.Targets = keep(all)
 	}
 	return t
 }
 
+// digest returns what tells whether another instance knows the same.
+func (f *follower) digest() *bbwire.NewsTell {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &bbwire.NewsTell{Revision: int64(f.plan.Rev), Digest: f.roster.Digest(), Watch: true}
+}
+
+func keep(entries []bbstore.Entry) []*bbwire.Kept {
+	out := make([]*bbwire.Kept, len(entries))
+	for i, e := range entries {
+		out[i] = &bbwire.Kept{Key: e.Key, Value: e.Value, Revision: int64(e.Rev), Gone: e.Value == nil}
+	}
+	return out
+}
+
 // takeNews takes what a peer knows.
 func (f *follower) takeNews(t *bbwire.NewsTell) {
 	if len(t.Plan) > 0 {
--- a/bluebellport/door/server.go
+++ b/bluebellport/door/server.go
@@ -1,8 +1,11 @@
 package bbdoor
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellport.example/shared/bbplace"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbunit"
@@ -70,3 +73,12 @@
 	}
 	return &out
 }
+
+// Digest is a hash of all targets that two rosters share when they are equal.
+func (r *Roster) Digest() uint64 {
+	var sum uint64
+	for _, s := range r.servers {
+		sum ^= xxhash.Sum64String(fmt.Sprint(s.Target.Target))
+	}
+	return sum
+}
