--- a/shared/bbmember/fleet_test.go
+++ b/shared/bbmember/fleet_test.go
@@ -320,3 +320,21 @@
 		t.Fatalf("this instance is %d times in its view", self)
 	}
 }
+
+// A member that has greeted but whose heartbeat is not known is not reported:
+// the others would drop the report as malformed.
+func TestGreetedMembersAreReportedWithTheirBeat(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	member := func(id bbunit.InstanceID) Member {
+		return Member{ID: id, Inc: 7, Domain: "d", Address: "10.0.0.1:80"}
+	}
+	f := NewFleet(member("a"), DefaultConfig(time.Second, 5*time.Second), now, rand.New(rand.NewPCG(1, 1)))
+	f.Greeted(now, member("b"))
+	f.Greeted(now, member("c"))
+	for _, m := range f.Tick(now.Add(time.Second)).Send {
+		for _, r := range m.Reports {
+			is.True(r.Beat > 0)
+		}
+	}
+}
--- a/shared/bbmember/partners.go
+++ b/shared/bbmember/partners.go
@@ -96,7 +96,7 @@
 	for _, id := range f.order {
 		e := f.entries[id]
 		switch {
-		case id == to || !e.heard || !f.live(e) || e.Inc == 0:
+		case id == to || !e.heard || !f.live(e) || e.Inc == 0 || e.Beat == 0:
 		case e.Leaving && f.clock-e.changed < f.cfg.Suspicion:
 			leaving = append(leaving, id)
 		case f.clock-e.changed < f.cfg.Suspicion:
