Give each account one home in each failure domain of a large fleet

Change: above 16 instances an account's home in each failure domain draws, the others borrow from it with need and some ahead, by the loans that stood.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -144,6 +144,8 @@
 
 // Bounds of loans between instances.
 const (
+	// directFleet is the largest fleet in which every instance draws for itself.
+	directFleet = 16
 	// loanWait bounds one question to a peer.
 	loanWait = 100 * time.Millisecond
 	// loanPeers is how many peers are asked for one request.
--- a/bluebellport/door/loan.go
+++ b/bluebellport/door/loan.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbplan"
+	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -12,8 +15,9 @@
 // loans lets instances lend each other parts of their shares: near the end of a
 // sum, and where one has lost the store that another still reaches.
 type loans struct {
-	money *money
-	fleet Fleet
+	money  *money
+	fleet  Fleet
+	asking sync.Map // bbunit.AccountID -> bool: accounts whose home is being asked
 }
 
 func newLoans(m *money, fleet Fleet) *loans {
@@ -27,8 +31,92 @@
 	q := e.GetLoanask()
 	l.money.mu.Lock()
 	defer l.money.mu.Unlock()
-	n := l.money.book.Line(bbunit.AccountID(q.Account)).Lend(bbunit.Tokens(max(q.Tokens, 0)))
-	return &bbwire.Envelope{Body: &bbwire.Envelope_Loantell{Loantell: &bbwire.LoanTell{Account: q.Account, Tokens: int64(n)}}}
+	line := l.money.book.Line(bbunit.AccountID(q.Account))
+	need := bbunit.Tokens(max(q.Tokens, 0))
+	var n bbunit.Tokens
+	if q.Home {
+		n = line.LendFor(bbshare.Ask{Need: need, Ahead: bbunit.Tokens(max(q.Ahead, 0))})
+		l.money.poked()
+	} else {
+		n = line.Lend(need)
+	}
+	t := &bbwire.LoanTell{
+		Account: q.Account, Tokens: int64(n), Free: int64(max(line.Free(), 0)),
+		Covered: n >= need || !line.Known() || line.Covers(need, l.money.book.Holder),
+	}
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Loantell{Loantell: t}}
+}
+
+// homes tells the book which accounts have their home at another instance that
+// can be reached, and returns how many instances draw. In a small fleet each of
+// them draws for itself.
+func (l *loans) homes() int {
+	m := l.money
+	v := l.fleet.View()
+	holders := int(m.board.Instances.Load())
+	large := holders > directFleet
+	horizon := bbshare.DefaultRule().Horizon
+	if large {
+		horizon = bbshare.HomeHorizon
+		holders = domains(v)
+	}
+	m.book.SetHorizon(horizon)
+	plan := m.board.Plan.Load()
+	for id := range plan.Accounts {
+		home, ok := v.Home(moneyPrefix+string(id), v.Self.Domain)
+		away := large && ok && home.ID != v.Self.ID && !v.Self.Leaving && !l.muted(home.ID)
+		m.book.SetAway(id, away)
+	}
+	return holders
+}
+
+// domains returns how many failure domains the live fleet has.
+func domains(v *bbmember.View) int {
+	have := map[bbunit.DomainID]bool{}
+	for _, m := range v.Members {
+		have[m.Domain] = true
+	}
+	return max(len(have), 1)
+}
+
+// askHomes borrows what is due, each account by itself.
+func (l *loans) askHomes(asks []bbshare.Ask) {
+	v := l.fleet.View()
+	for _, a := range asks {
+		home, ok := v.Home(moneyPrefix+string(a.Account), v.Self.Domain)
+		if _, busy := l.asking.LoadOrStore(a.Account, true); !ok || busy {
+			continue
+		}
+		go func() {
+			defer l.asking.Delete(a.Account)
+			l.askHome(home.ID, a)
+		}()
+	}
+}
+
+func (l *loans) askHome(home bbunit.InstanceID, a bbshare.Ask) {
+	q := &bbwire.LoanAsk{Account: string(a.Account), Tokens: int64(a.Need), Ahead: int64(a.Ahead), Home: true}
+	t := l.call(home, q)
+	if t == nil || t.Tokens < 0 || t.Tokens > q.Tokens+q.Ahead {
+		return
+	}
+	l.money.mu.Lock()
+	line := l.money.book.Line(a.Account)
+	line.Borrow(bbunit.Tokens(t.Tokens))
+	line.Heard(bbunit.Tokens(t.Free))
+	if t.Covered {
+		delete(l.money.broke, a.Account)
+	} else {
+		l.money.broke[a.Account] = l.money.now()
+	}
+	l.money.mu.Unlock()
+	l.money.wake()
+}
+
+// muted tells that a peer did not answer of late.
+func (l *loans) muted(peer bbunit.InstanceID) bool {
+	v, ok := l.money.mute.Load(peer)
+	return ok && l.money.now().Sub(v.(time.Time)) < muteTime
 }
 
 // borrow asks peers until n are available here, and tells whether they are. An
@@ -62,19 +150,28 @@
 
 // ask asks one peer, unless it did not answer of late.
 func (l *loans) ask(peer bbunit.InstanceID, account bbunit.AccountID, n bbunit.Tokens) bbunit.Tokens {
-	if v, ok := l.money.mute.Load(peer); ok && l.money.now().Sub(v.(time.Time)) < muteTime {
+	if l.muted(peer) {
+		return 0
+	}
+	t := l.call(peer, &bbwire.LoanAsk{Account: string(account), Tokens: int64(n)})
+	if t == nil || t.Tokens < 0 || t.Tokens > int64(n) {
 		return 0
 	}
+	return bbunit.Tokens(t.Tokens)
+}
+
+// call sends a question and returns its answer, nil when none came in time.
+func (l *loans) call(peer bbunit.InstanceID, q *bbwire.LoanAsk) *bbwire.LoanTell {
 	ctx, cancel := context.WithTimeout(context.Background(), loanWait)
 	defer cancel()
-	q := &bbwire.LoanAsk{Account: string(account), Tokens: int64(n)}
 	e, err := l.fleet.Call(ctx, peer, &bbwire.Envelope{Body: &bbwire.Envelope_Loanask{Loanask: q}})
 	if err != nil {
 		l.money.mute.Store(peer, l.money.now())
-		return 0
+		return nil
 	}
-	if t := e.GetLoantell(); t != nil && t.Account == string(account) && t.Tokens > 0 && t.Tokens <= int64(n) {
-		return bbunit.Tokens(t.Tokens)
+	t := e.GetLoantell()
+	if t == nil || t.Account != q.Account {
+		return nil
 	}
-	return 0
+	return t
 }
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -43,6 +43,7 @@
 	purses sync.Map     // bbunit.AccountID -> *bbshare.Purse
 
 	loans *loans
+	broke map[bbunit.AccountID]time.Time // when a home said that an account does not cover; guarded by mu
 	asked map[bbunit.AccountID]time.Time // last round of asking peers; guarded by mu
 	mute  sync.Map                       // bbunit.InstanceID -> time.Time: peers that did not answer
 }
@@ -51,7 +52,7 @@
 	return &money{
 		rows: rows, board: board, log: log, now: now, poke: make(chan struct{}, 1),
 		book: bbshare.NewBook(holder, moneyPrefix, bbshare.DefaultRule()), drawn: make(chan struct{}),
-		asked: map[bbunit.AccountID]time.Time{},
+		asked: map[bbunit.AccountID]time.Time{}, broke: map[bbunit.AccountID]time.Time{},
 	}
 }
 
@@ -78,16 +79,13 @@
 	wait := time.NewTimer(min(shareWait, time.Until(until)))
 	defer wait.Stop()
 	for round := 0; round < shareRounds; round++ {
-		if m.lostSince() > 0 {
-			break
-		}
 		m.mu.Lock()
-		drawn := m.drawn
+		drawn, away := m.drawn, m.book.Line(a.ID).Away()
 		m.mu.Unlock()
-		select {
-		case m.poke <- struct{}{}:
-		default:
+		if !away && m.lostSince() > 0 {
+			break
 		}
+		m.poked()
 		select {
 		case <-drawn:
 		case <-gone:
@@ -101,6 +99,9 @@
 		if m.drained(a, n) {
 			break
 		}
+		if away {
+			time.Sleep(shareWait / shareRounds / 4) // its home draws meanwhile
+		}
 	}
 	if m.loans != nil && m.loans.borrow(a, n) && p.Reserve(n) {
 		return p, nil
@@ -116,9 +117,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.book.Line(a.ID)
+	if l.Away() {
+		_, broke := m.broke[a.ID]
+		return broke
+	}
 	return l.Known() && l.Free()+l.Purse.Available() < n
 }
 
+// poked makes the controller look at once.
+func (m *money) poked() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
 // lostSince returns for how long the store has not answered, 0 when it does.
 func (m *money) lostSince() time.Duration {
 	lost := m.lost.Load()
@@ -144,7 +157,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.book.Line(a.ID)
-	if !l.Known() || m.now().Sub(m.last) > shareWait || l.Free()+l.Purse.Available() >= n {
+	if at, broke := m.broke[a.ID]; l.Away() && broke && m.now().Sub(at) < shareWait {
+		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", Inputs: m.facts(l, n)}
+	}
+	if l.Away() || !l.Known() || m.now().Sub(m.last) > shareWait || l.Free()+l.Purse.Available() >= n {
 		return nil
 	}
 	if !l.Covers(n, m.book.Holder) {
@@ -223,7 +239,13 @@
 	for range 4 {
 		m.mu.Lock()
 		m.pay()
-		d := m.book.Draw(int(m.board.Instances.Load()))
+		n := int(m.board.Instances.Load())
+		if m.loans != nil {
+			holders := m.loans.homes()
+			m.loans.askHomes(m.book.Asks(bbshare.DefaultHomeRule(), n))
+			n = holders
+		}
+		d := m.book.Draw(n)
 		m.mu.Unlock()
 		if d == nil {
 			m.wake()
@@ -277,10 +299,7 @@
 	m.mu.Lock()
 	m.book.Leave()
 	m.mu.Unlock()
-	select {
-	case m.poke <- struct{}{}:
-	default:
-	}
+	m.poked()
 }
 
 // close gives back what is unspent, and tries until ctx ends.
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -24,16 +24,23 @@
 	// Part bounds the shares of all holders together, in parts of what is free;
 	// each gets of it as much as its part of what was spent.
 	Part float64
-	// Prior is what each instance counts as having spent before it has, in parts
-	// of what the account has paid.
+	// Prior is what all holders together count as having spent before they have,
+	// in parts of what the account has paid.
 	Prior float64
 	// Rows is the most accounts in one write.
 	Rows int
 }
 
+// HomeHorizon is the demand that the share of a home is to last for: its members
+// hold shares of their own.
+const HomeHorizon = 3 * time.Second
+
+// SetHorizon changes how long shares are to last.
+func (b *Book) SetHorizon(d time.Duration) { b.rule.Horizon = d }
+
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Prior: 0.002, Rows: 32}
+	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Prior: 0.016, Rows: 32}
 }
 
 // rateWeight is how far one second of demand moves the mean.
@@ -63,15 +70,20 @@
 	Purse   *Purse
 	paid    bbunit.Tokens
 
-	row     Row
-	rev     bbstore.Revision
-	known   bool          // the row has been read
-	ours    bbunit.Tokens // what this instance counts as granted
+	row   Row
+	rev   bbstore.Revision
+	known bool          // the row has been read
+	ours  bbunit.Tokens // what this instance counts as granted
+	// away tells that the home of the account is elsewhere; left is what the
+	// home said that is free.
+	away bool
+	left bbunit.Tokens
 	// lent and borrowed are sums over this life.
 	lent, borrowed bbunit.Tokens
 
-	fenced  bool          // another life of the instance has closed this one
-	rate    float64       // tokens a second that requests ask for
+	fenced  bool    // this life has been closed
+	unsure  bool    // a write may have taken effect
+	rate    float64 // tokens a second that requests ask for
 	asked   int64
 	lastAt  time.Time
 	largest int64
@@ -131,11 +143,13 @@
 	if err != nil {
 		return err
 	}
+	_, had := l.row.Holders[b.Holder]
 	l.row, l.rev, l.known = row, e.Rev, true
 	g, have := row.Holders[b.Holder]
-	if !have && l.ours != 0 {
-		l.fenced = true
+	if !have && l.ours != 0 && (had || l.unsure) {
+		l.fenced = true // closed, by this life or a later one
 	}
+	l.unsure = false
 	if !l.fenced {
 		l.settle(g.Granted)
 	}
@@ -181,9 +195,9 @@
 	to   bbunit.Tokens // granted
 }
 
-// Draw returns the write that is due, nil when none is. Instances is how many
-// share the accounts. What the write gives back is set aside at once.
-func (b *Book) Draw(instances int) *Draw {
+// Draw returns the write that is due, nil when none is. Holders is how many draw
+// from the accounts. What the write gives back is set aside at once.
+func (b *Book) Draw(holders int) *Draw {
 	type want struct {
 		l     *Line
 		to    bbunit.Tokens
@@ -191,8 +205,11 @@
 	}
 	var wants []want
 	for _, l := range b.lines {
+		if l.away {
+			continue
+		}
 		unmet := l.Purse.unmet.Swap(0)
-		if to, ok := b.target(l, unmet, instances); ok {
+		if to, ok := b.target(l, unmet, holders); ok {
 			wants = append(wants, want{l, to, unmet})
 		}
 	}
@@ -220,8 +237,8 @@
 
 // target returns what the line's grant should become, and whether a write is
 // worth it.
-func (b *Book) target(l *Line, unmet int64, instances int) (bbunit.Tokens, bool) {
-	if l.fenced || l.paid <= 0 && l.ours == 0 {
+func (b *Book) target(l *Line, unmet int64, holders int) (bbunit.Tokens, bool) {
+	if l.fenced || l.away || l.paid <= 0 && l.ours == 0 {
 		return 0, false
 	}
 	free := max(l.Free(), 0)
@@ -231,7 +248,7 @@
 	share := l.rate * b.rule.Horizon.Seconds()
 	share = max(share, float64(b.largest), float64(l.paid)*b.rule.Floor)
 	have := l.Purse.avail.Load()
-	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, instances))
+	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, holders))
 	if b.leaving {
 		share = 0
 	}
@@ -249,9 +266,9 @@
 }
 
 // weight is this instance's part of what has been spent, as the row tells.
-func (b *Book) weight(l *Line, instances int) float64 {
-	prior := b.rule.Prior * float64(l.paid)
-	sum := prior * float64(max(instances, 1))
+func (b *Book) weight(l *Line, holders int) float64 {
+	sum := b.rule.Prior * float64(l.paid)
+	prior := sum / float64(max(holders, 1))
 	for id, g := range l.row.Holders {
 		if id != b.Holder {
 			sum += float64(g.Spent)
@@ -259,7 +276,7 @@
 	}
 	own := float64(l.Purse.spent.Load())
 	if sum+own <= 0 {
-		return 1 / float64(max(instances, 1))
+		return 1 / float64(max(holders, 1))
 	}
 	return (own + prior) / (sum + own)
 }
@@ -275,6 +292,10 @@
 		}
 	case errors.Is(err, bbstore.ErrConflict):
 		bad = b.Read(now)
+	default:
+		for _, m := range d.moves {
+			m.line.unsure = true
+		}
 	}
 	return bad
 }
@@ -288,10 +309,8 @@
 func (b *Book) Close() *Draw {
 	d := &Draw{}
 	for _, l := range b.lines {
-		if l.fenced || !l.known {
-			continue
-		}
-		if _, have := l.row.Holders[b.Holder]; !have {
+		_, have := l.row.Holders[b.Holder]
+		if l.fenced || !have && l.Purse.Available() == 0 {
 			continue
 		}
 		l.ours -= bbunit.Tokens(l.Purse.takeUpTo(1 << 62))
