--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -77,6 +77,8 @@
 	returnTime = 1200 * time.Millisecond
 	// moneyTick is the time between two looks at the shares.
 	moneyTick = 250 * time.Millisecond
+	// moneyPauseMost is the longest pause between writes while the store is away.
+	moneyPauseMost = 1500 * time.Millisecond
 	// moneyTold is the time between two log lines that tell the shares held.
 	moneyTold = 4 * time.Second
 	// closeTime is how long after the last request shares are still given back.
@@ -146,6 +148,8 @@
 const (
 	// directFleet is the largest fleet in which every instance draws for itself.
 	directFleet = 16
+	// homeGroups is into how many groups accounts are put that share a home.
+	homeGroups = 8
 	// loanWait bounds one question to a peer.
 	loanWait = 100 * time.Millisecond
 	// loanPeers is how many peers are asked for one request.
--- a/bluebellport/door/loan.go
+++ b/bluebellport/door/loan.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbshare"
@@ -63,13 +66,20 @@
 	m.book.SetHorizon(horizon)
 	plan := m.board.Plan.Load()
 	for id := range plan.Accounts {
-		home, ok := v.Home(moneyPrefix+string(id), v.Self.Domain)
+		home, ok := homeOf(v, id)
 		away := large && ok && home.ID != v.Self.ID && !v.Self.Leaving && !l.muted(home.ID)
 		m.book.SetAway(id, away)
 	}
 	return holders
 }
 
+// homeOf returns the home of an account in the own failure domain. Accounts share
+// homes in groups, so that one write draws for several.
+func homeOf(v *bbmember.View, id bbunit.AccountID) (bbmember.Member, bool) {
+	group := xxhash.Sum64String(string(id)) % homeGroups
+	return v.Home(moneyPrefix+strconv.FormatUint(group, 10), v.Self.Domain)
+}
+
 // domains returns how many failure domains the live fleet has.
 func domains(v *bbmember.View) int {
 	have := map[bbunit.DomainID]bool{}
@@ -83,7 +93,7 @@
 func (l *loans) askHomes(asks []bbshare.Ask) {
 	v := l.fleet.View()
 	for _, a := range asks {
-		home, ok := v.Home(moneyPrefix+string(a.Account), v.Self.Domain)
+		home, ok := homeOf(v, a.Account)
 		if _, busy := l.asking.LoadOrStore(a.Account, true); !ok || busy {
 			continue
 		}
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -23,6 +23,8 @@
 type Rows interface {
 	List(ctx context.Context, prefix string) ([]bbstore.Entry, bbstore.Revision, error)
 	Swap(ctx context.Context, rows []bbstore.Entry, lease bbstore.LeaseID) (bbstore.Revision, []bbstore.Entry, error)
+	// Calls returns how often each kind of call was made.
+	Calls() map[string]int64
 }
 
 // money is the controller of this instance's shares.
@@ -38,6 +40,7 @@
 	drawn chan struct{} // closed after each write and replaced
 	last  time.Time     // last answer of the store
 	plan  *bbplan.Plan
+	pause time.Duration // after the last write, which failed
 
 	lost   atomic.Int64 // since when the store does not answer, in ns of the steady clock; 0: it does
 	purses sync.Map     // bbunit.AccountID -> *bbshare.Purse
@@ -200,7 +203,7 @@
 			ticked = now
 			if now.Sub(told) >= moneyTold {
 				told = now
-				m.log.WithFields(logrus.Fields{"event": "money", "age": now.Sub(m.last).Milliseconds(), "accounts": m.book.Status()}).Info("shares held")
+				m.log.WithFields(logrus.Fields{"event": "money", "age": now.Sub(m.last).Milliseconds(), "accounts": m.book.Status(), "calls": m.rows.Calls()}).Info("shares held")
 			}
 		}
 		m.mu.Unlock()
@@ -275,7 +278,10 @@
 		m.wake()
 	}
 	if err != nil && !errors.Is(err, bbstore.ErrConflict) {
-		sleep(ctx, storePause)
+		m.pause = min(max(2*m.pause, storePause), moneyPauseMost)
+		sleep(ctx, m.pause)
+	} else {
+		m.pause = 0
 	}
 	return err
 }
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -33,7 +33,7 @@
 
 // HomeHorizon is the demand that the share of a home is to last for: its members
 // hold shares of their own.
-const HomeHorizon = 3 * time.Second
+const HomeHorizon = 5 * time.Second
 
 // SetHorizon changes how long shares are to last.
 func (b *Book) SetHorizon(d time.Duration) { b.rule.Horizon = d }
--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -19,7 +19,7 @@
 }
 
 // DefaultHomeRule borrows for a cut of some seconds.
-func DefaultHomeRule() HomeRule { return HomeRule{Horizon: 12 * time.Second, Low: 0.6} }
+func DefaultHomeRule() HomeRule { return HomeRule{Horizon: 14 * time.Second, Low: 0.85} }
 
 // SetAway tells whether an account has its home at another instance that can be
 // reached. While it has, nothing is drawn for it here.
