--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -183,7 +183,7 @@
 // deliver writes a whole answer.
 func (x *exchange) deliver(a *Answer, body []byte) ending {
 	x.stream.whole = true
-	closing := x.q.Close || x.door.board.Leaving.Load()
+	closing := x.q.Close || x.door.board.closing()
 	head := answerHead(a, len(body), closing)
 	if x.q.Method == http.MethodHead {
 		body = nil
--- a/bluebellport/door/board.go
+++ b/bluebellport/door/board.go
@@ -20,6 +20,8 @@
 	Groups atomic.Pointer[map[bbunit.ServiceID]*Group]
 	// Leaving is set once the instance was told to stop.
 	Leaving atomic.Bool
+	// Crowded is set while the instance has more traffic than its link carries.
+	Crowded atomic.Bool
 	// Instances is how many instances share the accounts, at least 1.
 	Instances atomic.Int64
 }
@@ -33,9 +35,12 @@
 
 // Ready tells whether requests can be served.
 func (b *Board) Ready() bool {
-	return b.Plan.Load() != nil && b.Groups.Load() != nil && !b.Leaving.Load()
+	return b.Plan.Load() != nil && b.Groups.Load() != nil && !b.closing()
 }
 
+// closing tells whether callers are asked to connect anew.
+func (b *Board) closing() bool { return b.Leaving.Load() || b.Crowded.Load() }
+
 // group returns the targets of a service, nil when none is known.
 func (b *Board) group(id bbunit.ServiceID) *Group {
 	groups := b.Groups.Load()
--- a/bluebellport/door/caller.go
+++ b/bluebellport/door/caller.go
@@ -94,7 +94,7 @@
 	stopWatch := x.abortWhen(gone)
 	keep := x.run()
 	stopWatch()
-	if q.Close || !keep || c.door.board.Leaving.Load() {
+	if q.Close || !keep || c.door.board.closing() {
 		_ = c.SetReadDeadline(time.Now())
 		<-watched
 		return false
@@ -147,7 +147,7 @@
 // finish ends a connection so that the client can still read the last answer:
 // closing it with unread bytes would reset it.
 func (c *caller) finish() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 		_ = c.SetReadDeadline(time.Now().Add(lastRead))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxBody))
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -40,6 +40,7 @@
 	proven  bbroute.Proven
 	retries sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
 
+	meter   meter
 	start   time.Time
 	closing atomic.Bool
 	mu      sync.Mutex // guards callers
@@ -89,7 +90,7 @@
 
 // follow starts the controllers.
 func (d *Door) follow(ctx context.Context, wg *conc.WaitGroup, store *bbplatform.Store, fleet Fleet) {
-	f := newFollower(store, d.board, d.log, d.now)
+	f := newFollower(store, d.board, d.log, d.now, &d.meter)
 	news := newRelay(fleet, f)
 	d.money.loans = newLoans(d.money, fleet)
 	d.prefills = newPrefills(fleet, d.board, d.now)
@@ -97,6 +98,7 @@
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { news.run(ctx) })
+	wg.Go(func() { d.watchLink(ctx) })
 	wg.Go(func() { reg.keep(ctx) })
 	wg.Go(func() { reg.watch(ctx) })
 	wg.Go(func() {
@@ -120,6 +122,7 @@
 			time.Sleep(storePause)
 			continue
 		}
+		conn = d.meter.wrap(conn)
 		c := &caller{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), door: d}
 		d.mu.Lock()
 		d.callers[c] = true
@@ -189,6 +192,9 @@
 	case endNotRun:
 		s.Known.Busy(now.Add(busyTime))
 	case endUnsent:
+		if d.board.Crowded.Load() {
+			break // the own link is as likely the cause
+		}
 		for range circuitRule.Fails {
 			s.Known.Circuit.Failure(now, &circuitRule)
 		}
--- a/bluebellport/door/exchange.go
+++ b/bluebellport/door/exchange.go
@@ -187,7 +187,7 @@
 
 func (x *exchange) refuse(r *Refusal) bool {
 	x.door.refused(x.q.Attempt, r)
-	closing := r.Close || x.q.Close || x.door.board.Leaving.Load()
+	closing := r.Close || x.q.Close || x.door.board.closing()
 	return x.caller.write(r.bytes(x.q.Attempt, closing)) == nil && !closing
 }
 
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -45,10 +45,10 @@
 	duty func() bool
 }
 
-func newFollower(store Watched, board *Board, log logrus.FieldLogger, now func() time.Time) *follower {
+func newFollower(store Watched, board *Board, log logrus.FieldLogger, now func() time.Time, m *meter) *follower {
 	return &follower{
 		store: store, board: board, log: log, now: now,
-		roster: NewRoster(now), entries: map[bbunit.TargetID]bbstore.Entry{}, gone: map[bbunit.TargetID]time.Time{},
+		roster: NewRoster(now, m), entries: map[bbunit.TargetID]bbstore.Entry{}, gone: map[bbunit.TargetID]time.Time{},
 		fresh: func() {}, heard: func([]bbstore.Entry) {}, duty: func() bool { return true },
 	}
 }
--- a/bluebellport/door/pool.go
+++ b/bluebellport/door/pool.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	free    []*targetConn
 	closed  bool
+	meter   *meter
 	load    func(running, waiting, slots int)
 }
 
@@ -56,6 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = p.meter.wrap(conn)
 	return &targetConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), pool: p, idle: poolTime}, nil
 }
 
--- a/bluebellport/door/server.go
+++ b/bluebellport/door/server.go
@@ -21,12 +21,13 @@
 // Roster holds the targets by id. The target follower owns it.
 type Roster struct {
 	now     func() time.Time
+	meter   *meter
 	servers map[bbunit.TargetID]*Server
 }
 
 // NewRoster returns an empty roster.
-func NewRoster(now func() time.Time) *Roster {
-	return &Roster{now: now, servers: map[bbunit.TargetID]*Server{}}
+func NewRoster(now func() time.Time, m *meter) *Roster {
+	return &Roster{now: now, meter: m, servers: map[bbunit.TargetID]*Server{}}
 }
 
 // Put takes an entry. It tells whether anything changed that requests see.
@@ -46,7 +47,7 @@
 	}
 	k := &bbplace.Known{}
 	s := &Server{Target: bbplace.Target{Target: t, Known: k}}
-	s.pool = &pool{address: t.Address, load: func(running, waiting, slots int) { k.Report(running, waiting, slots, r.now()) }}
+	s.pool = &pool{address: t.Address, meter: r.meter, load: func(running, waiting, slots int) { k.Report(running, waiting, slots, r.now()) }}
 	r.servers[t.ID] = s
 	return true
 }
--- a/bluebellport/door/stream.go
+++ b/bluebellport/door/stream.go
@@ -47,7 +47,7 @@
 // can go on at another target from the last whole event, under the first head.
 func (x *exchange) passStream(s *Server, c *targetConn, a *Answer) ending {
 	b := answerBody(c.br, a.frame, a.Status, x.q.Method)
-	closing := x.q.Close || x.door.board.Leaving.Load()
+	closing := x.q.Close || x.door.board.closing()
 	if !x.stream.begun {
 		x.stream.begun = true
 		x.stream.last = startOf(x.q.LastEvent)
