--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -148,6 +148,8 @@
 const (
 	// directFleet is the largest fleet in which every instance draws for itself.
 	directFleet = 16
+	// homeBatch is how long a home waits for more needs before it draws.
+	homeBatch = 15 * time.Millisecond
 	// homeGroups is into how many groups accounts are put that share a home.
 	homeGroups = 8
 	// loanWait bounds one question to a peer.
@@ -157,7 +159,7 @@
 	// loanEvery is the least time between two rounds of asking for an account.
 	loanEvery = 100 * time.Millisecond
 	// muteTime is how long a peer that did not answer is left alone.
-	muteTime = 2 * time.Second
+	muteTime = 800 * time.Millisecond
 )
 
 // What instances tell each other of prompts.
--- a/bluebellport/door/loan.go
+++ b/bluebellport/door/loan.go
@@ -67,8 +67,8 @@
 	plan := m.board.Plan.Load()
 	for id := range plan.Accounts {
 		home, ok := homeOf(v, id)
-		away := large && ok && home.ID != v.Self.ID && !v.Self.Leaving && !l.muted(home.ID)
-		m.book.SetAway(id, away)
+		here := !large || !ok || home.ID == v.Self.ID || v.Self.Leaving
+		m.book.SetHome(id, here, !l.muted(home.ID))
 	}
 	return holders
 }
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -193,6 +193,9 @@
 			return
 		case <-t.C:
 		case <-m.poke:
+			if m.board.Instances.Load() > directFleet {
+				sleep(ctx, homeBatch) // one write for what several members need
+			}
 		}
 		if m.board.Plan.Load() == nil {
 			continue
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -33,7 +33,7 @@
 
 // HomeHorizon is the demand that the share of a home is to last for: its members
 // hold shares of their own.
-const HomeHorizon = 5 * time.Second
+const HomeHorizon = 8 * time.Second
 
 // SetHorizon changes how long shares are to last.
 func (b *Book) SetHorizon(d time.Duration) { b.rule.Horizon = d }
@@ -43,6 +43,10 @@
 	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Prior: 0.016, Rows: 32}
 }
 
+// unmetAhead is how many times what is asked for in vain is drawn ahead, while
+// the demand is not yet known.
+const unmetAhead = 3
+
 // rateWeight is how far one second of demand moves the mean.
 const rateWeight = 0.4
 
@@ -78,6 +82,8 @@
 	// home said that is free.
 	away bool
 	left bbunit.Tokens
+	// guest tells that the home is elsewhere and out of reach.
+	guest bool
 	// lent and borrowed are sums over this life.
 	lent, borrowed bbunit.Tokens
 
@@ -246,10 +252,10 @@
 		free = 0 // a write with the unknown row's revision reads it
 	}
 	share := l.rate * b.rule.Horizon.Seconds()
-	share = max(share, float64(b.largest), float64(l.paid)*b.rule.Floor)
+	share = max(share, float64(b.largest), float64(l.paid)*b.rule.Floor, unmetAhead*float64(unmet))
 	have := l.Purse.avail.Load()
 	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, holders))
-	if b.leaving {
+	if b.leaving || l.guest {
 		share = 0
 	}
 	goal := int64(share) + unmet
@@ -259,6 +265,8 @@
 		return to, !l.known || to > l.ours
 	case to > l.ours:
 		return to, float64(have) < b.rule.Low*share
+	case to < l.ours && l.guest:
+		return to, false
 	case to < l.ours:
 		return to, b.leaving || have > 3*goal+int64(l.largest)
 	}
--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -21,9 +21,13 @@
 // DefaultHomeRule borrows for a cut of some seconds.
 func DefaultHomeRule() HomeRule { return HomeRule{Horizon: 14 * time.Second, Low: 0.85} }
 
-// SetAway tells whether an account has its home at another instance that can be
-// reached. While it has, nothing is drawn for it here.
-func (b *Book) SetAway(id bbunit.AccountID, away bool) { b.Line(id).away = away }
+// SetHome tells where the home of an account is: here, or at another instance,
+// which can be reached or not. While it can, nothing is drawn for the account
+// here; while it cannot, only what requests need.
+func (b *Book) SetHome(id bbunit.AccountID, here, reached bool) {
+	l := b.Line(id)
+	l.away, l.guest = !here && reached, !here && !reached
+}
 
 // Away tells whether the account has its home elsewhere.
 func (l *Line) Away() bool { return l.away }
@@ -82,12 +86,13 @@
 func (l *Line) LendFor(a Ask) bbunit.Tokens {
 	given := l.Lend(a.Need)
 	if rest := l.Purse.Available(); given == a.Need && rest > 0 {
-		given += l.Lend(min(a.Ahead, rest/lendPart))
+		given += l.Lend(min(a.Ahead, rest*lendPart/100))
 	}
 	l.Purse.asked.Add(int64(given))
 	l.Purse.unmet.Add(int64(max(a.Need-given, 0)))
 	return given
 }
 
-// lendPart is the part of a home's purse that one loan ahead of need may take.
-const lendPart = 2
+// lendPart is the part of a home's purse that one loan ahead of need may take, in
+// percent.
+const lendPart = 80
