Let further instances wait longer before they watch, and pause longer

Cause: in a cut all 84 instances asked the store for plan and targets each 1.7 s, and homes wrote ahead several times a second. Change: an instance takes over the watch after 1.0 s + 0.3 s for each rank before it; pauses double up to 1 s; a write that no request waits for is due at most each 0.9 s.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -67,8 +67,12 @@
 	targetsEvery = 700 * time.Millisecond
 	// watchWait is how long one watch of what operators declare waits.
 	watchWait = 4 * time.Second
-	// storePause is the pause after a call to the store that failed.
-	storePause = 250 * time.Millisecond
+	// storePause is the pause after a call to the store that failed; it doubles
+	// up to storePauseMost.
+	storePause     = 250 * time.Millisecond
+	storePauseMost = time.Second
+	// targetsWait is how long one look at the list of targets waits for changes.
+	targetsWait = 300 * time.Millisecond
 	// storeBack is how long after trouble with the store the list of targets
 	// may lack some that are alive.
 	storeBack = 2 * time.Second
@@ -77,6 +81,8 @@
 	returnTime = 1200 * time.Millisecond
 	// moneyTick is the time between two looks at the shares.
 	moneyTick = 250 * time.Millisecond
+	// aheadEvery is the least time between two writes that no request waits for.
+	aheadEvery = 900 * time.Millisecond
 	// moneyPauseMost is the longest pause between writes while the store is away.
 	moneyPauseMost = 1500 * time.Millisecond
 	// moneyTold is the time between two log lines that tell the shares held.
@@ -131,7 +137,11 @@
 	relayWait = 400 * time.Millisecond
 	// dutySilence is how long the watcher of a failure domain may be silent
 	// before the others of it watch the store themselves.
-	dutySilence = 1200 * time.Millisecond
+	dutySilence = 1000 * time.Millisecond
+	// dutyStep is how much longer each further one waits, for the first
+	// dutyRanks.
+	dutyStep  = 300 * time.Millisecond
+	dutyRanks = 3
 	// dutyEvery is the time between two looks at who watches.
 	dutyEvery = 100 * time.Millisecond
 	// relayFan is how many peers hear at once of a newer plan.
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -55,6 +55,7 @@
 
 // followPlan reads the plan and watches for new ones until ctx ends.
 func (f *follower) followPlan(ctx context.Context) {
+	pause := storePause
 	for ctx.Err() == nil {
 		if !f.duty() {
 			sleep(ctx, dutyEvery)
@@ -62,13 +63,15 @@
 		}
 		entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
 		if err == nil {
+			pause = storePause
 			if f.takePlan(entry) {
 				f.fresh()
 			}
 			err = f.watchPlan(ctx, entry.Rev)
 		}
 		f.dependency(err)
-		sleep(ctx, storePause)
+		sleep(ctx, pause)
+		pause = min(2*pause, storePauseMost)
 	}
 }
 
@@ -136,6 +139,7 @@
 
 // followTargets reads the list of targets and looks for changes until ctx ends.
 func (f *follower) followTargets(ctx context.Context) {
+	pause := storePause
 	for ctx.Err() == nil {
 		if !f.duty() {
 			sleep(ctx, dutyEvery)
@@ -143,6 +147,7 @@
 		}
 		entries, at, err := f.store.List(ctx, bbplatform.PrefixTargets)
 		if err == nil {
+			pause = storePause
 			f.heard(f.takeTargets(entries, at))
 			if f.watchTargets(ctx, at) {
 				continue
@@ -151,7 +156,8 @@
 		f.mu.Lock()
 		f.troubleAt = f.now()
 		f.mu.Unlock()
-		sleep(ctx, storePause)
+		sleep(ctx, pause)
+		pause = min(2*pause, storePauseMost)
 	}
 }
 
@@ -159,7 +165,7 @@
 // to be read anew, or, with true, when another instance watches.
 func (f *follower) watchTargets(ctx context.Context, from bbstore.Revision) bool {
 	for {
-		events, at, err := f.store.Poll(ctx, bbplatform.PrefixTargets, from, time.Second)
+		events, at, err := f.store.Poll(ctx, bbplatform.PrefixTargets, from, targetsWait)
 		if err != nil || at < from {
 			return false
 		}
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -40,6 +40,7 @@
 	drawn chan struct{} // closed after each write and replaced
 	last  time.Time     // last answer of the store
 	plan  *bbplan.Plan
+	ahead time.Time     // last write
 	pause time.Duration // after the last write, which failed
 
 	lost   atomic.Int64 // since when the store does not answer, in ns of the steady clock; 0: it does
@@ -251,7 +252,11 @@
 			m.loans.askHomes(m.book.Asks(bbshare.DefaultHomeRule(), n))
 			n = holders
 		}
-		d := m.book.Draw(n)
+		now := m.now()
+		d := m.book.Draw(n, now.Sub(m.ahead) >= aheadEvery)
+		if d != nil {
+			m.ahead = now
+		}
 		m.mu.Unlock()
 		if d == nil {
 			m.wake()
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -42,27 +43,27 @@
 }
 
 // duty tells whether this instance watches the store: it is the first of its
-// failure domain, or has not heard from the one that is.
+// failure domain, or has not heard from one that watches. The second waits a
+// little less for that than the third, and so on.
 func (r *relay) duty() bool {
 	v := r.fleet.View()
-	first := v.Rank(watchKey, v.Self.Domain, 1)
-	if len(first) == 0 || first[0].ID == v.Self.ID || v.Self.Leaving {
+	rank := v.Rank(watchKey, v.Self.Domain, dutyRanks)
+	at := slices.IndexFunc(rank, func(m bbmember.Member) bool { return m.ID == v.Self.ID })
+	if at < 0 {
+		at = len(rank)
+	}
+	if at == 0 || v.Self.Leaving {
 		return true
 	}
-	return r.follow.now().Sub(time.Unix(0, r.watched.Load())) > dutySilence
+	return r.follow.now().Sub(time.Unix(0, r.watched.Load())) > dutySilence+time.Duration(at)*dutyStep
 }
 
 // watchKey ranks the instances of a failure domain for watching the store.
 const watchKey = "watch"
 
-// share tells the failure domain what the store has just told, if this is its
-// watcher.
+// share tells the failure domain what the store has just told.
 func (r *relay) share(changed []bbstore.Entry) {
 	v := r.fleet.View()
-	first := v.Rank(watchKey, v.Self.Domain, 1)
-	if len(first) == 0 || first[0].ID != v.Self.ID {
-		return
-	}
 	t := r.follow.digest()
 	t.Targets = keep(changed)
 	for _, m := range v.Members {
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -202,8 +202,10 @@
 }
 
 // Draw returns the write that is due, nil when none is. Holders is how many draw
-// from the accounts. What the write gives back is set aside at once.
-func (b *Book) Draw(holders int) *Draw {
+// from the accounts. Unless ahead, only a request that waits makes a write due;
+// it then serves the other accounts too. What the write gives back is set aside
+// at once.
+func (b *Book) Draw(holders int, ahead bool) *Draw {
 	type want struct {
 		l     *Line
 		to    bbunit.Tokens
@@ -217,9 +219,10 @@
 		unmet := l.Purse.unmet.Swap(0)
 		if to, ok := b.target(l, unmet, holders); ok {
 			wants = append(wants, want{l, to, unmet})
+			ahead = ahead || unmet > 0
 		}
 	}
-	if len(wants) == 0 {
+	if len(wants) == 0 || !ahead {
 		return nil
 	}
 	slices.SortFunc(wants, func(a, c want) int {
--- a/shared/bbshare/share_test.go
+++ b/shared/bbshare/share_test.go
@@ -133,7 +133,7 @@
 				i := pick(t)
 				w.clock = w.clock.Add(time.Second)
 				w.holders[i].book.Tick(w.clock)
-				w.draw(i, w.holders[i].book.Draw(len(w.holders)), rapid.IntRange(0, 5).Draw(t, "fate"))
+				w.draw(i, w.holders[i].book.Draw(len(w.holders), true), rapid.IntRange(0, 5).Draw(t, "fate"))
 			},
 			"late": func(t *rapid.T) {
 				if len(w.table.late) > 0 {
@@ -157,7 +157,7 @@
 				}
 				h.open = nil
 				h.book.Leave()
-				w.draw(i, h.book.Draw(1), rapid.IntRange(0, 5).Draw(t, "fate"))
+				w.draw(i, h.book.Draw(1, true), rapid.IntRange(0, 5).Draw(t, "fate"))
 				w.draw(i, h.book.Close(), rapid.IntRange(0, 5).Draw(t, "fate"))
 				w.start(i)
 			},
@@ -202,7 +202,7 @@
 		if b.Line(account).Purse.Reserve(n) {
 			return true
 		}
-		w.draw(i, b.Draw(len(w.holders)), 0)
+		w.draw(i, b.Draw(len(w.holders), true), 0)
 	}
 	return false
 }
@@ -242,10 +242,10 @@
 	p := b.Line(account).Purse
 	before := p.Available()
 	p.Reserve(400)
-	w.draw(0, b.Draw(1), 1)
+	w.draw(0, b.Draw(1, true), 1)
 	is.Equal(p.Available(), before)
 	p.Reserve(400)
-	w.draw(0, b.Draw(1), 0) // a conflict, which shows the row
+	w.draw(0, b.Draw(1, true), 0) // a conflict, which shows the row
 	is.True(p.Reserve(400))
 }
 
@@ -258,7 +258,7 @@
 	spend := func(n bbunit.Tokens) {
 		p := busy.Line(account).Purse
 		for !p.Reserve(n) {
-			w.draw(0, busy.Draw(8), 0)
+			w.draw(0, busy.Draw(8, true), 0)
 		}
 		p.End(n, n)
 	}
@@ -268,7 +268,7 @@
 		}
 		w.clock = w.clock.Add(time.Second)
 		busy.Tick(w.clock)
-		w.draw(0, busy.Draw(8), 0)
+		w.draw(0, busy.Draw(8, true), 0)
 	}
 	is.True(busy.Line(account).Purse.Available() >= 80_000) // 8 s of its demand
 }
