--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := shared bluebellport bluebellctl bluebellstand e2e
+MODULES := shared platform bluebellport bluebellctl bluebellstand e2e
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 VERSION ?= $(shell git describe --tags --always 2>/dev/null || echo dev)
 export PATH := $(PATH):$(shell go env GOPATH)/bin
--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -101,7 +101,7 @@
 	default:
 		c.keep = false // it answered before it had the whole body
 	}
-	return x.take(s, c, a)
+	return x.take(c, a)
 }
 
 // awaitAnswer reads the head of the request's answer, past whole answers that
@@ -135,7 +135,7 @@
 }
 
 // take passes an answer on, if it is one.
-func (x *exchange) take(s *Server, c *targetConn, a *Answer) ending {
+func (x *exchange) take(c *targetConn, a *Answer) ending {
 	if a.notRun() {
 		x.ran = x.sends > 1
 		x.discard(c, a)
@@ -147,7 +147,7 @@
 		return ending{kind: endBroken, err: errors.Errorf("status %d without signature", a.Status)}
 	}
 	if ok && x.stride > 0 {
-		return x.passStream(s, c, a)
+		return x.passStream(c, a)
 	}
 	_ = c.SetReadDeadline(x.end)
 	body, err := answerBody(c.br, a.frame, a.Status, x.q.Method).all(maxAnswer)
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -227,7 +227,7 @@
 
 // suspect looks whether a target that broke a request off is down: then the
 // request may be what crashed it.
-func (d *Door) suspect(print uint64, s *Server) {
+func (d *Door) suspect(fingerprint uint64, s *Server) {
 	conn, err := net.DialTimeout("tcp4", s.Address, dialTime)
 	if err == nil {
 		_ = conn.Close()
@@ -235,7 +235,7 @@
 	}
 	for {
 		old := d.poisons.Load()
-		next, news := old.With(print, []bbunit.TargetID{s.ID}, d.now(), &poisonRule)
+		next, news := old.With(fingerprint, []bbunit.TargetID{s.ID}, d.now(), &poisonRule)
 		if !news || d.poisons.CompareAndSwap(old, next) {
 			return
 		}
--- /dev/null
+++ b/bluebellport/door/fuzz_test.go
@@ -0,0 +1,108 @@
+package bbdoor
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+// FuzzRequest reads arbitrary bytes as a request. Whatever is taken for one must
+// be read the same way once it has been passed on.
+func FuzzRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nConnection: x-y, close\r\nX-Y: 1\r\nTenant: t\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"\r\nGET / HTTP/1.0\r\nHost: h\r\nDeadline-Ms: 1e3\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		br := bufio.NewReader(bytes.NewReader(data))
+		q, frame, err := readRequest(br, maxHead)
+		if err != nil {
+			return
+		}
+		if q.Body, err = requestBody(br, frame).all(maxBody); err != nil {
+			return
+		}
+		sent := append(q.forwardHead(&sendOff{account: "a", priority: -1}), q.Body...)
+		br = bufio.NewReader(bytes.NewReader(sent))
+		again, frame, err := readRequest(br, 2*maxHead)
+		if err != nil {
+			t.Fatalf("passed on malformed: %v: %q", err, sent)
+		}
+		body, err := requestBody(br, frame).all(maxBody)
+		if err != nil || !bytes.Equal(body, q.Body) || again.Method != q.Method || again.Target != q.Target {
+			t.Fatalf("read in another way: %v: %q", err, sent)
+		}
+		if rest, _ := io.ReadAll(br); len(rest) > 0 {
+			t.Fatalf("bytes behind the request: %q", rest)
+		}
+		if v, n := again.Fields.Get("Tenant"); n != 1 || v != "a" {
+			t.Fatalf("account %q stands %d times", v, n)
+		}
+	})
+}
+
+// FuzzChunks reads arbitrary bytes as a chunked body: what comes out is never
+// more than what went in.
+func FuzzChunks(f *testing.F) {
+	for _, s := range []string{"0\r\n\r\n", "3\r\nabc\r\n0\r\nT: v\r\n\r\n", "ffffffff\r\n", "1;x\r\na\r\n", "-1\r\n", "3\r\nab"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b := requestBody(bufio.NewReader(bytes.NewReader(data)), framing{chunked: true, length: -1})
+		out, err := b.all(1 << 20)
+		if len(out) > len(data) {
+			t.Fatalf("%d bytes of %d", len(out), len(data))
+		}
+		if err == nil && !b.ended {
+			t.Fatal("whole without its end")
+		}
+	})
+}
+
+// FuzzEvents passes arbitrary bytes of a stream on, in two parts: the events that
+// come out are whole, in order, and the same however the bytes were cut.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 5)
+	f.Add([]byte(": comment\n\nid: 1\n\nid: x\n\n"), 11)
+	f.Add([]byte("id: 2\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		whole, werr := split(data, len(data))
+		parts, perr := split(data, min(max(cut, 0), len(data)))
+		if (werr == nil) != (perr == nil) {
+			t.Fatalf("%v and %v", werr, perr)
+		}
+		if werr == nil && whole != parts {
+			t.Fatalf("%q and %q", whole, parts)
+		}
+		if werr == nil && whole != "" && !strings.HasSuffix(whole, "\n\n") {
+			t.Fatalf("not whole: %q", whole)
+		}
+	})
+}
+
+// split runs the event splitter over data in two parts and returns what it would
+// have written.
+func split(data []byte, cut int) (string, error) {
+	s := stream{}
+	var out strings.Builder
+	var rest []byte
+	for _, part := range [][]byte{data[:cut], data[cut:]} {
+		buf := append(append([]byte{}, rest...), part...)
+		pass, left, err := s.take(buf, false)
+		if err != nil {
+			return "", fmt.Errorf("split: %w", err)
+		}
+		out.Write(pass)
+		rest = left
+	}
+	return out.String(), nil
+}
--- a/bluebellport/door/stream.go
+++ b/bluebellport/door/stream.go
@@ -45,7 +45,7 @@
 
 // passStream passes events on as they come, each whole. A stream that breaks off
 // can go on at another target from the last whole event, under the first head.
-func (x *exchange) passStream(s *Server, c *targetConn, a *Answer) ending {
+func (x *exchange) passStream(c *targetConn, a *Answer) ending {
 	b := answerBody(c.br, a.frame, a.Status, x.q.Method)
 	closing := x.q.Close || x.door.board.closing()
 	if !x.stream.begun {
@@ -118,36 +118,42 @@
 // passWhole writes the whole events at the start of buf as one chunk, and
 // returns what is left.
 func (x *exchange) passWhole(buf []byte) ([]byte, error) {
+	events, rest, err := x.stream.take(buf, x.sends > 1)
+	if err != nil {
+		return nil, err
+	}
+	if len(events) > 0 {
+		if err := x.caller.write(chunk(events)); err != nil {
+			return nil, errors.WithType(err, errCaller)
+		}
+	}
+	return rest, nil
+}
+
+// take returns the whole events at the start of buf that the caller has not yet,
+// and what is behind them. Only a resumed stream may begin with events that the
+// caller has; else an event that does not follow the last one is an error.
+func (s *stream) take(buf []byte, resumed bool) (events, rest []byte, err error) {
 	start, end := 0, 0
 	for {
 		i := bytes.Index(buf[end:], []byte("\n\n"))
 		if i < 0 {
-			break
+			return buf[start:end], buf[end:], nil
 		}
 		event := buf[end : end+i+2]
+		end += len(event)
 		switch id := eventID(event); {
 		case id == 0:
-		case id <= x.stream.last && x.sends > 1:
-			if start == end {
-				start += len(event) // the caller has it already
-			}
-			end += len(event)
-			continue
-		case id != x.stream.last+1:
-			return nil, errors.Annotatef(errOrder, "%d after %d", id, x.stream.last)
+		case id <= s.last && resumed && start == end-len(event):
+			start = end
+		case id != s.last+1:
+			return nil, nil, errors.Annotatef(errOrder, "%d after %d", id, s.last)
 		default:
-			x.stream.last = id
-			x.stream.events++
-			x.stream.came(time.Now())
-		}
-		end += len(event)
-	}
-	if end > start {
-		if err := x.caller.write(chunk(buf[start:end])); err != nil {
-			return nil, errors.WithType(err, errCaller)
+			s.last = id
+			s.events++
+			s.came(time.Now())
 		}
 	}
-	return buf[end:], nil
 }
 
 // chunk frames bytes for a chunked body.
--- a/shared/bbshare/share_test.go
+++ b/shared/bbshare/share_test.go
@@ -135,7 +135,7 @@
 				w.holders[i].book.Tick(w.clock)
 				w.draw(i, w.holders[i].book.Draw(len(w.holders), true), rapid.IntRange(0, 5).Draw(t, "fate"))
 			},
-			"late": func(t *rapid.T) {
+			"late": func(_ *rapid.T) {
 				if len(w.table.late) > 0 {
 					_, _, _ = w.table.swap(w.table.late[0])
 					w.table.late = w.table.late[1:]
