--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -96,6 +96,9 @@
 	graceSlack = 1200 * time.Millisecond
 )
 
+// servedSample is how many served requests there are to one that is logged.
+const servedSample = 16
+
 // Bounds of what one request tries.
 const (
 	// maxUnsent is how many targets that cannot be reached are tried.
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
@@ -210,8 +211,12 @@
 	d.log.WithFields(x.fields(s, out)).Info("attempt failed")
 }
 
-// served logs an answer that was passed on whole.
+// served logs a sample of the answers that were passed on whole: which ones is
+// decided by the request's id, so that all instances log the same.
 func (d *Door) served(x *exchange, s *Server) {
+	if xxhash.Sum64String(x.q.Attempt)%servedSample != 0 {
+		return
+	}
 	f := logrus.Fields{
 		"request": x.q.Attempt, "service": x.service, "target": s.ID, "sends": x.sends,
 		"ms": time.Since(x.q.At).Milliseconds(), "inflight": s.Known.InFlight(),
--- a/bluebellport/src/native.go
+++ b/bluebellport/src/native.go
@@ -15,9 +15,13 @@
 
 	bbdoor "bluebellport.example/bluebellport/door"
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bblog"
 	"bluebellport.example/shared/bbmember"
 )
 
+// nativeLines is how many log lines a second an instance writes at most.
+const nativeLines = 100
+
 // Gossip between instances on the platform.
 const (
 	nativePeriod    = time.Second
@@ -34,8 +38,10 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // first, since it ends a process that has not asked for it
 	defer signal.Stop(hup)
+	out, flush := bblog.NewWriter(logs, nativeLines)
+	defer flush(time.Second)
 	log := logrus.New()
-	log.SetOutput(logs)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	set, err := readSettings(log)
 	if err != nil {
