--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -81,8 +81,10 @@
 	returnTime = 1200 * time.Millisecond
 	// moneyTick is the time between two looks at the shares.
 	moneyTick = 250 * time.Millisecond
-	// aheadEvery is the least time between two writes that no request waits for.
-	aheadEvery = 900 * time.Millisecond
+	// aheadEvery is the least time between two writes that no request waits for,
+	// homeAheadEvery the same in a fleet whose accounts have homes.
+	aheadEvery     = 200 * time.Millisecond
+	homeAheadEvery = 900 * time.Millisecond
 	// moneyPauseMost is the longest pause between writes while the store is away.
 	moneyPauseMost = 1500 * time.Millisecond
 	// moneyTold is the time between two log lines that tell the shares held.
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -252,8 +252,11 @@
 			m.loans.askHomes(m.book.Asks(bbshare.DefaultHomeRule(), n))
 			n = holders
 		}
-		now := m.now()
-		d := m.book.Draw(n, now.Sub(m.ahead) >= aheadEvery)
+		now, every := m.now(), aheadEvery
+		if m.board.Instances.Load() > directFleet {
+			every = homeAheadEvery
+		}
+		d := m.book.Draw(n, now.Sub(m.ahead) >= every)
 		if d != nil {
 			m.ahead = now
 		}
