Read a plan that a peer speaks of from the store

Change: a watcher tells its failure domain at once; who hears reads the plan from the store, or from the peer where the store does not answer, until it has the newest revision.

--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -149,6 +149,10 @@
 	dutyRanks = 3
 	// dutyEvery is the time between two looks at who watches.
 	dutyEvery = 100 * time.Millisecond
+	// readTime bounds one reading of a plan that a peer spoke of, fetchTries is
+	// how often it is tried.
+	readTime   = 500 * time.Millisecond
+	fetchTries = 4
 	// relayFan is how many peers hear at once of a newer plan.
 	relayFan = 8
 	// leaseTime is how long an entry in the list of instances stands without
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// readPlan reads the plan once, and tells whether the store answered.
+func (f *follower) readPlan(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
+	if err == nil {
+		f.takePlan(entry)
+	}
+	return err == nil
+}
+
 // watchPlan returns when the watch has to begin anew.
 func (f *follower) watchPlan(ctx context.Context, from bbstore.Revision) error {
 	for {
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -29,6 +29,8 @@
 	fleet  Fleet
 	follow *follower
 	asking chan struct{} // holds one token while a peer is asked
+	wanted   atomic.Int64 // newest revision of the plan that was heard of
+	fetching atomic.Bool
 	// watched is when the watcher of this failure domain last told of the
 	// store, in ns of the steady clock.
 	watched atomic.Int64
@@ -92,8 +94,12 @@
 	}
 }
 
-// announce tells several peers that a newer plan is in force.
-func (r *relay) announce() { r.tell(r.peers(relayFan)) }
+// announce tells the failure domain and several other peers that a newer plan is
+// in force.
+func (r *relay) announce() {
+	r.share(nil)
+	r.tell(r.peers(relayFan))
+}
 
 func (r *relay) tell(to []bbunit.InstanceID) {
 	rev := r.follow.planRevision()
@@ -111,30 +117,55 @@
 	return &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: r.follow.news(bbstore.Revision(q.Revision), q.Targets)}}
 }
 
-// heard takes what a peer tells unasked, and asks it for what is lacking: its
-// watcher at once, another one if the store's own word does not come first.
+// heard takes what a peer tells unasked. A newer plan is read from the store, or
+// had from the peer where the store is out of reach: at once when the peer
+// watches, else if the store's own word does not come first.
 func (r *relay) heard(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
 	t := e.GetNewstell()
+	wait := relayWait
 	if t.Watch {
+		wait = 0
 		r.watched.Store(r.follow.now().UnixNano())
 		r.follow.takeNews(t)
-		behind := t.Digest != r.follow.digest().Digest
-		if behind || bbstore.Revision(t.Revision) > r.follow.planRevision() {
-			go r.ask(context.Background(), from, behind)
+		if t.Digest != r.follow.digest().Digest {
+			go r.ask(context.Background(), from, true)
 		}
-		return nil
 	}
 	if bbstore.Revision(t.Revision) > r.follow.planRevision() {
-		go func() {
-			sleep(context.Background(), relayWait) // the store's own word is mostly on its way
-			if bbstore.Revision(t.Revision) > r.follow.planRevision() {
-				r.ask(context.Background(), from, false)
-			}
-		}()
+		r.want(bbstore.Revision(t.Revision))
+		go r.fetch(from, wait)
 	}
 	return nil
 }
 
+// want notes the newest revision of the plan that was heard of.
+func (r *relay) want(rev bbstore.Revision) {
+	for {
+		old := r.wanted.Load()
+		if int64(rev) <= old || r.wanted.CompareAndSwap(old, int64(rev)) {
+			return
+		}
+	}
+}
+
+// fetch gets the newest plan that was heard of; one at a time does.
+func (r *relay) fetch(from bbunit.InstanceID, wait time.Duration) {
+	ctx := context.Background()
+	sleep(ctx, wait)
+	if !r.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer r.fetching.Store(false)
+	for range fetchTries {
+		if int64(r.follow.planRevision()) >= r.wanted.Load() {
+			return
+		}
+		if !r.follow.readPlan(ctx) {
+			r.ask(ctx, from, false)
+		}
+	}
+}
+
 // ask takes what a peer knows; only one is asked at a time.
 func (r *relay) ask(ctx context.Context, peer bbunit.InstanceID, targets bool) {
 	select {
