--- /dev/null
+++ b/e2e/native_test.go
@@ -0,0 +1,214 @@
+package bbe2e
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+	"bluebellport.example/shared/bbstore"
+)
+
+const (
+	nativeHost   = "desk.example"
+	nativeKey    = "key-of-a"
+	nativePaid   = 30_000
+	nativePrompt = 100
+	nativeEvents = 5
+	nativeStride = 10
+)
+
+// nativePlan declares one engine service and one plain one, each with a route, and
+// an account.
+var nativePlan = fmt.Sprintf(`{"version":1,"routes":[
+	{"name":"draft","host":%q,"path-prefix":"/draft/","kind":"streaming","service":"llm","timeout-ms":4000,"target-latency-ms":500,"target-gap-ms":300,"max-attempts":1},
+	{"name":"book","host":%q,"path-prefix":"/book/","kind":"non_idempotent","service":"desk","timeout-ms":4000,"target-latency-ms":500,"max-attempts":2}],
+	"services":[{"name":"llm","engine":{"slots":8,"kv-cache-tokens":100000,"stride":%d}},{"name":"desk"}],
+	"limits":{"max-header-bytes":8192,"max-body-bytes":300000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+	"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, nativeHost, nativeHost, nativeStride, nativeKey, nativePaid)
+
+// native is one instance on the platform's stand-ins, as a process of its own.
+type native struct {
+	*process
+	settings              string
+	callers, ready, peers string
+}
+
+// nativeFleet is the store, targets and instances.
+type nativeFleet struct {
+	t         *testing.T
+	mem       *bbstore.Mem
+	store     string
+	targets   []*bbplatformstand.Target
+	instances []*native
+	attempts  atomic.Int64
+}
+
+func newNativeFleet(t *testing.T, domains ...string) *nativeFleet {
+	is := is.New(t)
+	f := &nativeFleet{t: t, mem: bbstore.NewMem()}
+	store, stop := bbplatformstand.NewStore(f.mem)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = (&fasthttp.Server{Handler: store.Handle}).Serve(ln) }()
+	t.Cleanup(func() {
+		stop()
+		_ = ln.Close()
+	})
+	f.store = ln.Addr().String()
+	_, err = f.mem.CAS(t.Context(), bbplatform.KeyPlan, []byte(nativePlan), 0, 0)
+	is.NoErr(err)
+	for i, d := range domains {
+		f.target(bbplatformstand.TargetOptions{ID: fmt.Sprint("llm-", i), Service: "llm", Domain: d, Engine: true, Events: nativeEvents})
+		f.target(bbplatformstand.TargetOptions{ID: fmt.Sprint("desk-", i), Service: "desk", Domain: d})
+	}
+	for i, d := range domains {
+		f.instances = append(f.instances, f.instance(fmt.Sprint("i", i), d))
+	}
+	return f
+}
+
+func (f *nativeFleet) target(o bbplatformstand.TargetOptions) {
+	target, stop, err := bbplatformstand.NewTarget(o)
+	is.New(f.t).NoErr(err)
+	f.t.Cleanup(stop)
+	is.New(f.t).NoErr(target.Register(f.t.Context(), f.mem, "ready"))
+	f.targets = append(f.targets, target)
+}
+
+// instance starts a process and waits until it is ready.
+func (f *nativeFleet) instance(name, domain string) *native {
+	n := &native{callers: freeAddress(f.t), ready: freeAddress(f.t), peers: freeAddress(f.t)}
+	n.settings = filepath.Join(f.t.TempDir(), name)
+	lines := []string{
+		"node-name=" + name, "zone=" + domain, "listen-addresses.frontend=" + n.callers, "listen-addresses.ready=" + n.ready,
+		"listen-addresses.control-plane=" + n.peers, "platform.address=" + f.store, "bounds.grace-period-s=6", "unknown.field=1",
+	}
+	is.New(f.t).NoErr(os.WriteFile(n.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
+	f.start(n, name)
+	return n
+}
+
+func (f *nativeFleet) start(n *native, name string) {
+	f.t.Setenv(bbplatform.SettingsVariable, n.settings)
+	n.process = startProcess(f.t, name, "bluebellport", "native")
+	for end := time.Now().Add(readyTimeout); ; time.Sleep(20 * time.Millisecond) {
+		if r, err := http.Get("http://" + n.ready + bbplatform.PathReady); err == nil {
+			_ = r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("%s is not ready", name)
+		}
+	}
+}
+
+// call sends one request to an instance, and returns its status and body; 0 when
+// no whole answer came.
+func (f *nativeFleet) call(n *native, path string) (int, string) {
+	r, err := http.NewRequest("POST", "http://"+n.callers+path, strings.NewReader("body"))
+	is.New(f.t).NoErr(err)
+	r.Host = nativeHost
+	r.Header.Set(bbplatform.HeaderAttempt, fmt.Sprint("attempt-", f.attempts.Add(1)))
+	r.Header.Set(bbplatform.HeaderKey, nativeKey)
+	r.Header.Set(bbplatform.HeaderDeadline, "3000")
+	r.Header.Set(bbplatform.HeaderUsage, fmt.Sprintf("%d,%d", nativePrompt, nativeEvents*nativeStride))
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(body)
+}
+
+// spent is what the targets' runs of streams cost at most, and twice tells
+// attempts that ran more than once.
+func (f *nativeFleet) spent() (tokens int, twice []string) {
+	seen := map[string]bool{}
+	for _, t := range f.targets {
+		for _, r := range t.Runs() {
+			if seen[r.Attempt] {
+				twice = append(twice, r.Attempt)
+			}
+			seen[r.Attempt] = true
+			if strings.HasPrefix(r.Path, "/draft/") {
+				tokens += nativePrompt + nativeEvents*nativeStride
+			}
+		}
+	}
+	return tokens, twice
+}
+
+// Real processes on the platform's stand-ins: instances are killed, stopped and
+// started anew and the store goes away while callers call. Nothing is overspent,
+// nothing runs twice, a planned stop cuts nothing, and the rest of the sum is
+// spent in the end.
+func TestNativeFleet(t *testing.T) {
+	is := is.New(t)
+	f := newNativeFleet(t, "uppsala", "uppsala", "gavle")
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	var served, cut atomic.Int64
+	for i, n := range f.instances[:2] { // the third is killed, so its callers are cut
+		for range 2 {
+			wg.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					for _, path := range []string{"/draft/1", "/book/1"} {
+						switch status, _ := f.call(n, path); {
+						case status == http.StatusOK:
+							served.Add(1)
+						case status == 0 && i == 0:
+							cut.Add(1)
+						}
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.instances[2].kill()
+	f.mem.SetFaults(bbstore.Faults{Down: true})
+	time.Sleep(500 * time.Millisecond)
+	f.mem.SetFaults(bbstore.Faults{LoseEvery: 3})
+	f.start(f.instances[2], "again")
+	f.mem.SetFaults(bbstore.Faults{})
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	is.True(served.Load() > 50)
+	is.Equal(cut.Load(), int64(0))
+	f.instances[1].stop() // fails the test unless it ends with 0
+	for range 400 {
+		if status, _ := f.call(f.instances[0], "/draft/1"); status == http.StatusPaymentRequired {
+			break
+		}
+	}
+	tokens, twice := f.spent()
+	is.Equal(len(twice), 0)
+	is.True(tokens <= nativePaid)
+	is.True(tokens > nativePaid/2) // the rest was held by the killed life
+}
