--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -190,3 +190,7 @@
 	// prefillPeers is how many peers are told.
 	prefillPeers = 16
 )
+
+// suspectPeers is how many peers are told of a request that may have crashed its
+// target.
+const suspectPeers = 16
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -37,9 +37,8 @@
 	money    *money
 	prefills *prefills
 
-	poisons atomic.Pointer[bbroute.Poisons]
-	proven  bbroute.Proven
-	retries sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
+	suspects *suspects
+	retries  sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
 
 	meter   meter
 	start   time.Time
@@ -53,7 +52,6 @@
 // request.
 func Serve(ctx context.Context, set bbplatform.Settings, fleet Fleet, log logrus.FieldLogger) error {
 	d := &Door{set: set, domain: set.Domain, board: &Board{}, log: log, start: time.Now(), callers: map[*caller]bool{}}
-	d.poisons.Store(&bbroute.Poisons{})
 	d.board.Instances.Store(defaultInstances)
 	front, err := net.Listen("tcp4", set.Callers)
 	if err != nil {
@@ -95,6 +93,7 @@
 	news := newRelay(fleet, f)
 	d.money.loans = newLoans(d.money, fleet)
 	d.prefills = newPrefills(fleet, d.board, d.now)
+	d.suspects = newSuspects(fleet, d.now)
 	reg := newRegister(store, fleet, d.board, d.log, d.set, news.duty)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -183,7 +182,7 @@
 		s.Known.Circuit.Success()
 		s.Known.Result(!out.failed)
 		if !out.failed {
-			d.proven.Add(x.print)
+			d.suspects.ran(x.print)
 			d.budget(x.service).Earn(d.retryRule())
 		}
 		d.served(x, s)
@@ -204,8 +203,8 @@
 		if out.reset || out.silent {
 			s.Known.Circuit.Failure(now, &circuitRule)
 		}
-		if out.reset && !d.proven.Has(x.print) {
-			go d.suspect(x.print, s)
+		if out.reset {
+			go d.suspects.broke(x.print, s)
 		}
 	}
 	d.log.WithFields(x.fields(s, out)).Info("attempt failed")
@@ -230,23 +229,6 @@
 	d.log.WithFields(f).Info("served")
 }
 
-// suspect looks whether a target that broke a request off is down: then the
-// request may be what crashed it.
-func (d *Door) suspect(fingerprint uint64, s *Server) {
-	conn, err := net.DialTimeout("tcp4", s.Address, dialTime)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	for {
-		old := d.poisons.Load()
-		next, news := old.With(fingerprint, []bbunit.TargetID{s.ID}, d.now(), &poisonRule)
-		if !news || d.poisons.CompareAndSwap(old, next) {
-			return
-		}
-	}
-}
-
 // budget returns the repeats that a service has left.
 func (d *Door) budget(id bbunit.ServiceID) *bbroute.RetryBudget {
 	if b, ok := d.retries.Load(id); ok {
--- a/bluebellport/door/exchange.go
+++ b/bluebellport/door/exchange.go
@@ -11,7 +11,6 @@
 
 	"bluebellport.example/shared/bbplace"
 	"bluebellport.example/shared/bbplan"
-	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
 )
@@ -76,7 +75,7 @@
 	x.end = x.end.Add(-answerSlack)
 	x.service = x.route.Pick(rand.Float64())
 	x.print = x.q.Print(x.accountID())
-	if x.door.poisons.Load().Crashes(x.print) >= poisonRule.Crashes {
+	if x.door.suspects.poison(x.print) {
 		return notRun("targets that ran this request have crashed", 0)
 	}
 	return x.reserve()
@@ -272,9 +271,6 @@
 	return b
 }
 
-// poisonRule sets when a request counts as one that crashes its targets.
-var poisonRule = bbroute.PoisonRule{Crashes: 2, Suspect: 20 * time.Second, Most: 512}
-
 // fields are what a log line tells of a request.
 func (x *exchange) fields(s *Server, out *ending) logrus.Fields {
 	f := logrus.Fields{
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -26,10 +26,10 @@
 // relay tells peers what the store says, so that an instance that has lost the
 // store still follows.
 type relay struct {
-	fleet  Fleet
-	follow *follower
-	asking chan struct{} // holds one token while a peer is asked
-	wanted   atomic.Int64 // newest revision of the plan that was heard of
+	fleet    Fleet
+	follow   *follower
+	asking   chan struct{} // holds one token while a peer is asked
+	wanted   atomic.Int64  // newest revision of the plan that was heard of
 	fetching atomic.Bool
 	// watched is when the watcher of this failure domain last told of the
 	// store, in ns of the steady clock.
