--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 demo: build
 	demo/demo.sh
+	demo/native.sh
 
 test:
 	go test -race -count=1 $(PACKAGES)
--- a/bluebellstand/src/core.go
+++ b/bluebellstand/src/core.go
@@ -78,6 +78,8 @@
 	add("platform", "Serve the key-value service and the list of instances.", &PlatformOptions{})
 	add("engine", "Serve a model engine.", &EngineOptions{})
 	add("plain", "Serve a plain service.", &PlainOptions{})
+	add("native", "Serve the store and the targets that \"bluebellport native\" runs against.", &NativeOptions{})
+	add("native-call", "Send requests to an instance that runs \"bluebellport native\".", &NativeCallOptions{})
 	add("load", "Send requests to instances and check every answer.", &LoadOptions{})
 	add("ask", "Send one request to an instance and print the answer.", &AskOptions{})
 	add("get", "Get a path, and try until it is there.", &GetOptions{})
