--- a/bluebellport/door/bed_test.go
+++ b/bluebellport/door/bed_test.go
@@ -19,6 +19,7 @@
 	"bluebellport.example/platform"
 	bbplatformstand "bluebellport.example/platform/stand"
 	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbserve"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -51,10 +52,9 @@
 }
 
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := bbserve.FreeAddress()
 	is.New(t).NoErr(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	return address
 }
 
 // newBed starts a store and a door. The plan has a plain service with a route
@@ -134,6 +134,12 @@
 		}
 	})
 	b.eventually("ready", func() bool {
+		select {
+		case err := <-b.served:
+			b.served <- err
+			b.t.Fatalf("the door ended: %v", err)
+		default:
+		}
 		r, err := http.Get("http://" + b.set.Ready + bbplatform.PathReady)
 		if err != nil {
 			return false
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -33,6 +33,7 @@
 
 	mu        sync.Mutex // guards the rest, which peers also feed
 	plan      bbstore.Entry
+	packed    []byte // the plan as peers get it
 	roster    *Roster
 	entries   map[bbunit.TargetID]bbstore.Entry // as last read; gone ones without value
 	troubleAt time.Time                         // last trouble with the store, on the targets' side
@@ -132,6 +133,9 @@
 		return false
 	}
 	f.plan = e
+	if f.packed, err = pack(e.Value); err != nil {
+		f.log.WithError(err).Warn("plan not packed; peers read it from the store")
+	}
 	f.board.Plan.Store(plan)
 	f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts)}).Info("plan in force")
 	return true
--- /dev/null
+++ b/bluebellport/door/pack.go
@@ -0,0 +1,45 @@
+package bbdoor
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"github.com/juju/errors"
+)
+
+// maxPlan is the largest plan that a peer may send, in bytes once unpacked.
+const maxPlan = 8 << 20
+
+// pack compresses a plan for peers: the links of instances are narrow, and one
+// instance sends it to its whole failure domain.
+func pack(plan []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(plan); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// unpack is the reverse of pack; ErrMalformed when the bytes are no plan.
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.WithType(err, ErrMalformed)
+	}
+	out, err := io.ReadAll(io.LimitReader(r, maxPlan+1))
+	if err != nil {
+		return nil, errors.WithType(err, ErrMalformed)
+	}
+	if len(out) > maxPlan {
+		return nil, errors.Annotate(ErrMalformed, "plan too large")
+	}
+	return out, nil
+}
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -117,9 +117,9 @@
 	return &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: r.follow.news(bbstore.Revision(q.Revision), q.Targets)}}
 }
 
-// heard takes what a peer tells unasked. A newer plan is read from the store, or
-// had from the peer where the store is out of reach: at once when the peer
-// watches, else if the store's own word does not come first.
+// heard takes what a peer tells unasked. A newer plan is had from the peer, or
+// else from the store: at once when the peer watches, else if the store's own word
+// does not come first.
 func (r *relay) heard(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
 	t := e.GetNewstell()
 	wait := relayWait
@@ -160,8 +160,9 @@
 		if int64(r.follow.planRevision()) >= r.wanted.Load() {
 			return
 		}
-		if !r.follow.readPlan(ctx) {
-			r.ask(ctx, from, false)
+		before := r.follow.planRevision()
+		if r.ask(ctx, from, false); r.follow.planRevision() == before {
+			r.follow.readPlan(ctx)
 		}
 	}
 }
@@ -216,7 +217,7 @@
 	defer f.mu.Unlock()
 	t := &bbwire.NewsTell{Revision: int64(f.plan.Rev)}
 	if f.plan.Rev > have {
-		t.Plan = f.plan.Value
+		t.Plan = f.packed
 	}
 	if targets {
 		all := make([]bbstore.Entry, 0, len(f.entries))
@@ -246,7 +247,12 @@
 // takeNews takes what a peer knows.
 func (f *follower) takeNews(t *bbwire.NewsTell) {
 	if len(t.Plan) > 0 {
-		f.takePlan(bbstore.Entry{Value: t.Plan, Rev: bbstore.Revision(t.Revision)})
+		plan, err := unpack(t.Plan)
+		if err != nil {
+			f.log.WithError(err).Warn("plan of a peer not readable")
+			return
+		}
+		f.takePlan(bbstore.Entry{Value: plan, Rev: bbstore.Revision(t.Revision)})
 	}
 	if len(t.Targets) == 0 {
 		return
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -5,17 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"bluebellport.example/shared/bbserve"
 )
 
 const (
@@ -111,29 +110,15 @@
 	return string(out), c.ProcessState.ExitCode()
 }
 
-// Ports that the system does not give to outgoing connections by itself.
-const (
-	firstPort = 12000
-	lastPort  = 32000
-)
-
-// port is the last port that was given out.
-var port atomic.Int64
-
 // freeAddress returns an address on loopback that nothing listens on and that
 // was not returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	port.CompareAndSwap(0, int64(firstPort+rand.IntN((lastPort-firstPort)/2)))
-	for p := port.Add(1); p < lastPort; p = port.Add(1) {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
-		}
+	address, err := bbserve.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // waitFor waits until the address answers GET path with 200.
