--- a/bluebellport/door/exchange.go
+++ b/bluebellport/door/exchange.go
@@ -35,6 +35,7 @@
 
 	unread bbunit.Tokens // of the prompt, at the target chosen last
 	sends  int           // attempts of which bytes left
+	unsent int           // attempts of which none did
 	tried  []bbunit.TargetID
 	// ran tells that a target may have run the request.
 	ran    bool
@@ -135,13 +136,13 @@
 // is nothing more to try.
 func (x *exchange) attempts() bool {
 	var last *Refusal
-	for unsent := 0; ; {
+	for again := true; again; {
 		s, r := x.choose()
 		if s == nil {
 			if last == nil || !x.ran {
 				last = r
 			}
-			return x.give(last)
+			break
 		}
 		out := x.attempt(s)
 		x.door.ended(x, s, &out)
@@ -150,26 +151,25 @@
 			return out.keep
 		case endGone:
 			return false
-		case endLate:
-			return x.give(late("the request's time is over"))
-		case endUnsent:
-			if unsent++; unsent > maxUnsent {
-				return x.give(notRun("no target could be reached", comeBack))
-			}
-			last = notRun("no target could be reached", comeBack)
-			continue
-		case endNotRun:
-			last = notRun("the targets have no room", comeBack)
-		case endBroken:
-			if !x.route.Repeat() {
-				return x.give(mayHaveRun("the target broke off"))
-			}
-			last = mayHaveRun("the target broke off")
-		}
-		if x.sends >= x.route.Attempts || !x.mayRepeat() {
-			return x.give(last)
 		}
+		last, again = x.after(&out)
+	}
+	return x.give(last)
+}
+
+// after returns what to say after an attempt that brought no answer, and whether
+// another one may follow.
+func (x *exchange) after(out *ending) (*Refusal, bool) {
+	switch out.kind {
+	case endLate:
+		return late("the request's time is over"), false
+	case endUnsent:
+		x.unsent++
+		return notRun("no target could be reached", comeBack), x.unsent <= maxUnsent
+	case endNotRun:
+		return notRun("the targets have no room", comeBack), x.mayRepeat()
 	}
+	return mayHaveRun("the target broke off"), x.route.Repeat() && x.mayRepeat()
 }
 
 // give ends a request that no target answered. Of a stream that has begun there
@@ -190,9 +190,10 @@
 	return x.caller.write(r.bytes(x.q.Attempt, closing)) == nil && !closing
 }
 
-// mayRepeat takes a repeat from the service's budget.
+// mayRepeat takes a repeat from the service's budget, if the route allows one more
+// attempt.
 func (x *exchange) mayRepeat() bool {
-	return time.Now().Before(x.end) && x.door.mayRepeat(x.service)
+	return x.sends < x.route.Attempts && time.Now().Before(x.end) && x.door.mayRepeat(x.service)
 }
 
 // choose returns the target for the next attempt, or why there is none.
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -123,9 +123,6 @@
 // Others returns what other holders may still have, as far as known.
 func (l *Line) Others(holder bbunit.HolderID) bbunit.Tokens { return l.row.Unspent(holder) }
 
-// Stuck returns what the holder would leave behind if it died now.
-func (l *Line) Stuck() bbunit.Tokens { return l.Purse.Available() }
-
 // Read takes rows as they stand in the store. Rows that cannot be read are left
 // out and named in bad.
 func (b *Book) Read(entries []bbstore.Entry) (bad []error) {
