--- a/demo/native.sh
+++ b/demo/native.sh
@@ -17,7 +17,7 @@
 }
 trap finish EXIT
 
-port=$((30000 + RANDOM % 10000))
+port=$((20000 + RANDOM % 10000))
 store=127.0.0.1:$port
 "$bin/bluebellstand" native --store "$store" --plan demo/plan.json \
 	--target engine-1=permit-assist@uppsala:engine --target engine-2=permit-assist@gavle:engine \
