Log the hand-over of the watch and the requests open at the end of the grace

Found with the first two incidents: store-lost was never closed by another line on an instance that stopped watching, and cut did not say how much it cut.

--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -157,10 +157,23 @@
 	select {
 	case <-done:
 	case <-time.After(time.Until(end)):
-		d.log.WithField("event", "cut").Warn("requests still open at the end of the grace")
+		d.log.WithFields(logrus.Fields{"event": "cut", "open": d.busy()}).Warn("requests still open at the end of the grace")
 	}
 }
 
+// busy returns how many connections have a request under way.
+func (d *Door) busy() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for c := range d.callers {
+		if !c.idle.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // closeIdle closes connections without a request.
 func (d *Door) closeIdle() {
 	d.mu.Lock()
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -59,6 +59,7 @@
 	pause := storePause
 	for ctx.Err() == nil {
 		if !f.duty() {
+			f.handed()
 			sleep(ctx, dutyEvery)
 			continue
 		}
@@ -152,6 +153,15 @@
 	f.down = err != nil
 }
 
+// handed logs, after a loss of the store, that another instance watches it: then
+// nothing here tells when it is back.
+func (f *follower) handed() {
+	if f.down {
+		f.log.WithField("event", "watch-handed").Info("another instance of the failure domain watches the store")
+	}
+	f.down = false
+}
+
 // followTargets reads the list of targets and looks for changes until ctx ends.
 func (f *follower) followTargets(ctx context.Context) {
 	pause := storePause
