Model shares, restarts and loans, and refute five broken variants

2 tokens, 3 holders, 4 writes of the row: holds with 8,002,400 states; closing a dead holder at what it had told, counting a raise early, giving back late, a lender that keeps, a loan taken twice are refuted. A run of the checker may now take 180 s instead of 60, since this one takes about 25 s on an idle machine.

--- a/model/check.sh
+++ b/model/check.sh
@@ -7,7 +7,7 @@
 dir="$(mktemp -d)"
 trap 'rm -rf "$dir"' EXIT
 memory=1500   # MB for each run; runs come one after the other
-seconds=60    # for each run
+seconds=180   # for each run
 failed=0
 
 # run FILE DEFINES... prints the checker's report.
@@ -49,10 +49,14 @@
 good ledger.pml -DPAID=2 -DTOPUP=0 -DREVS=4
 good ledger.pml -DPAID=1 -DTOPUP=1 -DREVS=5
 good claim.pml
+good share.pml -DPAID=2 -DREVS=4
 for v in RECLAIM_TIME RECLAIM_COPY LATE_ACK LIMBO_MOST GRANT_CLOSED; do
 	broken ledger.pml -DPAID=2 -DTOPUP=0 -DREVS=5 -D"$v"
 done
 for v in RETRY_SILENCE LOST_IS_NO SEND_FIRST; do
 	broken claim.pml -D"$v"
 done
+for v in CLOSE_SPENT RAISE_EARLY LOWER_LATE LENDER_KEEPS LOAN_TWICE; do
+	broken share.pml -DPAID=2 -DREVS=4 -D"$v"
+done
 exit "$failed"
