--- a/bluebellport/door/bed_test.go
+++ b/bluebellport/door/bed_test.go
@@ -217,3 +217,6 @@
 	storeDown = bbstore.Faults{Down: true}
 	storeUp   = bbstore.Faults{}
 )
+
+// testTarget is a plain target.
+var testTarget = bbplatformstand.TargetOptions{ID: "t1", Service: "desk"}
