--- a/bluebellport/door/bed_test.go
+++ b/bluebellport/door/bed_test.go
@@ -151,12 +151,18 @@
 
 func (b *bed) eventually(what string, ok func() bool) {
 	b.t.Helper()
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	await(b.t, what, 5*time.Second, ok)
+}
+
+// await fails the test unless ok says so within a time.
+func await(t *testing.T, what string, within time.Duration, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
 			return
 		}
 	}
-	b.t.Fatalf("not in time: %s", what)
+	t.Fatalf("not within %s: %s", within, what)
 }
 
 // result is what a caller got.
--- a/bluebellport/door/relay_test.go
+++ b/bluebellport/door/relay_test.go
@@ -101,16 +101,6 @@
 	return f, r
 }
 
-func await(t *testing.T, what string, within time.Duration, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ok() {
-			return
-		}
-	}
-	t.Fatalf("not within %s: %s", within, what)
-}
-
 // An instance whose store does not answer follows plan and targets through a
 // peer, whether that is of its failure domain or not, within what the platform
 // allows for a target that leaves.
