--- a/bluebellport/src/session.go
+++ b/bluebellport/src/session.go
@@ -93,7 +93,7 @@
 	if err := s.write(&bbwire.Envelope{Body: &bbwire.Envelope_Hello{Hello: self}}); err != nil {
 		return errors.Trace(err)
 	}
-	in, err := s.mux.AcceptStreamWithContext(ctx)
+	in, err := acceptStream(ctx, s.mux)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -106,6 +106,17 @@
 	return s.readHello(in)
 }
 
+// acceptStream waits for a stream of the peer; it ends the session when ctx ends
+// first.
+func acceptStream(ctx context.Context, mux *yamux.Session) (*yamux.Stream, error) {
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	st, err := mux.AcceptStream()
+	if !stop() {
+		return nil, errors.Trace(ctx.Err())
+	}
+	return st, err
+}
+
 func (s *session) readHello(in *yamux.Stream) error {
 	e := &bbwire.Envelope{}
 	if err := envelopeReader().UnmarshalFrom(byteReader{in}, e); err != nil {
--- /dev/null
+++ b/bluebellport/src/session_close_test.go
@@ -0,0 +1,60 @@
+package bbport
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/matryer/is"
+)
+
+// slowClose is a connection whose end takes a while, as that of one whose
+// process gets no processor.
+type slowClose struct{ net.Conn }
+
+const slowCloseTime = 400 * time.Millisecond
+
+func (c slowClose) Close() error {
+	time.Sleep(slowCloseTime)
+	return c.Conn.Close()
+}
+
+// processorTime returns what this process has used.
+func processorTime(t *testing.T) time.Duration {
+	var u syscall.Rusage
+	is.New(t).NoErr(syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// While a session closes, its reader waits: it does not keep the processor from
+// the one that closes it.
+func TestReaderIsIdleWhileItsSessionCloses(t *testing.T) {
+	is := is.New(t)
+	a, b := net.Pipe()
+	one, err := startMux(slowClose{a}, true, io.Discard)
+	is.NoErr(err)
+	two, err := startMux(b, false, io.Discard)
+	is.NoErr(err)
+	defer func() { _ = two.Close() }()
+	_, err = openKind(two, envelopeStream)
+	is.NoErr(err)
+	in, err := acceptStream(t.Context(), one)
+	is.NoErr(err)
+	_, err = readKind(in)
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func(in *yamux.Stream) {
+		_, err := in.Read(make([]byte, 1))
+		ended <- err
+	}(in)
+	time.Sleep(20 * time.Millisecond) // the reader waits
+	before := processorTime(t)
+	_ = one.Close()
+	is.True(<-ended != nil)
+	used := processorTime(t) - before
+	t.Log("processor time:", used)
+	is.True(used < slowCloseTime/2)
+}
