--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -60,7 +60,9 @@
 	}
 	s.Known.Begin()
 	defer s.Known.End()
-	x.sends++
+	if x.sends++; x.sends == 1 {
+		x.door.tally.sent(x.q.At)
+	}
 	x.door.prefills.sent(s, x.unread)
 	out := x.exchangeWith(s, c)
 	x.hold(nil)
--- a/bluebellport/door/bed_test.go
+++ b/bluebellport/door/bed_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
@@ -124,7 +125,7 @@
 	var ctx context.Context
 	ctx, b.stop = context.WithCancel(context.Background())
 	b.served = make(chan error, 1)
-	go func() { b.served <- Serve(ctx, b.set, lone{}, log) }()
+	go func() { b.served <- Serve(ctx, b.set, lone{}, metrics.NewRegistry(), log) }()
 	b.t.Cleanup(func() {
 		b.stop()
 		select {
--- a/bluebellport/door/board.go
+++ b/bluebellport/door/board.go
@@ -38,6 +38,10 @@
 	return b.Plan.Load() != nil && b.Groups.Load() != nil && !b.closing()
 }
 
+// Homes tells whether the fleet is so large that accounts have homes that draw
+// for the others of their failure domain.
+func (b *Board) Homes() bool { return b.Instances.Load() > directFleet }
+
 // closing tells whether callers are asked to connect anew.
 func (b *Board) closing() bool { return b.Leaving.Load() || b.Crowded.Load() }
 
--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -53,6 +53,8 @@
 	shareWait = 400 * time.Millisecond
 	// shareRounds is how many draws it waits for.
 	shareRounds = 3
+	// drawTries is how many times a write of shares that met another is tried.
+	drawTries = 4
 	// swapTime bounds one write of shares.
 	swapTime = 700 * time.Millisecond
 	// comeBackMost is the latest that a client is told to come back.
@@ -71,6 +73,8 @@
 	// up to storePauseMost.
 	storePause     = 250 * time.Millisecond
 	storePauseMost = time.Second
+	// cutTime is how long after a failed call the store counts as out of reach.
+	cutTime = 2 * time.Second
 	// targetsWait is how long one look at the list of targets waits for changes.
 	targetsWait = 300 * time.Millisecond
 	// storeBack is how long after trouble with the store the list of targets
@@ -101,6 +105,16 @@
 // servedSample is how many served requests there are to one that is logged.
 const servedSample = 16
 
+// tallySample and tallyDecay make a distribution stand for about the last five
+// minutes.
+const (
+	tallySample = 1028
+	tallyDecay  = 0.015
+)
+
+// pathMetrics is where the address of readiness serves metrics.
+const pathMetrics = "/metrics"
+
 // Bounds of what one request tries.
 const (
 	// maxUnsent is how many targets that cannot be reached are tried.
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
@@ -39,6 +40,7 @@
 	retries  sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
 
 	meter   meter
+	tally   *tally
 	start   time.Time
 	closing atomic.Bool
 	mu      sync.Mutex // guards callers
@@ -47,9 +49,9 @@
 }
 
 // Serve runs the door until ctx ends, and then stops it without cutting a
-// request.
-func Serve(ctx context.Context, set bbplatform.Settings, fleet Fleet, log logrus.FieldLogger) error {
-	d := &Door{set: set, domain: set.Domain, board: &Board{}, log: log, start: time.Now(), callers: map[*caller]bool{}}
+// request. It counts what it does in the registry.
+func Serve(ctx context.Context, set bbplatform.Settings, fleet Fleet, reg metrics.Registry, log logrus.FieldLogger) error {
+	d := &Door{set: set, domain: set.Domain, board: &Board{}, log: log, tally: newTally(reg), start: time.Now(), callers: map[*caller]bool{}}
 	d.board.Instances.Store(defaultInstances)
 	front, err := net.Listen("tcp4", set.Callers)
 	if err != nil {
--- a/bluebellport/door/door_test.go
+++ b/bluebellport/door/door_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -301,3 +302,24 @@
 	})
 	is.True(len(two.Runs()) >= 5)
 }
+
+// An instance that has lost the store refuses at once what its share does not
+// cover, and expects the store to be away as long again as it has been.
+func TestNoShareWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, 100_000)
+	b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 5})
+	b.start()
+	b.mem.SetFaults(storeDown)
+	var last result
+	b.eventually("the share is used up and the store known to be away", func() bool {
+		last = b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "30000,200")
+		return last.status == http.StatusServiceUnavailable && !strings.Contains(last.body, "in other instances")
+	})
+	time.Sleep(time.Second)
+	last = b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "30000,200")
+	is.Equal(last.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(last.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after >= 1 && after <= comeBackMost.Seconds())
+}
--- a/bluebellport/door/loan.go
+++ b/bluebellport/door/loan.go
@@ -21,10 +21,24 @@
 	money  *money
 	fleet  Fleet
 	asking sync.Map // bbunit.AccountID -> bool: accounts whose home is being asked
+	mute   sync.Map // bbunit.InstanceID -> time.Time: peers that did not answer
+
+	// These are guarded by the lock of money.
+	uncovered map[bbunit.AccountID]time.Time // when a home said that an account does not cover
+	asked     map[bbunit.AccountID]time.Time // last round of asking peers
+	known     homeMap
+}
+
+// homeMap is where accounts have their homes in one view of the fleet, by one
+// plan.
+type homeMap struct {
+	view *bbmember.View
+	plan *bbplan.Plan
+	at   map[bbunit.AccountID]bbmember.Member
 }
 
 func newLoans(m *money, fleet Fleet) *loans {
-	l := &loans{money: m, fleet: fleet}
+	l := &loans{money: m, fleet: fleet, uncovered: map[bbunit.AccountID]time.Time{}, asked: map[bbunit.AccountID]time.Time{}}
 	fleet.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Loanask{}}, l.lend)
 	return l
 }
@@ -57,7 +71,7 @@
 	m := l.money
 	v := l.fleet.View()
 	holders := int(m.board.Instances.Load())
-	large := holders > directFleet
+	large := m.board.Homes()
 	horizon := bbshare.DefaultRule().Horizon
 	if large {
 		horizon = bbshare.HomeHorizon
@@ -65,14 +79,34 @@
 	}
 	m.book.SetHorizon(horizon)
 	plan := m.board.Plan.Load()
+	if !large {
+		for id := range plan.Accounts {
+			m.book.SetHome(id, true, false)
+		}
+		return holders
+	}
+	l.locate(v, plan)
 	for id := range plan.Accounts {
-		home, ok := homeOf(v, id)
-		here := !large || !ok || home.ID == v.Self.ID || v.Self.Leaving
+		home, ok := l.known.at[id]
+		here := !ok || home.ID == v.Self.ID || v.Self.Leaving
 		m.book.SetHome(id, here, !l.muted(home.ID))
 	}
 	return holders
 }
 
+// locate works the homes out again when the fleet or the plan has changed.
+func (l *loans) locate(v *bbmember.View, plan *bbplan.Plan) {
+	if l.known.view == v && l.known.plan == plan {
+		return
+	}
+	l.known = homeMap{view: v, plan: plan, at: make(map[bbunit.AccountID]bbmember.Member, len(plan.Accounts))}
+	for id := range plan.Accounts {
+		if home, ok := homeOf(v, id); ok {
+			l.known.at[id] = home
+		}
+	}
+}
+
 // homeOf returns the home of an account in the own failure domain. Accounts share
 // homes in groups, so that one write draws for several.
 func homeOf(v *bbmember.View, id bbunit.AccountID) (bbmember.Member, bool) {
@@ -89,11 +123,10 @@
 	return max(len(have), 1)
 }
 
-// askHomes borrows what is due, each account by itself.
+// askHomes borrows what is due, each account by itself. The homes are known.
 func (l *loans) askHomes(asks []bbshare.Ask) {
-	v := l.fleet.View()
 	for _, a := range asks {
-		home, ok := homeOf(v, a.Account)
+		home, ok := l.known.at[a.Account]
 		if _, busy := l.asking.LoadOrStore(a.Account, true); !ok || busy {
 			continue
 		}
@@ -115,17 +148,26 @@
 	line.Borrow(bbunit.Tokens(t.Tokens))
 	line.Heard(bbunit.Tokens(t.Free))
 	if t.Covered {
-		delete(l.money.broke, a.Account)
+		delete(l.uncovered, a.Account)
 	} else {
-		l.money.broke[a.Account] = l.money.now()
+		l.uncovered[a.Account] = l.money.now()
 	}
 	l.money.mu.Unlock()
 	l.money.wake()
 }
 
+// broke tells that the account's home last said that it does not cover what was
+// asked for. The lock of money is held.
+func (l *loans) broke(id bbunit.AccountID) bool { return !l.uncovered[id].IsZero() }
+
+// brokeJustNow tells the same of the last moment.
+func (l *loans) brokeJustNow(id bbunit.AccountID) bool {
+	return l.broke(id) && l.money.now().Sub(l.uncovered[id]) < shareWait
+}
+
 // muted tells that a peer did not answer of late.
 func (l *loans) muted(peer bbunit.InstanceID) bool {
-	v, ok := l.money.mute.Load(peer)
+	v, ok := l.mute.Load(peer)
 	return ok && l.money.now().Sub(v.(time.Time)) < muteTime
 }
 
@@ -136,10 +178,10 @@
 	m.mu.Lock()
 	line := m.book.Line(a.ID)
 	peers := line.Lenders(m.book.Holder)
-	if now := m.now(); now.Sub(m.asked[a.ID]) < loanEvery {
+	if now := m.now(); now.Sub(l.asked[a.ID]) < loanEvery {
 		peers = nil
 	} else {
-		m.asked[a.ID] = now
+		l.asked[a.ID] = now
 	}
 	m.mu.Unlock()
 	for _, p := range peers[:min(len(peers), loanPeers)] {
@@ -176,7 +218,7 @@
 	defer cancel()
 	e, err := l.fleet.Call(ctx, peer, &bbwire.Envelope{Body: &bbwire.Envelope_Loanask{Loanask: q}})
 	if err != nil {
-		l.money.mute.Store(peer, l.money.now())
+		l.mute.Store(peer, l.money.now())
 		return nil
 	}
 	t := e.GetLoantell()
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -47,16 +47,12 @@
 	purses sync.Map     // bbunit.AccountID -> *bbshare.Purse
 
 	loans *loans
-	broke map[bbunit.AccountID]time.Time // when a home said that an account does not cover; guarded by mu
-	asked map[bbunit.AccountID]time.Time // last round of asking peers; guarded by mu
-	mute  sync.Map                       // bbunit.InstanceID -> time.Time: peers that did not answer
 }
 
 func newMoney(rows Rows, board *Board, log logrus.FieldLogger, now func() time.Time, holder bbunit.HolderID) *money {
 	return &money{
 		rows: rows, board: board, log: log, now: now, poke: make(chan struct{}, 1),
 		book: bbshare.NewBook(holder, moneyPrefix, bbshare.DefaultRule()), drawn: make(chan struct{}),
-		asked: map[bbunit.AccountID]time.Time{}, broke: map[bbunit.AccountID]time.Time{},
 	}
 }
 
@@ -107,7 +103,7 @@
 			time.Sleep(shareWait / shareRounds / 4) // its home draws meanwhile
 		}
 	}
-	if m.loans != nil && m.loans.borrow(a, n) && p.Reserve(n) {
+	if m.loans.borrow(a, n) && p.Reserve(n) {
 		return p, nil
 	}
 	if r := m.uncovered(a, n); r != nil {
@@ -122,8 +118,7 @@
 	defer m.mu.Unlock()
 	l := m.book.Line(a.ID)
 	if l.Away() {
-		_, broke := m.broke[a.ID]
-		return broke
+		return m.loans.broke(a.ID)
 	}
 	return l.Known() && l.Free()+l.Purse.Available() < n
 }
@@ -161,15 +156,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.book.Line(a.ID)
-	if at, broke := m.broke[a.ID]; l.Away() && broke && m.now().Sub(at) < shareWait {
+	fresh := !l.Away() && l.Known() && m.now().Sub(m.last) <= shareWait
+	switch {
+	case l.Away() && m.loans.brokeJustNow(a.ID), fresh && !l.Covers(n, m.book.Holder):
 		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", Inputs: m.facts(l, n)}
-	}
-	if l.Away() || !l.Known() || m.now().Sub(m.last) > shareWait || l.Free()+l.Purse.Available() >= n {
+	case !fresh || l.Free()+l.Purse.Available() >= n:
 		return nil
 	}
-	if !l.Covers(n, m.book.Holder) {
-		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", Inputs: m.facts(l, n)}
-	}
 	r := notRun("the rest of the account's money is in other instances' shares", comeBack)
 	r.Inputs = m.facts(l, n)
 	return r
@@ -194,7 +187,7 @@
 			return
 		case <-t.C:
 		case <-m.poke:
-			if m.board.Instances.Load() > directFleet {
+			if m.board.Homes() {
 				sleep(ctx, homeBatch) // one write for what several members need
 			}
 		}
@@ -241,22 +234,18 @@
 	m.told(m.book.Read(entries))
 }
 
-// draw writes what is due, and once more after a conflict.
+// draw writes what is due, and again after a conflict.
 func (m *money) draw(ctx context.Context) {
-	for range 4 {
+	for range drawTries {
 		m.mu.Lock()
 		m.pay()
-		n := int(m.board.Instances.Load())
-		if m.loans != nil {
-			holders := m.loans.homes()
-			m.loans.askHomes(m.book.Asks(bbshare.DefaultHomeRule(), n))
-			n = holders
-		}
+		holders := m.loans.homes()
+		m.loans.askHomes(m.book.Asks(bbshare.DefaultHomeRule(), int(m.board.Instances.Load())))
 		now, every := m.now(), aheadEvery
-		if m.board.Instances.Load() > directFleet {
+		if m.board.Homes() {
 			every = homeAheadEvery
 		}
-		d := m.book.Draw(n, now.Sub(m.ahead) >= every)
+		d := m.book.Draw(holders, now.Sub(m.ahead) >= every)
 		if d != nil {
 			m.ahead = now
 		}
--- a/bluebellport/door/outcome.go
+++ b/bluebellport/door/outcome.go
@@ -21,6 +21,7 @@
 			d.suspects.ran(x.print)
 			d.budget(x.service).Earn(d.retryRule())
 		}
+		d.tally.answered(x.q.At, x.stream.first)
 		d.served(x, s)
 		return
 	case endGone:
@@ -43,6 +44,7 @@
 			go d.suspects.broke(x.print, s)
 		}
 	}
+	d.tally.failed(out.kind)
 	d.log.WithFields(x.fields(s, out)).Info("attempt failed")
 }
 
@@ -90,6 +92,7 @@
 
 // refused logs an answer of the fleet's own, with what decided it.
 func (d *Door) refused(attempt string, r *Refusal) {
+	d.tally.refused(r.Status)
 	f := logrus.Fields{"request": attempt, "status": r.Status, "reason": r.Reason, "after": r.After.Seconds()}
 	for k, v := range r.Inputs {
 		f[k] = v
--- a/bluebellport/door/ready.go
+++ b/bluebellport/door/ready.go
@@ -8,10 +8,12 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	bbmetrics "bluebellport.example/bluebellport/metrics"
 	"bluebellport.example/platform"
 )
 
-// answerReady answers the platform's balancer until the listener is closed.
+// answerReady answers the platform's balancer, and collectors of metrics, until
+// the listener is closed.
 func (d *Door) answerReady(ln net.Listener) {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Get(bbplatform.PathReady, func(c *fiber.Ctx) error {
@@ -20,6 +22,10 @@
 		}
 		return c.SendStatus(http.StatusServiceUnavailable)
 	})
+	app.Get(pathMetrics, func(c *fiber.Ctx) error {
+		c.Set("Content-Type", bbmetrics.ContentType)
+		return c.Send(bbmetrics.Text(d.tally.reg))
+	})
 	if err := app.Listener(ln); err != nil && d.board.Leaving.Load() == false {
 		d.log.WithError(err).Error("readiness not served")
 	}
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -267,6 +267,3 @@
 	}
 	f.takeEvents(events)
 }
-
-// cutTime is how long after a failed call the store counts as out of reach.
-const cutTime = 2 * time.Second
--- a/bluebellport/src/admin.go
+++ b/bluebellport/src/admin.go
@@ -1,17 +1,14 @@
 package bbport
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"sort"
-	"strings"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/rcrowley/go-metrics"
 
+	bbmetrics "bluebellport.example/bluebellport/metrics"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
 )
@@ -107,43 +104,6 @@
 
 // metrics writes the registry in the Prometheus text format.
 func (a *admin) metrics(c *fiber.Ctx) error {
-	var lines []string
-	add := func(name, label string, v any) {
-		lines = append(lines, fmt.Sprintf("bluebellport_%s%s %v", strings.NewReplacer(".", "_", "-", "_").Replace(name), label, v))
-	}
-	a.parts.Metrics.Each(func(name string, m any) {
-		switch m := m.(type) {
-		case metrics.Counter:
-			add(name+"_total", "", m.Count())
-		case metrics.Gauge:
-			add(name, "", m.Value())
-		case metrics.GaugeFloat64:
-			add(name, "", m.Value())
-		case metrics.Meter:
-			add(name+"_total", "", m.Count())
-		case metrics.Histogram:
-			s := m.Snapshot()
-			addQuantiles(add, name, s.Count(), s.Percentiles(quantiles), 1)
-		case metrics.Timer:
-			s := m.Snapshot()
-			addQuantiles(add, name+"_seconds", s.Count(), s.Percentiles(quantiles), 1e9)
-		}
-	})
-	sort.Strings(lines)
-	var b bytes.Buffer
-	for _, l := range lines {
-		b.WriteString(l + "\n")
-	}
-	c.Set("Content-Type", "text/plain; version=0.0.4")
-	return c.Send(b.Bytes())
-}
-
-// quantiles that the metrics page shows of each distribution.
-var quantiles = []float64{0.5, 0.95, 0.99}
-
-func addQuantiles(add func(name, label string, v any), name string, n int64, values []float64, unit float64) {
-	add(name+"_count", "", n)
-	for i, q := range quantiles {
-		add(name, fmt.Sprintf("{quantile=%q}", fmt.Sprint(q)), values[i]/unit)
-	}
+	c.Set("Content-Type", bbmetrics.ContentType)
+	return c.Send(bbmetrics.Text(a.parts.Metrics))
 }
--- a/bluebellport/src/native.go
+++ b/bluebellport/src/native.go
@@ -54,12 +54,13 @@
 		}
 	}()
 	entry := log.WithField("instance", set.Instance)
-	peers, closePeers, err := NewPeers(nativeParts(set, entry))
+	parts := nativeParts(set, entry)
+	peers, closePeers, err := NewPeers(parts)
 	if err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
 	defer closePeers()
-	return bbdoor.Serve(ctx, set, peers, entry)
+	return bbdoor.Serve(ctx, set, peers, parts.Metrics, entry)
 }
 
 func readSettings(log logrus.FieldLogger) (bbplatform.Settings, error) {
--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -84,8 +84,8 @@
 	left bbunit.Tokens
 	// guest tells that the home is elsewhere and out of reach.
 	guest bool
-	// lent and borrowed are sums over this life.
-	lent, borrowed bbunit.Tokens
+	// lent is the sum of loans over this life.
+	lent bbunit.Tokens
 
 	fenced  bool    // this life has been closed
 	unsure  bool    // a write may have taken effect
--- a/shared/bbshare/loan.go
+++ b/shared/bbshare/loan.go
@@ -22,7 +22,6 @@
 
 // Borrow adds what another holder has lent. It must be called once for a loan.
 func (l *Line) Borrow(n bbunit.Tokens) {
-	l.borrowed += n
 	l.Purse.avail.Add(int64(n))
 }
 
