--- /dev/null
+++ b/bluebellctl/src/cause.go
@@ -0,0 +1,73 @@
+package bbctl
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// cause says in a sentence why a request ended as it did, as far as its last
+// steps tell.
+func (s *story) cause() string {
+	last := s.Steps[len(s.Steps)-1]
+	switch last.Line.Msg {
+	case "refused":
+		why := refusal(&last)
+		if n := len(s.Steps) - 2; n >= 0 && s.Steps[n].Line.Msg == "attempt failed" {
+			why += "; " + failure(&s.Steps[n].Line)
+		}
+		return why
+	case "attempt failed":
+		return failure(&last.Line)
+	case "served":
+		return fmt.Sprintf("answered by target %s after %.0f ms and %.0f sends", last.Line.text("target"), last.Line.number("ms"), last.Line.number("sends"))
+	}
+	return last.Line.Msg
+}
+
+// refusal explains an answer of the fleet's own.
+func refusal(s *step) string {
+	l := &s.Line
+	known := ""
+	if age := l.number("age"); age > 0 {
+		known = fmt.Sprintf(", known %s before", milliseconds(age))
+	}
+	_, money := l.Fields["account"]
+	lost, away := s.believed("store-lost")
+	switch status := int(l.number("status")); {
+	case money && status == http.StatusPaymentRequired:
+		return fmt.Sprintf("the balance of account %s does not cover %.0f tokens: %.0f here, %.0f free, %.0f at other instances%s",
+			l.text("account"), l.number("tokens"), l.number("here"), l.number("free"), l.number("others"), known)
+	case money && away:
+		return fmt.Sprintf("the instance had lost the store %s before, and its share of account %s, %.0f tokens, does not cover %.0f",
+			l.Time.Sub(lost.Time), l.text("account"), l.number("here"), l.number("tokens"))
+	case money:
+		return fmt.Sprintf("no share of account %s covers %.0f tokens: %.0f here, %.0f free, %.0f at other instances%s",
+			l.text("account"), l.number("tokens"), l.number("here"), l.number("free"), l.number("others"), known)
+	case status == http.StatusNotFound || status == http.StatusUnauthorized:
+		if plan, ok := s.believed("plan"); ok {
+			return fmt.Sprintf("%s in plan %.0f, in force there for %s", l.text("reason"), plan.number("version"), l.Time.Sub(plan.Time))
+		}
+	}
+	return l.text("reason")
+}
+
+// failure explains an attempt that brought no answer.
+func failure(l *logLine) string {
+	why := l.text("error")
+	if why != "" {
+		why = ": " + why
+	}
+	target, after := l.text("target"), milliseconds(l.number("ms"))
+	switch l.text("end") {
+	case "unsent":
+		return fmt.Sprintf("target %s could not be reached; nothing was sent%s", target, why)
+	case "not-run":
+		return fmt.Sprintf("target %s says that it did not run the request%s", target, why)
+	case "late":
+		return fmt.Sprintf("the time was over %s after the request came, at target %s%s", after, target, why)
+	}
+	return fmt.Sprintf("target %s gave no usable answer, %s after the request came; it may have run%s", target, after, why)
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/bluebellctl/src/core.go
+++ b/bluebellctl/src/core.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/juju/errors"
 
@@ -24,6 +25,7 @@
 type env struct {
 	opts  *Options
 	store bbstore.Store
+	in    io.Reader
 	out   io.Writer
 	info  io.Writer // progress, for people
 }
@@ -41,6 +43,7 @@
 	billCommands(app, commands)
 	statusCommands(app, commands)
 	orderCommands(app, commands)
+	explainCommands(app, commands)
 	name, code, ok := bbcli.Parse(app, args, stderr, opts.Check)
 	if !ok {
 		return code
@@ -49,7 +52,7 @@
 	defer closeStore()
 	ctx, cancel := context.WithTimeout(context.Background(), opts.Timeout)
 	defer cancel()
-	return report(commands[name](ctx, &env{opts: opts, store: store, out: stdout, info: stderr}), stderr)
+	return report(commands[name](ctx, &env{opts: opts, store: store, in: os.Stdin, out: stdout, info: stderr}), stderr)
 }
 
 // report prints the error and returns the exit code for it.
--- /dev/null
+++ b/bluebellctl/src/explain_test.go
@@ -0,0 +1,62 @@
+package bbctl
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"bluebellport.example/shared/bbcli"
+)
+
+const (
+	logOne = "testdata/explain-one.log"
+	logTwo = "testdata/explain-two.log"
+)
+
+// A request is told over all instances, whatever the order of their files, with
+// what each believed then.
+func TestExplain(t *testing.T) {
+	d := newDesk(t)
+	for _, request := range []string{"r1", "r2", "r3", "r4", "r5"} {
+		t.Run(request, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errs := d.run("explain", request, logTwo, logOne)
+			is.Equal(code, bbcli.ExitOK)
+			is.Equal(errs, "15 lines read, 2 of them not of an instance\n")
+			goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "explain-"+request, []byte(out))
+			_, again, _ := d.run("explain", request, logOne, logTwo)
+			is.Equal(again, out)
+		})
+	}
+}
+
+func TestExplainSaysWhereItLooked(t *testing.T) {
+	is := is.New(t)
+	d := newDesk(t)
+	code, _, errs := d.run("explain", "r9", logOne, logTwo)
+	is.Equal(code, bbcli.ExitUsage)
+	is.True(strings.Contains(errs, `no line of "r9" in `+logOne+", "+logTwo+" (15 lines read, 2 of them not of an instance)"))
+	code, _, errs = d.run("explain", "r1", "testdata/none.log")
+	is.Equal(code, bbcli.ExitUsage)
+	is.True(strings.Contains(errs, "none.log"))
+}
+
+// Without files standard input is read; a life of an instance knows nothing of
+// the one before.
+func TestExplainStandardInput(t *testing.T) {
+	is := is.New(t)
+	lines, err := os.ReadFile(logOne)
+	is.NoErr(err)
+	restart := `{"event":"start","instance":"edge-a-1","msg":"serving","time":"2026-12-04T01:01:00Z"}
+{"after":0.5,"instance":"edge-a-1","msg":"refused","reason":"nothing is in force here yet","request":"r6","status":503,"time":"2026-12-04T01:01:01Z"}
+`
+	var out, info bytes.Buffer
+	e := &env{opts: &Options{Output: formatJSON}, in: strings.NewReader(string(lines) + restart), out: &out, info: &info}
+	is.NoErr(explain(e, "r6", nil))
+	is.True(strings.Contains(out.String(), "nothing is in force here yet"))
+	is.True(!strings.Contains(out.String(), "plan in force"))
+}
