--- a/bluebellctl/src/cause.go
+++ b/bluebellctl/src/cause.go
@@ -19,6 +19,8 @@
 		return why
 	case "attempt failed":
 		return failure(&last.Line)
+	case "request cut":
+		return fmt.Sprintf("the instance stopped %s after the request came; target %q had not answered whole", milliseconds(last.Line.number("ms")), last.Line.text("target"))
 	case "served":
 		return fmt.Sprintf("answered by target %s after %.0f ms and %.0f sends", last.Line.text("target"), last.Line.number("ms"), last.Line.number("sends"))
 	}
--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -45,6 +45,7 @@
 // attempt sends the request to one target and passes its answer on.
 func (x *exchange) attempt(s *Server) ending {
 	x.tried = append(x.tried, s.ID)
+	x.at.Store(s)
 	ctx, cancel := x.context()
 	defer cancel()
 	if !time.Now().Before(x.end) {
--- a/bluebellport/door/bed_test.go
+++ b/bluebellport/door/bed_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -50,6 +51,25 @@
 	stop   context.CancelFunc
 	served chan error
 	calls  int
+	logs   lines
+}
+
+// lines are what the door has logged.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func freeAddress(t *testing.T) string {
@@ -121,7 +141,8 @@
 func (b *bed) start() {
 	b.t.Helper()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(&b.logs)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	var ctx context.Context
 	ctx, b.stop = context.WithCancel(context.Background())
 	b.served = make(chan error, 1)
--- a/bluebellport/door/caller.go
+++ b/bluebellport/door/caller.go
@@ -21,6 +21,8 @@
 	door *Door
 	// idle tells that no request is under way, so that a stop may close it.
 	idle atomic.Bool
+	// under is the request under way, nil when there is none.
+	under atomic.Pointer[exchange]
 }
 
 // limits returns the limits in force.
@@ -92,7 +94,9 @@
 	}()
 	x := &exchange{door: c.door, caller: c, q: q, gone: gone}
 	stopWatch := x.abortWhen(gone)
+	c.under.Store(x)
 	keep := x.run()
+	c.under.Store(nil)
 	stopWatch()
 	if q.Close || !keep || c.door.board.closing() {
 		_ = c.SetReadDeadline(time.Now())
--- a/bluebellport/door/constants.go
+++ b/bluebellport/door/constants.go
@@ -102,6 +102,9 @@
 	graceSlack = 1200 * time.Millisecond
 )
 
+// cutTold is how many of the requests that a stop cuts are logged.
+const cutTold = 16
+
 // servedSample is how many served requests there are to one that is logged.
 const servedSample = 16
 
--- a/bluebellport/door/core.go
+++ b/bluebellport/door/core.go
@@ -159,21 +159,35 @@
 	select {
 	case <-done:
 	case <-time.After(time.Until(end)):
-		d.log.WithFields(logrus.Fields{"event": "cut", "open": d.busy()}).Warn("requests still open at the end of the grace")
+		d.tellCut()
 	}
 }
 
-// busy returns how many connections have a request under way.
-func (d *Door) busy() int {
+// tellCut logs the requests that are still open at the end of the grace, up to
+// cutTold of them.
+func (d *Door) tellCut() {
+	open := d.underWay()
+	d.log.WithFields(logrus.Fields{"event": "cut", "open": len(open)}).Warn("requests still open at the end of the grace")
+	for _, x := range open[:min(len(open), cutTold)] {
+		f := logrus.Fields{"request": x.q.Attempt, "ms": time.Since(x.q.At).Milliseconds()}
+		if s := x.at.Load(); s != nil {
+			f["target"] = s.ID
+		}
+		d.log.WithFields(f).Warn("request cut")
+	}
+}
+
+// underWay returns the open requests.
+func (d *Door) underWay() []*exchange {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := 0
+	var open []*exchange
 	for c := range d.callers {
-		if !c.idle.Load() {
-			n++
+		if x := c.under.Load(); x != nil {
+			open = append(open, x)
 		}
 	}
-	return n
+	return open
 }
 
 // closeIdle closes connections without a request.
--- a/bluebellport/door/door_test.go
+++ b/bluebellport/door/door_test.go
@@ -323,3 +323,18 @@
 	is.NoErr(err)
 	is.True(after >= 1 && after <= comeBackMost.Seconds())
 }
+
+// A stop that has to cut a request says which one, and whose answer it waited for.
+func TestCutIsTold(t *testing.T) {
+	b := newBed(t, 100_000)
+	b.set.Grace = 1500 * time.Millisecond
+	b.target(bbplatformstand.TargetOptions{ID: "t1", Service: "llm", Engine: true, Events: 1000, Pause: 20 * time.Millisecond})
+	b.start()
+	go func() { b.call("POST", "/once/1", "prompt", bbplatform.HeaderUsage, "100,200") }()
+	time.Sleep(100 * time.Millisecond)
+	b.stop()
+	b.eventually("the cut is logged", func() bool {
+		text := b.logs.String()
+		return strings.Contains(text, `"msg":"request cut"`) && strings.Contains(text, `"target":"t1"`)
+	})
+}
--- a/bluebellport/door/exchange.go
+++ b/bluebellport/door/exchange.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,6 +38,7 @@
 	sends  int           // attempts of which bytes left
 	unsent int           // attempts of which none did
 	tried  []bbunit.TargetID
+	at     atomic.Pointer[Server] // tried last
 	// ran tells that a target may have run the request.
 	ran    bool
 	stream stream
--- a/bluebellport/door/tally.go
+++ b/bluebellport/door/tally.go
@@ -12,7 +12,7 @@
 	reg metrics.Registry
 	// served are answers of targets that were passed on, failures included.
 	served metrics.Counter
-	// own is the time from a request's head to its first send, which is the
+	// own is the time from a whole request to its first send, which is the
 	// instance's own part; first is that to the first event of a stream or to a
 	// whole plain answer. Both in microseconds.
 	own, first metrics.Histogram
--- a/bluebellport/src/native.go
+++ b/bluebellport/src/native.go
@@ -22,6 +22,10 @@
 // nativeLines is how many log lines a second an instance writes at most.
 const nativeLines = 100
 
+// nativeTime is the form of the time in log lines: milliseconds, so that lines of
+// several instances can be put in order.
+const nativeTime = "2006-01-02T15:04:05.000Z07:00"
+
 // Gossip between instances on the platform.
 const (
 	nativePeriod    = time.Second
@@ -42,7 +46,7 @@
 	defer flush(time.Second)
 	log := logrus.New()
 	log.SetOutput(out)
-	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: nativeTime})
 	set, err := readSettings(log)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
