--- a/bluebellport/src/front_test.go
+++ b/bluebellport/src/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -262,12 +263,12 @@
 
 // scrub takes the made request id out of a problem.
 func scrub(body string) string {
-	if i := strings.Index(body, `,"request":"0`); i >= 0 {
-		return body[:i] + "}"
-	}
-	return body
+	return madeID.ReplaceAllString(body, "")
 }
 
+// madeID is a request id that the instance made.
+var madeID = regexp.MustCompile(`,"request":"0[^"]*"`)
+
 // TestPlainPassedWhole checks what reaches a plain service and what comes back.
 func TestPlainPassedWhole(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/bluebellport/src/openai_test.go
@@ -0,0 +1,35 @@
+package bbport
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+// A published client library shows why a request was refused, and that it has
+// not run.
+func TestClientLibraryReadsRefusals(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	for key, want := range map[string]struct {
+		status  int
+		message string
+	}{
+		"nobody":   {http.StatusUnauthorized, "unknown API key"},
+		"poor-key": {http.StatusPaymentRequired, "budget exhausted"},
+	} {
+		client := openai.NewClient(option.WithBaseURL(b.url+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+		_, err := client.Chat.Completions.New(t.Context(), openai.ChatCompletionNewParams{
+			Model: "chat", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hi")},
+		})
+		var told *openai.Error
+		is.True(errors.As(err, &told))
+		is.Equal(told.StatusCode, want.status)
+		is.Equal(told.Message, want.message)
+		is.Equal(told.Code, "not-run")
+	}
+}
--- a/bluebellport/src/refusal.go
+++ b/bluebellport/src/refusal.go
@@ -45,6 +45,33 @@
 	Detail  string         `json:"detail,omitempty"`
 	Outcome bbunit.Outcome `json:"outcome"`
 	Request string         `json:"request,omitempty"`
+	Error   problemError   `json:"error"`
+}
+
+// problemError says the same in the form that client libraries of the chat
+// interface read.
+type problemError struct {
+	Message string         `json:"message"`
+	Type    string         `json:"type"`
+	Code    bbunit.Outcome `json:"code"`
+}
+
+// Types of errors that client libraries tell apart.
+const (
+	typeRequest = "invalid_request_error"
+	typeServer  = "server_error"
+)
+
+// error returns the refusal as client libraries read it.
+func (r refusal) error() problemError {
+	e := problemError{Message: r.Title, Type: typeRequest, Code: r.Outcome}
+	if r.Detail != "" {
+		e.Message = r.Detail
+	}
+	if r.Status >= http.StatusInternalServerError {
+		e.Type = typeServer
+	}
+	return e
 }
 
 // body returns the problem details for the request id.
@@ -56,6 +83,7 @@
 		Detail:  r.Detail,
 		Outcome: r.Outcome,
 		Request: string(id),
+		Error:   r.error(),
 	})
 	if err != nil {
 		return []byte(`{"type":"about:blank","title":"internal error","status":500,"outcome":"unknown"}`)
