--- a/shared/bbshare/book.go
+++ b/shared/bbshare/book.go
@@ -24,6 +24,10 @@
 	// Part bounds the shares of all holders together, in parts of what is free;
 	// each gets of it as much as its part of what was spent.
 	Part float64
+	// Waste is how much kills may waste, in parts of what the account has paid,
+	// before Part shrinks to its Least part: where instances keep dying, their
+	// shares are small.
+	Waste, Least float64
 	// Prior is what all holders together count as having spent before they have,
 	// in parts of what the account has paid.
 	Prior float64
@@ -40,7 +44,7 @@
 
 // DefaultRule draws for a few seconds of demand.
 func DefaultRule() Rule {
-	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Prior: 0.016, Rows: 32}
+	return Rule{Horizon: 15 * time.Second, Low: 0.7, Floor: 0.005, Part: 0.25, Waste: 0.1, Least: 0.2, Prior: 0.016, Rows: 32}
 }
 
 // unmetAhead is how many times what is asked for in vain is drawn ahead, while
@@ -254,7 +258,7 @@
 	share := l.rate * b.rule.Horizon.Seconds()
 	share = max(share, float64(b.largest), float64(l.paid)*b.rule.Floor, unmetAhead*float64(unmet))
 	have := l.Purse.avail.Load()
-	share = min(share, b.rule.Part*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, holders))
+	share = min(share, b.part(l)*float64(free+bbunit.Tokens(max(have, 0)))*b.weight(l, holders))
 	if b.leaving || l.guest {
 		share = 0
 	}
@@ -273,6 +277,16 @@
 	return to, false
 }
 
+// part is how much of what is free all holders together may have: the less, the
+// more kills have wasted of the account already.
+func (b *Book) part(l *Line) float64 {
+	if l.paid <= 0 {
+		return b.rule.Part
+	}
+	wasted := float64(l.row.Lost) / (b.rule.Waste * float64(l.paid))
+	return b.rule.Part * max(1-wasted, b.rule.Least)
+}
+
 // weight is this instance's part of what has been spent, as the row tells.
 func (b *Book) weight(l *Line, holders int) float64 {
 	sum := b.rule.Prior * float64(l.paid)
--- a/shared/bbshare/row.go
+++ b/shared/bbshare/row.go
@@ -27,7 +27,10 @@
 // Row is one account's state in the store.
 type Row struct {
 	// Closed is what holders had that are no more.
-	Closed  bbunit.Tokens             `json:"closed"`
+	Closed bbunit.Tokens `json:"closed"`
+	// Lost is the part of that which was not known to be spent when its holder
+	// died: kills have wasted at most so much.
+	Lost    bbunit.Tokens             `json:"lost,omitempty"`
 	Holders map[bbunit.HolderID]Grant `json:"holders,omitempty"`
 }
 
@@ -75,13 +78,14 @@
 // with returns a copy in which the holder has the grant, and earlier lives of
 // its instance are closed at all that they were granted.
 func (r Row) with(id bbunit.HolderID, g Grant) Row {
-	next := Row{Closed: r.Closed, Holders: maps.Clone(r.Holders)}
+	next := Row{Closed: r.Closed, Lost: r.Lost, Holders: maps.Clone(r.Holders)}
 	if next.Holders == nil {
 		next.Holders = map[bbunit.HolderID]Grant{}
 	}
 	for other, old := range r.Holders {
 		if other != id && instanceOf(other) == instanceOf(id) {
 			next.Closed += old.Granted
+			next.Lost += max(old.Granted-old.Spent, 0)
 			delete(next.Holders, other)
 		}
 	}
--- a/shared/bbshare/share_test.go
+++ b/shared/bbshare/share_test.go
@@ -296,3 +296,27 @@
 		}
 	})
 }
+
+// A life that is closed by the next one of its instance may have wasted what it
+// was not known to have spent. The more kills have wasted, the less of what is free
+// is handed out; where nothing was wasted, as much as ever.
+func TestSharesShrinkWhereInstancesDie(t *testing.T) {
+	is := is.New(t)
+	first, second := NewHolder("i1", "i1:1", "a"), NewHolder("i1", "i1:1", "b")
+	row := Row{}.with(first, Grant{Granted: 300, Spent: 100}).with(second, Grant{Granted: 50})
+	is.Equal(row.Closed, bbunit.Tokens(300))
+	is.Equal(row.Lost, bbunit.Tokens(200))
+	is.Equal(row.without(second, 20).Lost, bbunit.Tokens(200)) // an end in order wastes nothing
+	again, err := ParseRow(row.Encode())
+	is.NoErr(err)
+	is.Equal(again.Lost, row.Lost)
+
+	b := NewBook(second, "m/", DefaultRule())
+	b.Pay("a", 1000)
+	l := b.Line("a")
+	is.Equal(b.part(l), b.rule.Part)
+	l.row.Lost = 50
+	is.True(b.part(l) < b.rule.Part && b.part(l) > b.rule.Part*b.rule.Least)
+	l.row.Lost = 900
+	is.Equal(b.part(l), b.rule.Part*b.rule.Least)
+}
