--- a/bluebellport/door/attempt.go
+++ b/bluebellport/door/attempt.go
@@ -51,7 +51,7 @@
 	if !time.Now().Before(x.end) {
 		return ending{kind: endLate}
 	}
-	c, err := s.pool.take(ctx, false)
+	c, err := s.pool.take(ctx)
 	if err != nil {
 		return ending{kind: endUnsent, err: err, silent: true}
 	}
--- a/bluebellport/door/body.go
+++ b/bluebellport/door/body.go
@@ -11,11 +11,9 @@
 
 // body reads a message's body and knows whether it ended whole.
 type body struct {
-	br   *bufio.Reader
-	kind framing
-	left int64 // of the length, or of the chunk
-	// first tells that no chunk has been read.
-	begun bool
+	br    *bufio.Reader
+	kind  framing
+	left  int64 // of the length, or of the chunk
 	ended bool
 	// unframed bodies end with their connection.
 	unframed bool
--- a/bluebellport/door/follow.go
+++ b/bluebellport/door/follow.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
 )
@@ -60,7 +61,7 @@
 	for ctx.Err() == nil {
 		if !f.duty() {
 			f.handed()
-			sleep(ctx, dutyEvery)
+			bbclock.Wait(ctx, dutyEvery)
 			continue
 		}
 		entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
@@ -72,7 +73,7 @@
 			err = f.watchPlan(ctx, entry.Rev)
 		}
 		f.dependency(err)
-		sleep(ctx, pause)
+		bbclock.Wait(ctx, pause)
 		pause = min(2*pause, storePauseMost)
 	}
 }
@@ -167,7 +168,7 @@
 	pause := storePause
 	for ctx.Err() == nil {
 		if !f.duty() {
-			sleep(ctx, dutyEvery)
+			bbclock.Wait(ctx, dutyEvery)
 			continue
 		}
 		entries, at, err := f.store.List(ctx, bbplatform.PrefixTargets)
@@ -181,7 +182,7 @@
 		f.mu.Lock()
 		f.troubleAt = f.now()
 		f.mu.Unlock()
-		sleep(ctx, pause)
+		bbclock.Wait(ctx, pause)
 		pause = min(2*pause, storePauseMost)
 	}
 }
@@ -200,7 +201,7 @@
 		if f.waiting() {
 			pause = returnTime / 4
 		}
-		sleep(ctx, pause)
+		bbclock.Wait(ctx, pause)
 		if ctx.Err() != nil || !f.duty() {
 			return true
 		}
@@ -327,13 +328,3 @@
 	}
 	return changed
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/bluebellport/door/forward.go
+++ b/bluebellport/door/forward.go
@@ -25,20 +25,15 @@
 // named returns the fields that a Connection field calls its own, in lower case.
 func (f Fields) named() map[string]bool {
 	var out map[string]bool
-	for i := range f {
-		if !strings.EqualFold(f[i].Name, "Connection") {
+	for token := range f.tokens("Connection") {
+		name := strings.ToLower(token)
+		if name == "" || name == "close" || name == "keep-alive" || protected[name] {
 			continue
 		}
-		for part := range strings.SplitSeq(f[i].Value, ",") {
-			name := strings.ToLower(strings.TrimSpace(part))
-			if name == "" || name == "close" || name == "keep-alive" || protected[name] {
-				continue
-			}
-			if out == nil {
-				out = map[string]bool{}
-			}
-			out[name] = true
+		if out == nil {
+			out = map[string]bool{}
 		}
+		out[name] = true
 	}
 	return out
 }
@@ -92,14 +87,19 @@
 	return append(b, "\r\n"...)
 }
 
-// answerHead returns the head of a target's answer as the caller gets it.
-func answerHead(a *Answer, length int, closing bool) []byte {
+// statusLine begins the head of an answer.
+func statusLine(status int, reason string) []byte {
 	b := make([]byte, 0, 512)
 	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(a.Status), 10)
+	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
-	b = append(b, a.Reason...)
-	b = append(b, "\r\n"...)
+	b = append(b, reason...)
+	return append(b, "\r\n"...)
+}
+
+// answerHead returns the head of a target's answer as the caller gets it.
+func answerHead(a *Answer, length int, closing bool) []byte {
+	b := statusLine(a.Status, a.Reason)
 	named := a.Fields.named()
 	for i := range a.Fields {
 		name := strings.ToLower(a.Fields[i].Name)
--- a/bluebellport/door/head.go
+++ b/bluebellport/door/head.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"iter"
 	"strconv"
 	"strings"
 
@@ -172,16 +173,27 @@
 	"upgrade": true, "content-length": true, "expect": true,
 }
 
+// tokens are those of all fields of a name, whose values are lists of them.
+func (f Fields) tokens(name string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := range f {
+			if !strings.EqualFold(f[i].Name, name) {
+				continue
+			}
+			for part := range strings.SplitSeq(f[i].Value, ",") {
+				if !yield(strings.TrimSpace(part)) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // hasToken tells whether a field that lists tokens has one.
 func (f Fields) hasToken(name, token string) bool {
-	for i := range f {
-		if !strings.EqualFold(f[i].Name, name) {
-			continue
-		}
-		for part := range strings.SplitSeq(f[i].Value, ",") {
-			if strings.EqualFold(strings.TrimSpace(part), token) {
-				return true
-			}
+	for t := range f.tokens(name) {
+		if strings.EqualFold(t, token) {
+			return true
 		}
 	}
 	return false
--- a/bluebellport/door/loan.go
+++ b/bluebellport/door/loan.go
@@ -79,13 +79,11 @@
 	}
 	m.book.SetHorizon(horizon)
 	plan := m.board.Plan.Load()
-	if !large {
-		for id := range plan.Accounts {
-			m.book.SetHome(id, true, false)
-		}
-		return holders
+	if large {
+		l.locate(v, plan)
+	} else {
+		l.known = homeMap{}
 	}
-	l.locate(v, plan)
 	for id := range plan.Accounts {
 		home, ok := l.known.at[id]
 		here := !ok || home.ID == v.Self.ID || v.Self.Leaving
--- a/bluebellport/door/meter.go
+++ b/bluebellport/door/meter.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/shared/bbclock"
 )
 
 // meter counts the bytes that an instance reads and writes.
@@ -87,7 +89,7 @@
 	g := guard{limit: d.set.LinkMbps * 1e6 / 8}
 	in, out, at := d.meter.in.Load(), d.meter.out.Load(), d.now()
 	for ctx.Err() == nil {
-		sleep(ctx, guardEvery)
+		bbclock.Wait(ctx, guardEvery)
 		in2, out2, at2 := d.meter.in.Load(), d.meter.out.Load(), d.now()
 		dt := max(at2.Sub(at).Seconds(), guardEvery.Seconds())
 		rate := float64(max(in2-in, out2-out)) / dt
--- a/bluebellport/door/money.go
+++ b/bluebellport/door/money.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbstore"
@@ -188,7 +189,7 @@
 		case <-t.C:
 		case <-m.poke:
 			if m.board.Homes() {
-				sleep(ctx, homeBatch) // one write for what several members need
+				bbclock.Wait(ctx, homeBatch) // one write for what several members need
 			}
 		}
 		if m.board.Plan.Load() == nil {
@@ -279,7 +280,7 @@
 	}
 	if err != nil && !errors.Is(err, bbstore.ErrConflict) {
 		m.pause = min(max(2*m.pause, storePause), moneyPauseMost)
-		sleep(ctx, m.pause)
+		bbclock.Wait(ctx, m.pause)
 	} else {
 		m.pause = 0
 	}
--- a/bluebellport/door/pool.go
+++ b/bluebellport/door/pool.go
@@ -24,7 +24,6 @@
 	keep   bool
 	idle   time.Duration
 	parked time.Time
-	reused bool
 }
 
 // pool keeps the connections to one target.
@@ -37,15 +36,10 @@
 	load    func(running, waiting, slots int)
 }
 
-// take returns a connection, kept or fresh. Fresh opens a new one in any case.
-func (p *pool) take(ctx context.Context, fresh bool) (*targetConn, error) {
-	for !fresh {
-		c := p.pop()
-		if c == nil {
-			break
-		}
+// take returns a connection that was kept, or else a new one.
+func (p *pool) take(ctx context.Context) (*targetConn, error) {
+	for c := p.pop(); c != nil; c = p.pop() {
 		if time.Since(c.parked) < c.idle && quiet(c.Conn) && c.br.Buffered() == 0 {
-			c.reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/bluebellport/door/ready.go
+++ b/bluebellport/door/ready.go
@@ -22,10 +22,7 @@
 		}
 		return c.SendStatus(http.StatusServiceUnavailable)
 	})
-	app.Get(pathMetrics, func(c *fiber.Ctx) error {
-		c.Set("Content-Type", bbmetrics.ContentType)
-		return c.Send(bbmetrics.Text(d.tally.reg))
-	})
+	app.Get(pathMetrics, bbmetrics.Page(d.tally.reg))
 	if err := app.Listener(ln); err != nil && d.board.Leaving.Load() == false {
 		d.log.WithError(err).Error("readiness not served")
 	}
--- a/bluebellport/door/refusal.go
+++ b/bluebellport/door/refusal.go
@@ -48,12 +48,7 @@
 	if err != nil {
 		body = nil // strings and a number always encode
 	}
-	b := make([]byte, 0, 512)
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(r.Status), 10)
-	b = append(b, ' ')
-	b = append(b, text...)
-	b = append(b, "\r\n"...)
+	b := statusLine(r.Status, text)
 	if attempt != "" {
 		b = appendField(b, "Attempt-Id", attempt)
 	}
--- a/bluebellport/door/register.go
+++ b/bluebellport/door/register.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
@@ -78,7 +79,7 @@
 				cancel()
 			}
 		}
-		sleep(ctx, 2*storePause)
+		bbclock.Wait(ctx, 2*storePause)
 	}
 }
 
@@ -99,7 +100,7 @@
 // renew returns once the lease is gone or ctx ends.
 func (r *register) renew(ctx context.Context, lease bbstore.LeaseID) {
 	for {
-		sleep(ctx, leaseRenew)
+		bbclock.Wait(ctx, leaseRenew)
 		if ctx.Err() != nil {
 			return
 		}
@@ -114,7 +115,7 @@
 	for ctx.Err() == nil {
 		if !r.duty() {
 			r.board.Instances.Store(int64(max(len(r.fleet.View().Members), 1)))
-			sleep(ctx, time.Second)
+			bbclock.Wait(ctx, time.Second)
 			continue
 		}
 		entries, at, err := r.store.List(ctx, instancesPrefix)
@@ -126,7 +127,7 @@
 			r.tell()
 			r.changes(ctx, at)
 		}
-		sleep(ctx, 2*storePause)
+		bbclock.Wait(ctx, 2*storePause)
 	}
 }
 
@@ -144,7 +145,7 @@
 		if len(events) > 0 {
 			r.tell()
 		}
-		sleep(ctx, 2*storePause) // many join at once
+		bbclock.Wait(ctx, 2*storePause) // many join at once
 		if ctx.Err() != nil || !r.duty() {
 			return
 		}
--- a/bluebellport/door/relay.go
+++ b/bluebellport/door/relay.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
@@ -79,7 +80,7 @@
 // out of reach, until ctx ends.
 func (r *relay) run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
-		sleep(ctx, relayEvery)
+		bbclock.Wait(ctx, relayEvery)
 		peers := r.peers(1)
 		if len(peers) == 0 {
 			continue
@@ -151,7 +152,7 @@
 // fetch gets the newest plan that was heard of; one at a time does.
 func (r *relay) fetch(from bbunit.InstanceID, wait time.Duration) {
 	ctx := context.Background()
-	sleep(ctx, wait)
+	bbclock.Wait(ctx, wait)
 	if !r.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/bluebellport/metrics/text.go
+++ b/bluebellport/metrics/text.go
@@ -8,11 +8,12 @@
 	"sort"
 	"strings"
 
+	"github.com/gofiber/fiber/v2"
 	"github.com/rcrowley/go-metrics"
 )
 
-// ContentType is that of the text.
-const ContentType = "text/plain; version=0.0.4"
+// contentType is that of the text.
+const contentType = "text/plain; version=0.0.4"
 
 // prefix stands before all names.
 const prefix = "bluebellport_"
@@ -23,6 +24,14 @@
 // nsPerSecond turns the nanoseconds of timers into seconds.
 const nsPerSecond = 1e9
 
+// Page returns a handler that answers with a registry's text.
+func Page(r metrics.Registry) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, contentType)
+		return c.Send(Text(r))
+	}
+}
+
 // Text writes a registry in the Prometheus text format, sorted by name. Timers
 // are in seconds.
 func Text(r metrics.Registry) []byte {
--- a/bluebellport/src/drain.go
+++ b/bluebellport/src/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"bluebellport.example/shared/bbclock"
 )
 
 // frontDrainPoll is how often a stopping instance looks whether its requests ended.
@@ -13,24 +15,12 @@
 // to open a new connection; then it refuses new ones and waits for the open
 // ones until ctx ends.
 func (f *Front) drain(ctx context.Context) {
-	wait(ctx, f.opts.Linger)
+	bbclock.Wait(ctx, f.opts.Linger)
 	f.parts.Board.Draining.Store(true)
 	for f.open.Load() > 0 {
-		if !wait(ctx, frontDrainPoll) {
+		if !bbclock.Wait(ctx, frontDrainPoll) {
 			f.parts.Log.WithField("event", "drain").WithField("open", f.open.Load()).Error("drain limit reached with requests open")
 			return
 		}
 	}
 }
-
-// wait sleeps and returns false when ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bluebellport/src/treasury.go
+++ b/bluebellport/src/treasury.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 
+	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbledger"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
@@ -149,7 +150,7 @@
 	if err := t.drain(ctx); err != nil {
 		return err
 	}
-	wait(ctx, drainStay)
+	bbclock.Wait(ctx, drainStay)
 	return nil
 }
 
--- a/bluebellport/src/upstream.go
+++ b/bluebellport/src/upstream.go
@@ -12,6 +12,8 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"bluebellport.example/shared/bbclock"
 )
 
 // errNotSent marks an attempt of which no byte left for the target.
@@ -66,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() {
-		for wait(ctx, tendEvery) {
+		for bbclock.Wait(ctx, tendEvery) {
 			keep := map[string]bool{}
 			for _, list := range b.State.Load().ByService {
 				for _, t := range list {
