Log the limits that targets name and the fields of their answers that are not known

Callers saw nothing of it: a target in need got more requests than it takes, and no line, counter or field told that it had named a limit, whether the instance that sent to it knew, or that its answers had a field that nobody reads.

Now a change of a target's limit is a line, 'served' and 'attempt failed' name the limit known at the send, and each name of an unknown field of a target's answer is logged once and counted. What is sent where is unchanged.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -72,6 +72,7 @@
 		x.proxy.metrics.recordDispatch(x.req.ReceivedAt)
 	}
 	x.proxy.prefills.recordPrompt(target, x.uncachedPrompt)
+	x.limitAtSend, x.limitedAtSend = x.proxy.hints.limitOf(target)
 	sentAt := time.Now()
 	result := x.roundTrip(target, conn)
 	result.sentAt, result.connOpenedAt = sentAt, conn.openedAt
@@ -115,6 +116,7 @@
 	default:
 		conn.reusable = false // responded before the whole body was written
 	}
+	x.proxy.hints.record(target, resp)
 	return x.handleResponse(conn, resp)
 }
 
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -43,6 +43,10 @@
 	unsentAttempts int           // attempts of which no byte was sent
 	tried          []bbunit.TargetID
 	lastTarget     atomic.Pointer[Target] // target of the latest attempt
+	// limitAtSend is the limit that the target chosen last had named as the request
+	// was sent, if limitedAtSend.
+	limitAtSend   float64
+	limitedAtSend bool
 	// mayHaveRun reports that a target may have run the request.
 	mayHaveRun bool
 	stream     streamState
@@ -314,6 +318,9 @@
 		"request": x.req.AttemptID, "service": x.service, "target": target.ID, "end": result.kind.String(),
 		"sends": x.sentAttempts, "plan": x.plan.Version, "ms": time.Since(x.req.ReceivedAt).Milliseconds(), "inflight": target.State.InFlight(),
 	}
+	if x.limitedAtSend {
+		fields["limit"] = x.limitAtSend
+	}
 	if result.err != nil {
 		fields["error"] = result.err.Error()
 	}
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -38,6 +38,7 @@
 	log      logrus.FieldLogger
 	shares   *shareController
 	prefills *prefillNotifier
+	hints    *hintLog
 
 	crashes      *bbcrash.Tracker
 	crashWatch   *crashWatch
@@ -56,6 +57,7 @@
 // until the end of the grace period. It registers its metrics in registry.
 func Serve(ctx context.Context, settings bbplatform.Settings, peers PeerNetwork, registry metrics.Registry, log logrus.FieldLogger) error {
 	p := &Proxy{settings: settings, domain: settings.Domain, board: &Board{}, log: log, metrics: newProxyMetrics(registry), startedAt: time.Now(), conns: map[*clientConn]bool{}}
+	p.hints = newHintLog(log, registry)
 	p.board.Instances.Store(defaultInstances)
 	clientListener, err := net.Listen("tcp4", settings.FrontendAddress)
 	if err != nil {
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -80,6 +80,9 @@
 		"request": x.req.AttemptID, "service": x.service, "target": target.ID, "sends": x.sentAttempts,
 		"ms": time.Since(x.req.ReceivedAt).Milliseconds(), "inflight": target.State.InFlight(),
 	}
+	if x.limitedAtSend {
+		fields["limit"] = x.limitAtSend
+	}
 	if x.stream.eventCount > 0 {
 		fields["first"] = x.stream.firstEventAt.Sub(x.req.ReceivedAt).Milliseconds()
 		fields["gap"] = x.stream.longestGap.Milliseconds()
