--- a/e2e/native_test.go
+++ b/e2e/native_test.go
@@ -30,14 +30,15 @@
 	nativeStride       = 10
 )
 
-// nativePlan is a platform plan with an engine service and a plain service,
+// nativePlan is a platform plan with an engine service and two plain services,
 // each with one route, and one client account.
 var nativePlan = fmt.Sprintf(`{"version":1,"routes":[
 	{"name":"draft","host":%q,"path-prefix":"/draft/","kind":"streaming","service":"llm","timeout-ms":4000,"target-latency-ms":500,"target-gap-ms":300,"max-attempts":1},
-	{"name":"book","host":%q,"path-prefix":"/book/","kind":"non_idempotent","service":"desk","timeout-ms":4000,"target-latency-ms":500,"max-attempts":2}],
-	"services":[{"name":"llm","engine":{"slots":8,"kv-cache-tokens":100000,"stride":%d}},{"name":"desk"}],
+	{"name":"book","host":%q,"path-prefix":"/book/","kind":"non_idempotent","service":"desk","timeout-ms":4000,"target-latency-ms":500,"max-attempts":2},
+	{"name":"press","host":%q,"path-prefix":"/press/","kind":"idempotent","service":"press","timeout-ms":4000,"target-latency-ms":500,"max-attempts":2}],
+	"services":[{"name":"llm","engine":{"slots":8,"kv-cache-tokens":100000,"stride":%d}},{"name":"desk"},{"name":"press"}],
 	"limits":{"max-header-bytes":8192,"max-body-bytes":300000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
-	"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, nativeHost, nativeHost, nativeStride, nativeKey, nativePrepaid)
+	"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, nativeHost, nativeHost, nativeHost, nativeStride, nativeKey, nativePrepaid)
 
 // nativeInstance is one running "bluebellport native" process.
 type nativeInstance struct {
@@ -82,12 +83,13 @@
 }
 
 // startTarget starts a target and registers it in the store as ready.
-func (f *nativeFleet) startTarget(o bbplatformstand.TargetOptions) {
+func (f *nativeFleet) startTarget(o bbplatformstand.TargetOptions) *bbplatformstand.Target {
 	target, stop, err := bbplatformstand.NewTarget(o)
 	is.New(f.t).NoErr(err)
 	f.t.Cleanup(stop)
 	is.New(f.t).NoErr(target.Register(f.t.Context(), f.memStore, "ready"))
 	f.targets = append(f.targets, target)
+	return target
 }
 
 // startInstance writes the settings of an instance, starts it and waits until
