Share the identity of a target's run and the choice of random peers

Two copies of the choice of random peers become one method of the view, and the run of a target moves beside the target, since limits are about runs as well.

--- a/bluebellport/crash/message.go
+++ b/bluebellport/crash/message.go
@@ -48,7 +48,7 @@
 			return Record{}, errMalformed
 		}
 		crashes = append(crashes, Crash{
-			ID: CrashID(c.Id), Run: TargetRun{bbunit.TargetID(c.Target), c.Born}, Instance: bbunit.InstanceID(c.Instance),
+			ID: CrashID(c.Id), Run: TargetRun{ID: bbunit.TargetID(c.Target), StartedAtMillis: c.Born}, Instance: bbunit.InstanceID(c.Instance),
 			BrokenAt: now.Add(-age), SentAt: now.Add(-age - flight),
 			Excused: c.Excused, Disproved: c.Disproved, Counted: c.Counted, Doubted: c.Doubted,
 		})
--- a/bluebellport/crash/record.go
+++ b/bluebellport/crash/record.go
@@ -9,16 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbunit"
 )
 
 // TargetRun identifies one run of a target, from its start to its end.
-type TargetRun struct {
-	ID bbunit.TargetID
-	// StartedAtMillis is the start in milliseconds since the Unix epoch, 0 if
-	// unknown.
-	StartedAtMillis int64
-}
+type TargetRun = bbplan.TargetRun
 
 // CrashID is equal in all reports of one crash, whichever instance saw it.
 type CrashID uint64
--- a/bluebellport/crash/record_test.go
+++ b/bluebellport/crash/record_test.go
@@ -18,7 +18,7 @@
 // request in flight from one time to another, in seconds.
 func testCrash(i int, from, to float64) Crash {
 	seconds := func(s float64) time.Time { return testStart.Add(time.Duration(s * float64(time.Second))) }
-	run := TargetRun{bbunit.TargetID(fmt.Sprintf("t%d-%g", i, to)), 1}
+	run := TargetRun{ID: bbunit.TargetID(fmt.Sprintf("t%d-%g", i, to)), StartedAtMillis: 1}
 	return Crash{ID: newCrashID(run), Run: run, Instance: bbunit.InstanceID(fmt.Sprint("i", i)), SentAt: seconds(from), BrokenAt: seconds(to)}
 }
 
--- a/bluebellport/crash/simulation_test.go
+++ b/bluebellport/crash/simulation_test.go
@@ -239,7 +239,7 @@
 // newRun starts a target.
 func (s *simulation) newRun() TargetRun {
 	s.targets++
-	return TargetRun{bbunit.TargetID(fmt.Sprintf("i-%08x", s.targets)), 1e12 + s.targets}
+	return TargetRun{ID: bbunit.TargetID(fmt.Sprintf("i-%08x", s.targets)), StartedAtMillis: 1e12 + s.targets}
 }
 
 // crashTarget ends a target with requests in flight since sentAt, at random
--- a/bluebellport/crash/spread.go
+++ b/bluebellport/crash/spread.go
@@ -248,13 +248,5 @@
 
 // randomPeers returns up to n other instances, chosen at random.
 func (t *Tracker) randomPeers(n int) []bbunit.InstanceID {
-	members := t.ranking.view.Members
-	var out []bbunit.InstanceID
-	for tries := 0; len(out) < min(n, len(members)) && tries < 8*n; tries++ {
-		id := members[t.cfg.Rand(len(members))].ID
-		if id != t.ranking.view.Self.ID && !slices.Contains(out, id) {
-			out = append(out, id)
-		}
-	}
-	return out
+	return t.ranking.view.RandomOthers(n, t.cfg.Rand)
 }
--- a/bluebellport/crash/tracker_test.go
+++ b/bluebellport/crash/tracker_test.go
@@ -28,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s, n := newSingle()
-			run := TargetRun{"only", started}
+			run := TargetRun{ID: "only", StartedAtMillis: started}
 			n.observe(guilty, run, time.Millisecond)
 			is.True(!n.tracker.IsRefused(guilty))
 			s.run(time.Second)
--- a/bluebellport/proxy/prefill.go
+++ b/bluebellport/proxy/prefill.go
@@ -1,6 +1,7 @@
 package bbproxy
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bluebellport.example/shared/bbunit"
@@ -35,7 +36,7 @@
 	e := &bbwire.Envelope{Body: &bbwire.Envelope_Prefill{Prefill: &bbwire.Prefill{
 		Service: string(target.Service), Target: string(target.ID), Tokens: int64(n),
 	}}}
-	for _, id := range randomPeers(p.peers.View(), maxPrefillPeers) {
+	for _, id := range p.peers.View().RandomOthers(maxPrefillPeers, rand.IntN) {
 		_ = p.peers.Send(id, e) // not repeated if lost: a late message is useless
 	}
 }
--- a/bluebellport/proxy/relay.go
+++ b/bluebellport/proxy/relay.go
@@ -192,17 +192,8 @@
 }
 
 // pickPeers returns up to n other instances, chosen at random.
-func (r *relay) pickPeers(n int) []bbunit.InstanceID { return randomPeers(r.peers.View(), n) }
-
-// randomPeers returns up to n other instances of a view, chosen at random.
-func randomPeers(view *bbmember.View, n int) []bbunit.InstanceID {
-	var out []bbunit.InstanceID
-	for _, i := range rand.Perm(len(view.Members)) {
-		if m := view.Members[i]; m.ID != view.Self.ID && len(out) < n {
-			out = append(out, m.ID)
-		}
-	}
-	return out
+func (r *relay) pickPeers(n int) []bbunit.InstanceID {
+	return r.peers.View().RandomOthers(n, rand.IntN)
 }
 
 // storeUnreachable reports whether plan or targets have never been read, or
--- a/shared/bbmember/view.go
+++ b/shared/bbmember/view.go
@@ -4,6 +4,7 @@
 package bbmember
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -72,3 +73,16 @@
 	}
 	return Member{}, false
 }
+
+// RandomOthers returns up to n live members other than Self, chosen with random,
+// which returns a number below its argument.
+func (v *View) RandomOthers(n int, random func(n int) int) []bbunit.InstanceID {
+	var out []bbunit.InstanceID
+	for tries := 0; len(out) < min(n, len(v.Members)) && tries < 8*n; tries++ {
+		id := v.Members[random(len(v.Members))].ID
+		if id != v.Self.ID && !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/shared/bbplan/target.go
+++ b/shared/bbplan/target.go
@@ -1,6 +1,10 @@
 package bbplan
 
-import "bluebellport.example/shared/bbunit"
+import (
+	"cmp"
+
+	"bluebellport.example/shared/bbunit"
+)
 
 // Target is one server of a service, as registered in the list of targets.
 type Target struct {
@@ -16,3 +20,19 @@
 	// same id.
 	StartedAtMillis int64
 }
+
+// TargetRun identifies one run of a target, from its start to its end.
+type TargetRun struct {
+	ID bbunit.TargetID
+	// StartedAtMillis is the start in milliseconds since the Unix epoch, 0 if
+	// unknown.
+	StartedAtMillis int64
+}
+
+// Compare orders runs by target, then by start.
+func (r TargetRun) Compare(o TargetRun) int {
+	return cmp.Or(cmp.Compare(r.ID, o.ID), cmp.Compare(r.StartedAtMillis, o.StartedAtMillis))
+}
+
+// Run returns the run of the target.
+func (t *Target) Run() TargetRun { return TargetRun{t.ID, t.StartedAtMillis} }
