Keep the limit that a target names over all instances together

What callers saw: a target in need was sent several times the requests a second that it had named in Server-Limit, and became slower for everybody (LIMIT).

Cause: no instance read the field. Under it lies the class of the fault: a bound that belongs to the whole fleet was not held by anybody, and each instance could at best have held it alone.

The fix, bluebellport/limit: three homes of a target, by rendezvous hash, grant permits at the rate that it names, and most of them must grant each one. So any losses, or homes that some take for dead, let through at most one and a half times the rate; the first home alone decides as a rule, so that the rate itself is what gets through. A home that starts has no permit at hand. News that a target has a limit, or has none any more, is flooded, and compared until all know; who starts asks. Of answers that may have overtaken each other the stricter counts. Every send passes one place, which needs a permit for a target with a limit, also where the news came after the target was chosen.

Where a target without a limit is open, a request asks for a permit that comes at once and else goes there. Where all have limits it stands in line if it can then still be served; otherwise it is refused at once with the time of its own at which it should come back. An account that got more than its part can fill only a quarter of the line.

A run of it had one refusal: its first request came before the instance knew targets that the test had registered after it started; it now waits for that.

--- /dev/null
+++ b/bluebellport/limit/decision_test.go
@@ -0,0 +1,143 @@
+package bblimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+var start = time.Unix(1e9, 0)
+
+// at returns a statement of an answer to a request sent and heard at these times,
+// in milliseconds. A limit below 0 has ended.
+func at(sent, heard int, limit float64) Statement {
+	return Statement{
+		Limit: max(limit, 0), Ended: limit < 0,
+		SentAt: start.Add(time.Duration(sent) * time.Millisecond), HeardAt: start.Add(time.Duration(heard) * time.Millisecond),
+	}
+}
+
+func TestAnswersThatOvertakeEachOtherLeaveTheStricterLimit(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		old, new Statement
+		want     bool
+	}{
+		{"first", Statement{}, at(0, 10, 3), true},
+		{"later and stricter", at(0, 10, 3), at(500, 510, 2), true},
+		{"later and looser", at(0, 10, 3), at(500, 510, 4), true},
+		{"ended since", at(0, 10, 3), at(500, 510, -1), true},
+		{"older, comes last", at(500, 510, 3), at(0, 10, 2), false},
+		{"overlaps, stricter", at(0, 400, 3), at(300, 500, 2), true},
+		{"overlaps, looser", at(0, 400, 3), at(300, 500, 4), false},
+		{"overlaps, ended", at(0, 400, 3), at(300, 500, -1), false},
+		{"overlaps, named again", at(0, 400, -1), at(300, 500, 3), true},
+		{"overlaps, the same", at(0, 400, 3), at(300, 500, 3), true},
+		{"says nothing", at(0, 10, 3), Statement{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(c.old.replacedBy(&c.new), c.want)
+		})
+	}
+}
+
+func TestEveryFourSecondsOfALineKeepTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 50).Draw(t, "limit")
+		now := start
+		l := newLine(limit, now)
+		var usable []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "asks") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			n, delay := l.grant(now, rapid.IntRange(1, 4).Draw(t, "count"), 0, time.Duration(rapid.IntRange(0, 1500).Draw(t, "patience"))*time.Millisecond)
+			for range n {
+				usable = append(usable, now.Add(delay))
+			}
+		}
+		bound := int(max(limit, minRate)*simWindow.Seconds()) + l.burst() + 1
+		first := 0
+		for i := range usable {
+			for usable[i].Sub(usable[first]) >= simWindow {
+				first++
+			}
+			if i-first+1 > bound {
+				t.Fatalf("%d permits in 4 s, limit %g", i-first+1, limit)
+			}
+		}
+	})
+}
+
+func TestLineMovesWithItsLimit(t *testing.T) {
+	is := is.New(t)
+	l := newLine(10, start)
+	granted, delay := l.grant(start, 1, 0, time.Second)
+	is.Equal(granted, 1)
+	is.Equal(delay, 100*time.Millisecond) // nothing is at hand at first
+	l.setLimit(1, start)
+	_, delay = l.grant(start, 1, 0, 0)
+	is.Equal(delay, 2*time.Second)
+}
+
+// TestMostHomesHaveToGrantEachPermit guards against a bound that each home holds
+// alone: with any losses at most one and a half times what one home grants gets
+// through.
+func TestMostHomesHaveToGrantEachPermit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 5.0
+		homes := map[bbunit.InstanceID]*home{}
+		for i := range homeCount {
+			homes[bbunit.InstanceID(fmt.Sprint("h", i))] = newHome(limit, start)
+		}
+		now, permits := start, 0
+		steps := rapid.IntRange(1, 60).Draw(t, "asks")
+		for id := range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			r := &round{id: uint64(id), count: 1, startAt: now}
+			for i := range homeCount {
+				r.homes = append(r.homes, &homeState{id: bbunit.InstanceID(fmt.Sprint("h", i))})
+			}
+			for wait := time.Duration(0); wait <= askTimeout; wait += failoverInterval {
+				o, over := r.result(limit, now)
+				if over {
+					permits += o.Permit.Count
+					break
+				}
+				for _, h := range r.due(now.Add(wait)) {
+					h.sentAt = now.Add(wait)
+					h.tries++
+					if rapid.Bool().Draw(t, "lost") {
+						continue
+					}
+					answer := homes[h.id].answer(&ask{from: "a", id: r.id, count: 1, confirm: h.confirm}, limit, now, func(int) int { return 0 })
+					if rapid.Bool().Draw(t, "reply lost") {
+						continue
+					}
+					r.hear(h.id, answer, now)
+				}
+			}
+		}
+		burst := float64(minBurst + confirmBurst)
+		if bound := 1.5 * (limit*now.Sub(start).Seconds() + burst); float64(permits) > bound {
+			t.Fatalf("%d permits, at most %.1f", permits, bound)
+		}
+	})
+}
+
+func TestRepeatedQuestionGetsTheSameReply(t *testing.T) {
+	is := is.New(t)
+	h := newHome(4, start)
+	now := start.Add(10 * time.Second)
+	zero := func(int) int { return 0 }
+	question := &ask{from: "a", id: 1, count: 1}
+	is.Equal(h.answer(question, 4, now, zero).count, 1)
+	next := h.line.next
+	is.Equal(h.answer(question, 4, now.Add(time.Millisecond), zero).count, 1)
+	is.Equal(h.line.next, next) // nothing more is granted
+	is.Equal(h.answer(&ask{from: "b", id: 1, count: 1}, 4, now, zero).count, 1)
+	is.True(h.line.next.After(next))
+}
--- /dev/null
+++ b/bluebellport/limit/news.go
@@ -0,0 +1,231 @@
+package bblimit
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbhash"
+	"bluebellport.example/shared/bbplan"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// outgoing is a message to be sent once the lock is released.
+type outgoing struct {
+	to  bbunit.InstanceID
+	msg *bbwire.Limits
+}
+
+// learner is the state of an instance that has just started and asks which
+// targets have a limit. It is complete once an instance that is complete has
+// answered, or none has for long.
+type learner struct {
+	complete bool
+	nextAsk  time.Time
+	giveUpAt time.Time
+}
+
+// rankKey is the rendezvous hash key that ranks the homes of a target.
+func rankKey(run bbplan.TargetRun) string { return "limit\x00" + string(run.ID) }
+
+// digestOf returns a hash of the fact that a target has a limit.
+func digestOf(run bbplan.TargetRun) uint64 {
+	return bbhash.Mix(xxhash.Sum64String(string(run.ID)) ^ uint64(run.StartedAtMillis))
+}
+
+// questionOf returns the message that asks a home.
+func questionOf(e *entry, r *round, h *homeState, now time.Time) *bbwire.Limits {
+	return &bbwire.Limits{Ask: encodeAsk(r, h.confirm, encodeEntry(e.run, e.statement, now))}
+}
+
+// updateView follows the membership. Instances that have started know nothing, so
+// comparisons become frequent.
+func (k *Keeper) updateView(now time.Time) {
+	view := k.cfg.Network.View()
+	if view == k.view {
+		return
+	}
+	old := k.members
+	k.view, k.members = view, make(map[bbunit.InstanceID]bbunit.Incarnation, len(view.Members))
+	for _, m := range view.Members {
+		k.members[m.ID] = m.Inc
+		if inc, known := old[m.ID]; !known || inc != m.Inc {
+			k.busyUntil = now.Add(busyRoundPeriod)
+			delete(k.peers, m.ID)
+		}
+	}
+}
+
+// send sends messages. One that is lost is repeated by what comes later.
+func (k *Keeper) send(out []outgoing) {
+	for _, o := range out {
+		k.messages.Inc(1)
+		k.bytes.Inc(int64(proto.Size(o.msg)))
+		_ = k.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Limits{Limits: o.msg}})
+	}
+}
+
+// flood tells a few random instances of what changed here, and they tell others.
+func (k *Keeper) flood(now time.Time) []outgoing {
+	var entries []*bbwire.LimitEntry
+	for _, run := range slices.SortedFunc(maps.Keys(k.dirty), bbplan.TargetRun.Compare) {
+		e := k.entries[run]
+		if len(entries) == maxEntriesPerMessage || now.Sub(e.floodedAt) < minFloodInterval {
+			continue
+		}
+		e.floodedAt = now
+		delete(k.dirty, run)
+		entries = append(entries, encodeEntry(run, e.statement, now))
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	return k.toRandom(floodFanout, &bbwire.Limits{Entries: entries})
+}
+
+// compare starts a comparison with a random instance, if it is time and a target
+// is known to have or have had a limit.
+func (k *Keeper) compare(now time.Time) []outgoing {
+	if now.Before(k.nextRound) {
+		return nil
+	}
+	k.nextRound = now.Add(quietRoundInterval)
+	if now.Before(k.busyUntil) {
+		k.nextRound = now.Add(busyRoundInterval)
+	}
+	if len(k.entries) == 0 {
+		return nil
+	}
+	return k.toRandom(1, k.comparison(bbwire.Limits_COMPARE, false, now))
+}
+
+// learn asks two random instances, until this one is complete.
+func (k *Keeper) learn(now time.Time) []outgoing {
+	if k.learner.complete || now.Before(k.learner.nextAsk) {
+		return nil
+	}
+	if now.After(k.learner.giveUpAt) {
+		k.learner.complete = true // nobody is left who could know more
+		return nil
+	}
+	k.learner.nextAsk = now.Add(learnInterval)
+	return k.toRandom(2, k.comparison(bbwire.Limits_COMPARE, false, now))
+}
+
+// toRandom addresses a message to a few random instances.
+func (k *Keeper) toRandom(n int, msg *bbwire.Limits) []outgoing {
+	var out []outgoing
+	for _, id := range k.view.RandomOthers(n, k.cfg.Rand) {
+		out = append(out, outgoing{id, msg})
+	}
+	return out
+}
+
+// comparison returns a message of a comparison, with entries if wanted.
+func (k *Keeper) comparison(step bbwire.Limits_Step, withEntries bool, now time.Time) *bbwire.Limits {
+	msg := &bbwire.Limits{Step: step, Digest: k.digest, Complete: k.learner.complete}
+	if withEntries {
+		msg.Entries = k.someEntries(now)
+	}
+	return msg
+}
+
+// someEntries returns what fits in a message of the entries, chosen at random.
+func (k *Keeper) someEntries(now time.Time) []*bbwire.LimitEntry {
+	runs := slices.SortedFunc(maps.Keys(k.entries), bbplan.TargetRun.Compare)
+	var out []*bbwire.LimitEntry
+	for i := range min(len(runs), maxEntriesPerMessage) {
+		j := i + k.cfg.Rand(len(runs)-i)
+		runs[i], runs[j] = runs[j], runs[i]
+		out = append(out, encodeEntry(runs[i], k.entries[runs[i]].statement, now))
+	}
+	return out
+}
+
+// receive handles a message of another instance.
+func (k *Keeper) receive(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+	msg, now := e.GetLimits(), k.cfg.Now()
+	k.mu.Lock()
+	out := k.handle(from, msg, now)
+	k.mu.Unlock()
+	k.send(out)
+	return nil
+}
+
+// handle applies a message and returns the replies.
+func (k *Keeper) handle(from bbunit.InstanceID, msg *bbwire.Limits, now time.Time) []outgoing {
+	k.updateView(now)
+	delete(k.peers, from) // it is not silent
+	for _, m := range msg.Entries[:min(len(msg.Entries), maxEntriesPerMessage)] {
+		k.merge(from, m, now)
+	}
+	var out []outgoing
+	if msg.Ask != nil {
+		out = append(out, k.handleAsk(from, msg.Ask, now)...)
+	}
+	if msg.Tell != nil {
+		if k.merge(from, msg.Tell.Entry, now) != nil {
+			out = append(out, k.hearTell(from, decodeTell(msg.Tell), now)...)
+		}
+	}
+	if msg.Step != bbwire.Limits_NONE {
+		out = append(out, k.answerComparison(from, msg, now)...)
+	}
+	return append(out, k.flood(now)...)
+}
+
+// handleAsk answers a question for permits.
+func (k *Keeper) handleAsk(from bbunit.InstanceID, m *bbwire.PermitAsk, now time.Time) []outgoing {
+	e := k.merge(from, m.Entry, now)
+	if e == nil {
+		return nil
+	}
+	t := tell{id: m.Id}
+	if e.statement.named() {
+		t = k.answerAsk(e, decodeAsk(from, m), now)
+	}
+	return []outgoing{{from, &bbwire.Limits{Tell: encodeTell(&t, encodeEntry(e.run, e.statement, now))}}}
+}
+
+// answerComparison replies to a step of a comparison, unless both instances now
+// know the same.
+func (k *Keeper) answerComparison(from bbunit.InstanceID, msg *bbwire.Limits, now time.Time) []outgoing {
+	if msg.Complete && (msg.Step != bbwire.Limits_COMPARE || msg.Digest == k.digest) {
+		k.learner.complete = true
+	}
+	step := bbwire.Limits_ANSWER
+	switch {
+	case msg.Step == bbwire.Limits_LAST:
+		return nil
+	case msg.Step == bbwire.Limits_ANSWER:
+		step = bbwire.Limits_LAST
+	}
+	if msg.Digest != k.digest {
+		return []outgoing{{from, k.comparison(step, true, now)}}
+	}
+	if msg.Step == bbwire.Limits_COMPARE && !msg.Complete {
+		return []outgoing{{from, k.comparison(step, false, now)}}
+	}
+	return nil
+}
+
+// merge merges an entry of another instance and returns what is then known of its
+// target, nil if that is nothing.
+func (k *Keeper) merge(from bbunit.InstanceID, m *bbwire.LimitEntry, now time.Time) *entry {
+	run, s, err := decodeEntry(m, now)
+	if err != nil {
+		k.dropped.Inc(1)
+		k.cfg.Log.WithError(err).WithField("peer", from).Warn("entry of a limit dropped")
+		return nil
+	}
+	before := k.statementOf(run)
+	if k.apply(run, s, now) && before.named() != s.named() {
+		k.cfg.Log.WithFields(logrus.Fields{"event": "limit", "target": run.ID, "limit": s.Limit, "ended": s.Ended, "peer": from}).Info("limit learned")
+	}
+	return k.entries[run]
+}
--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -29,6 +29,9 @@
 	resultLate
 	// resultGone means that the client closed its connection.
 	resultGone
+	// resultNoPermit means that no byte was sent, as the target has named a limit
+	// since it was chosen.
+	resultNoPermit
 )
 
 // attemptResult describes how an attempt ended.
@@ -60,19 +63,26 @@
 	}
 	conn, err := target.conns.get(ctx)
 	if err != nil {
+		x.returnPermit(target)
 		return attemptResult{kind: resultUnsent, err: err, timedOut: true}
 	}
 	if !x.setConn(conn) {
 		_ = conn.Close()
+		x.returnPermit(target)
 		return attemptResult{kind: resultGone}
 	}
+	x.limitAtSend, x.limitedAtSend = x.proxy.limits.LimitOf(target.Run())
+	if x.limitedAtSend && !x.hasPermit {
+		x.setConn(nil)
+		conn.release()
+		return attemptResult{kind: resultNoPermit}
+	}
 	target.State.Begin()
 	defer target.State.End()
 	if x.sentAttempts++; x.sentAttempts == 1 {
 		x.proxy.metrics.recordDispatch(x.req.ReceivedAt)
 	}
 	x.proxy.prefills.recordPrompt(target, x.uncachedPrompt)
-	x.limitAtSend, x.limitedAtSend = x.proxy.hints.limitOf(target)
 	sentAt := time.Now()
 	result := x.roundTrip(target, conn)
 	result.sentAt, result.connOpenedAt = sentAt, conn.openedAt
@@ -83,6 +93,14 @@
 	return result
 }
 
+// returnPermit puts back the permit of an attempt that was not sent.
+func (x *exchange) returnPermit(target *Target) {
+	if x.hasPermit {
+		x.hasPermit = false
+		x.proxy.limits.Return(target.Run())
+	}
+}
+
 // roundTrip sends the request over conn, reads the response and passes it to
 // the client. A large body is written while the response is read, since a
 // target may respond before it has read the whole body.
@@ -94,6 +112,7 @@
 		opts.priority = -1
 	}
 	head := x.req.forwardHead(opts)
+	x.sentAt = x.proxy.now()
 	x.mayHaveRun = true // until the target rules it out
 	if len(x.req.Body) <= maxInlineBody {
 		_, err := conn.Write(append(head, x.req.Body...))
@@ -116,7 +135,7 @@
 	default:
 		conn.reusable = false // responded before the whole body was written
 	}
-	x.proxy.hints.record(target, resp)
+	x.proxy.hints.record(target, resp, x.req.AttemptID, x.sentAt, x.proxy.now())
 	return x.handleResponse(conn, resp)
 }
 
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -151,6 +151,14 @@
 	closeReadTimeout = 500 * time.Millisecond
 )
 
+// Permits for targets with a limit.
+const (
+	// maxPermitTries is how many targets with a limit are asked for one attempt.
+	maxPermitTries = 4
+	// retryAfterSpread is the largest random part of a Retry-After, as a part of it.
+	retryAfterSpread = 0.25
+)
+
 // This instance's part of what the fleet may use.
 const (
 	// defaultInstances is the assumed number of instances until they are counted.
--- a/bluebellport/proxy/crashwatch.go
+++ b/bluebellport/proxy/crashwatch.go
@@ -48,11 +48,6 @@
 	return &crashWatch{board: board, now: now, log: log, record: record, targets: map[bbcrash.TargetRun]*watchedTarget{}}
 }
 
-// runOf identifies the run of a target.
-func runOf(target *Target) bbcrash.TargetRun {
-	return bbcrash.TargetRun{ID: target.ID, StartedAtMillis: target.StartedAtMillis}
-}
-
 // attemptEnded is called after an attempt without a response. If the connection
 // broke, it looks whether the target has crashed, without waiting for that.
 func (w *crashWatch) attemptEnded(target *Target, attempt endedAttempt, connBroken bool) {
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -39,14 +39,16 @@
 	maxEventTokens bbunit.Tokens // in one event of a stream; 0 if the service has no engine
 
 	uncachedPrompt bbunit.Tokens // prompt tokens that the target chosen last has not cached
+	sentAt         time.Time     // of the latest attempt, on the proxy's clock
 	sentAttempts   int           // attempts of which any byte was sent
 	unsentAttempts int           // attempts of which no byte was sent
 	tried          []bbunit.TargetID
 	lastTarget     atomic.Pointer[Target] // target of the latest attempt
-	// limitAtSend is the limit that the target chosen last had named as the request
-	// was sent, if limitedAtSend.
-	limitAtSend   float64
-	limitedAtSend bool
+	// limitAtSend is the limit that the target chosen last was known to have as the
+	// request was sent, if limitedAtSend. hasPermit reports that the request has a
+	// permit for that target.
+	limitAtSend              float64
+	limitedAtSend, hasPermit bool
 	// mayHaveRun reports that a target may have run the request.
 	mayHaveRun bool
 	stream     streamState
@@ -203,6 +205,10 @@
 	switch result.kind {
 	case resultLate:
 		return refuseLate("the request's time is over"), false
+	case resultNoPermit:
+		x.tried = x.tried[:len(x.tried)-1]
+		x.unsentAttempts++
+		return refuseNotRun("the target's limit is used up", defaultRetryAfter), x.unsentAttempts <= maxUnsentAttempts
 	case resultUnsent:
 		x.unsentAttempts++
 		return refuseNotRun("no target could be reached", defaultRetryAfter), x.unsentAttempts <= maxUnsentAttempts
@@ -240,24 +246,24 @@
 }
 
 // chooseTarget returns the target for the next attempt, or the refusal if there
-// is none.
+// is none. It gets a permit for a target with a limit, and blocks for that.
 func (x *exchange) chooseTarget() (*Target, *Refusal) {
 	service := x.proxy.board.targetsOf(x.service)
 	if service == nil {
 		return nil, refuseNotRun("no target of the service is known", defaultRetryAfter)
 	}
-	now := x.proxy.now()
 	request := bbplace.Request{Domain: x.proxy.domain, Excluded: x.tried, Random: rand.Uint64()}
 	if x.maxEventTokens > 0 {
 		request.PromptHash, request.SharedTokens = x.req.SharedPrefix()
 		request.PromptTokens = x.req.PromptTokens
 	}
-	i, reason := bbplace.Choose(service.Candidates, &request, now)
-	if i >= 0 {
-		x.uncachedPrompt = request.UncachedTokens(bbplace.IsCacheTarget(service.Candidates, i, &request, now))
-		return service.Targets[i], nil
-	}
-	if reason == bbplace.ReasonAllFull {
+	target, reason := x.place(service, &request)
+	switch {
+	case target != nil:
+		return target, nil
+	case reason == bbplace.ReasonLimited:
+		return nil, x.refuseLimited(service, x.asker(service, &request, x.proxy.now()))
+	case reason == bbplace.ReasonAllFull:
 		return nil, refuseNotRun("the targets have no room", defaultRetryAfter)
 	}
 	return nil, refuseNotRun("no target of the service can be used", defaultRetryAfter)
--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -278,7 +278,7 @@
 	}
 	delete(f.missingUntil, id)
 	if old := f.targets.targets[id]; old != nil && old.StartedAtMillis != target.StartedAtMillis {
-		f.onTargetEnded(runOf(old))
+		f.onTargetEnded(old.Run())
 	}
 	changed := f.targets.Put(target)
 	if changed {
@@ -311,7 +311,7 @@
 // remove removes a target.
 func (f *follower) remove(target *Target) {
 	if !target.Leaving {
-		f.onTargetEnded(runOf(target))
+		f.onTargetEnded(target.Run())
 	}
 	f.targets.Remove(target.ID)
 }
--- /dev/null
+++ b/bluebellport/proxy/permit.go
@@ -0,0 +1,107 @@
+package bbproxy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/bluebellport/limit"
+	"bluebellport.example/shared/bbplace"
+	"bluebellport.example/shared/bbunit"
+)
+
+// place chooses a target. One with a limit is used only with a permit: where
+// other targets are open, a permit that comes at once; where all have limits,
+// also one for which the request has time to wait.
+func (x *exchange) place(service *ServiceTargets, request *bbplace.Request) (*Target, bbplace.Reason) {
+	now := x.proxy.now()
+	if !x.proxy.limits.Any() {
+		return x.pick(service, request, now)
+	}
+	asker := x.asker(service, request, now)
+	var denied []bbunit.TargetID
+	request.Access = func(t *bbplace.Target) bbplace.Access {
+		if slices.Contains(denied, t.ID) {
+			return bbplace.AccessClosed
+		}
+		return x.proxy.limits.Access(t.Run(), asker)
+	}
+	for range maxPermitTries {
+		target, reason := x.pick(service, request, x.proxy.now())
+		if target == nil || !x.proxy.limits.IsLimited(target.Run()) {
+			return target, reason
+		}
+		if x.acquire(target, asker) {
+			return target, reason
+		}
+		denied = append(denied, target.ID)
+	}
+	request.Access = x.onlyOpen
+	return x.pick(service, request, x.proxy.now())
+}
+
+// onlyOpen closes all targets with a limit.
+func (x *exchange) onlyOpen(t *bbplace.Target) bbplace.Access {
+	if x.proxy.limits.IsLimited(t.Run()) {
+		return bbplace.AccessClosed
+	}
+	return bbplace.AccessOpen
+}
+
+// pick chooses a target, or tells why there is none.
+func (x *exchange) pick(service *ServiceTargets, request *bbplace.Request, now time.Time) (*Target, bbplace.Reason) {
+	i, reason := bbplace.Choose(service.Candidates, request, now)
+	if i < 0 {
+		return nil, reason
+	}
+	x.uncachedPrompt = request.UncachedTokens(bbplace.IsCacheTarget(service.Candidates, i, request, now))
+	x.hasPermit = false
+	return service.Targets[i], reason
+}
+
+// acquire gets a permit for a target. It blocks for as long as the asker waits,
+// or a few milliseconds.
+func (x *exchange) acquire(target *Target, asker bblimit.Asker) bool {
+	run := target.Run()
+	x.hasPermit = x.proxy.limits.Take(run) || x.proxy.limits.Acquire(run, asker, x.clientGone)
+	return x.hasPermit
+}
+
+// asker tells how long the request can wait for a permit: not at all where a
+// target without a limit is open, else as long as it can then still be served.
+func (x *exchange) asker(service *ServiceTargets, request *bbplace.Request, now time.Time) bblimit.Asker {
+	open := *request
+	open.Access = x.onlyOpen
+	if i, _ := bbplace.Choose(service.Candidates, &open, now); i >= 0 {
+		return bblimit.Asker{}
+	}
+	left := time.Until(x.deadline)
+	patience := max(left-min(x.route.LatencyObjective, left/2), time.Millisecond)
+	return bblimit.Asker{Patience: patience, Account: xxhash.Sum64String(string(x.accountID()))}
+}
+
+// refuseLimited refuses a request that no target's limit allows. The callers
+// that are sent away come back when one of the targets can take them, not all at
+// once.
+func (x *exchange) refuseLimited(service *ServiceTargets, asker bblimit.Asker) *Refusal {
+	after, limited := time.Duration(0), 0
+	for _, target := range service.Targets {
+		if !x.proxy.limits.IsLimited(target.Run()) {
+			continue
+		}
+		limited++
+		if wait := x.proxy.limits.WaitFor(target.Run(), asker); wait > 0 && (after == 0 || wait < after) {
+			after = wait
+		}
+	}
+	if after == 0 {
+		after = defaultRetryAfter
+	}
+	after += time.Duration(rand.Float64() * retryAfterSpread * float64(after))
+	refusal := refuseNotRun("the targets' limits are used up", after)
+	refusal.LogFields = logrus.Fields{"service": x.service, "limited": limited, "targets": len(service.Targets)}
+	return refusal
+}
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"bluebellport.example/bluebellport/crash"
+	"bluebellport.example/bluebellport/limit"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
@@ -38,8 +39,9 @@
 	log      logrus.FieldLogger
 	shares   *shareController
 	prefills *prefillNotifier
-	hints    *hintLog
+	hints    *hintReader
 
+	limits       *bblimit.Keeper
 	crashes      *bbcrash.Tracker
 	crashWatch   *crashWatch
 	retryBudgets sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
@@ -57,7 +59,6 @@
 // until the end of the grace period. It registers its metrics in registry.
 func Serve(ctx context.Context, settings bbplatform.Settings, peers PeerNetwork, registry metrics.Registry, log logrus.FieldLogger) error {
 	p := &Proxy{settings: settings, domain: settings.Domain, board: &Board{}, log: log, metrics: newProxyMetrics(registry), startedAt: time.Now(), conns: map[*clientConn]bool{}}
-	p.hints = newHintLog(log, registry)
 	p.board.Instances.Store(defaultInstances)
 	clientListener, err := net.Listen("tcp4", settings.FrontendAddress)
 	if err != nil {
@@ -103,6 +104,8 @@
 	p.crashes = bbcrash.New(bbcrash.Config{
 		Threshold: crashThreshold, Network: peers, Store: store, StoreKey: refusedKey, Now: p.now, Log: p.log, Metrics: p.metrics.registry,
 	})
+	p.limits = bblimit.New(bblimit.Config{Network: peers, Now: p.now, Log: p.log, Metrics: p.metrics.registry})
+	p.hints = newHintReader(p.limits, p.log, p.metrics.registry)
 	p.crashWatch = newCrashWatch(p.board, p.now, p.log, p.crashes.RecordCrash)
 	f.onTargetEnded = p.crashWatch.targetEnded
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
@@ -111,6 +114,7 @@
 	wg.Go(func() { r.run(ctx) })
 	wg.Go(func() { p.monitorLink(ctx) })
 	wg.Go(func() { p.crashes.Run(ctx) })
+	wg.Go(func() { p.limits.Run(ctx) })
 	wg.Go(func() { instances.keepRegistered(ctx) })
 	wg.Go(func() { instances.watchInstances(ctx) })
 	wg.Go(func() {
--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -1,6 +1,7 @@
 package bbproxy
 
 import (
+	"net/http"
 	"strings"
 
 	"github.com/juju/errors"
@@ -8,6 +9,9 @@
 	"bluebellport.example/platform"
 )
 
+// statusMisdirected is the status of a server that is not the one expected.
+const statusMisdirected = http.StatusMisdirectedRequest
+
 // Response is the head of a target's response.
 type Response struct {
 	Status  int
@@ -47,7 +51,7 @@
 // saysNotRun reports whether the target states that it did not run the request.
 func (r *Response) saysNotRun() bool {
 	_, count := r.Fields.Get(bbplatform.HeaderNotExecuted)
-	return count > 0 || r.Status == 421
+	return count > 0 || r.Status == statusMisdirected
 }
 
 // isSigned reports whether the response has the target's signature and was not
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -21,7 +21,7 @@
 	case resultDone:
 		target.State.Circuit.RecordSuccess()
 		target.State.RecordResult(!result.targetFailed)
-		p.crashes.RecordTargetAnswer(runOf(target), result.connOpenedAt, result.sentAt)
+		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
 		if !result.targetFailed {
 			p.crashes.RecordAnswer(x.fingerprint)
 			p.retryBudget(x.service).Earn(p.retryPolicy())
@@ -32,15 +32,18 @@
 	case resultGone:
 		p.watchForCrash(x, target, result)
 		return
+	case resultNoPermit:
+		p.metrics.recordFailure(result.kind)
+		return
 	case resultNotRun:
-		p.crashes.RecordTargetAnswer(runOf(target), result.connOpenedAt, result.sentAt)
+		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
 		target.State.BackOffUntil(now.Add(notRunBackoff))
 	case resultUnsent:
 		if p.board.LinkSaturated.Load() {
 			break // this instance's own link is as likely the cause
 		}
 		if errors.Is(result.err, syscall.ECONNREFUSED) {
-			p.crashWatch.targetDown(runOf(target))
+			p.crashWatch.targetDown(target.Run())
 		}
 		for range circuitPolicy.FailureThreshold {
 			target.State.Circuit.RecordFailure(now, &circuitPolicy)
@@ -63,7 +66,7 @@
 		return
 	}
 	p.crashWatch.attemptEnded(target, endedAttempt{
-		Observation: bbcrash.Observation{Fingerprint: x.fingerprint, Request: x.req.AttemptID, Run: runOf(target), SentAt: result.sentAt, BrokenAt: p.now()},
+		Observation: bbcrash.Observation{Fingerprint: x.fingerprint, Request: x.req.AttemptID, Run: target.Run(), SentAt: result.sentAt, BrokenAt: p.now()},
 		brokeOff:    result.kind == resultBroken,
 		callerLeft:  result.kind == resultGone,
 	}, result.kind == resultBroken && result.connBroken)
--- a/bluebellport/proxy/resultkind_enumer.go
+++ b/bluebellport/proxy/resultkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _resultKindName = "doneunsentnot-runbrokenlategone"
+const _resultKindName = "doneunsentnot-runbrokenlategoneno-permit"
 
-var _resultKindIndex = [...]uint8{0, 4, 10, 17, 23, 27, 31}
+var _resultKindIndex = [...]uint8{0, 4, 10, 17, 23, 27, 31, 40}
 
-const _resultKindLowerName = "doneunsentnot-runbrokenlategone"
+const _resultKindLowerName = "doneunsentnot-runbrokenlategoneno-permit"
 
 func (i resultKind) String() string {
 	if i < 0 || i >= resultKind(len(_resultKindIndex)-1) {
@@ -30,9 +30,10 @@
 	_ = x[resultBroken-(3)]
 	_ = x[resultLate-(4)]
 	_ = x[resultGone-(5)]
+	_ = x[resultNoPermit-(6)]
 }
 
-var _resultKindValues = []resultKind{resultDone, resultUnsent, resultNotRun, resultBroken, resultLate, resultGone}
+var _resultKindValues = []resultKind{resultDone, resultUnsent, resultNotRun, resultBroken, resultLate, resultGone, resultNoPermit}
 
 var _resultKindNameToValueMap = map[string]resultKind{
 	_resultKindName[0:4]:   resultDone,
@@ -41,6 +42,7 @@
 	_resultKindName[17:23]: resultBroken,
 	_resultKindName[23:27]: resultLate,
 	_resultKindName[27:31]: resultGone,
+	_resultKindName[31:40]: resultNoPermit,
 }
 
 var _resultKindLowerNameToValueMap = map[string]resultKind{
@@ -50,6 +52,7 @@
 	_resultKindLowerName[17:23]: resultBroken,
 	_resultKindLowerName[23:27]: resultLate,
 	_resultKindLowerName[27:31]: resultGone,
+	_resultKindLowerName[31:40]: resultNoPermit,
 }
 
 var _resultKindNames = []string{
@@ -59,6 +62,7 @@
 	_resultKindName[17:23],
 	_resultKindName[23:27],
 	_resultKindName[27:31],
+	_resultKindName[31:40],
 }
 
 // resultKindString retrieves an enum value from the enum constants string name.
--- a/e2e/native_limit_test.go
+++ b/e2e/native_limit_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
@@ -30,6 +31,9 @@
 	// limitUsedShare is the least share of the limit that is to be used.
 	limitUsedShare    = 0.9
 	limitSendInterval = 25 * time.Millisecond
+	// limitTargetsKnown is how long it takes until all instances know targets that
+	// were registered after they started.
+	limitTargetsKnown = 2 * time.Second
 )
 
 // limitRun sends requests to a fleet of processes with targets that name limits.
@@ -55,6 +59,7 @@
 		r.limited = append(r.limited, r.startTarget(bbplatformstand.TargetOptions{ID: fmt.Sprint("press-", i), Service: "press", Domain: domains[i]}))
 	}
 	r.open = r.startTarget(bbplatformstand.TargetOptions{ID: "press-2", Service: "press", Domain: domains[2]})
+	time.Sleep(limitTargetsKnown)
 	return r
 }
 
@@ -66,10 +71,12 @@
 	for end := time.Now().Add(d); time.Now().Before(end); <-tick.C {
 		inst := instances[r.rng.IntN(len(instances))]
 		r.wg.Go(func() {
-			status, _ := r.call(inst, "/press/1")
+			status, body := r.call(inst, "/press/1")
 			r.mu.Lock()
-			r.statuses[status]++
-			r.mu.Unlock()
+			defer r.mu.Unlock()
+			if r.statuses[status]++; status != http.StatusOK {
+				r.t.Logf("status %d: %s", status, body)
+			}
 		})
 	}
 }
--- a/shared/bbplace/place.go
+++ b/shared/bbplace/place.go
@@ -40,6 +40,9 @@
 	maxLoad = 1.6
 	// defaultSlots is assumed for targets that state no number of slots.
 	defaultSlots = 8
+	// permitBonus is how much cheaper a target is that a request may use although it
+	// has a limit: what it takes is to be used before others are loaded more.
+	permitBonus = 60 * time.Millisecond
 	// prefillTokensPerMilli is the assumed number of prompt tokens that an engine
 	// processes per millisecond.
 	prefillTokensPerMilli = 140
@@ -158,8 +161,24 @@
 	Excluded []bbunit.TargetID
 	// Random seeds the random part of the costs.
 	Random uint64
+	// Access tells how the request may use a target; nil if no target has a limit.
+	Access func(t *Target) Access
 }
 
+// Access tells whether a request may use a target that may have a limit of its
+// own.
+type Access int
+
+// Ways to a target.
+const (
+	// AccessOpen means that the target has no limit.
+	AccessOpen Access = iota
+	// AccessPermit means that the target has a limit and there may be a permit.
+	AccessPermit
+	// AccessClosed means that the target's limit is used up.
+	AccessClosed
+)
+
 // Reason is why no target was chosen.
 type Reason int
 
@@ -170,6 +189,9 @@
 	ReasonNoneUsable Reason = iota
 	// ReasonAllFull means that all usable targets have reached maxLoad.
 	ReasonAllFull
+	// ReasonLimited means that the limits of usable targets are used up, and all
+	// others are full.
+	ReasonLimited
 )
 
 // Choose returns the index of the target with the lowest cost, or -1 and the reason
@@ -186,7 +208,12 @@
 		}
 		load := t.load(now)
 		if load >= maxLoad {
-			reason = ReasonAllFull
+			reason = max(reason, ReasonAllFull)
+			continue
+		}
+		access := req.access(t)
+		if access == AccessClosed {
+			reason = ReasonLimited
 			continue
 		}
 		cost := t.State.prefillBacklog(now) + prefillTime(req.UncachedTokens(i == cached)) + time.Duration(load*float64(fullLoadCost))
@@ -194,6 +221,9 @@
 		if t.Domain != req.Domain {
 			cost += otherDomainCost
 		}
+		if access == AccessPermit {
+			cost -= permitBonus
+		}
 		cost += time.Duration(bbhash.Mix(req.Random+uint64(i)) % uint64(maxJitter))
 		if cost < minCost {
 			best, minCost = i, cost
@@ -202,6 +232,14 @@
 	return best, reason
 }
 
+// access returns how the request may use a target.
+func (r *Request) access(t *Target) Access {
+	if r.Access == nil {
+		return AccessOpen
+	}
+	return r.Access(t)
+}
+
 // UncachedTokens returns how many tokens of the prompt a target must process, given
 // whether it has the shared prefix cached.
 func (r *Request) UncachedTokens(cached bool) bbunit.Tokens {
