Ask all targets with a limit for a request that has nowhere else to go

A request that could wait for a permit was refused after four targets of its service had none, though others might.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -151,13 +151,9 @@
 	closeReadTimeout = 500 * time.Millisecond
 )
 
-// Permits for targets with a limit.
-const (
-	// maxPermitTries is how many targets with a limit are asked for one attempt.
-	maxPermitTries = 4
-	// retryAfterSpread is the largest random part of a Retry-After, as a part of it.
-	retryAfterSpread = 0.25
-)
+// maxQuickPermitTries is for how many targets with a limit permits are asked for
+// one attempt that can go to another target.
+const maxQuickPermitTries = 3
 
 // This instance's part of what the fleet may use.
 const (
--- a/bluebellport/proxy/permit.go
+++ b/bluebellport/proxy/permit.go
@@ -1,7 +1,6 @@
 package bbproxy
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -29,7 +28,11 @@
 		}
 		return x.proxy.limits.Access(t.Run(), asker)
 	}
-	for range maxPermitTries {
+	tries := maxQuickPermitTries
+	if asker.Patience > 0 {
+		tries = len(service.Targets)
+	}
+	for range tries {
 		target, reason := x.pick(service, request, x.proxy.now())
 		if target == nil || !x.proxy.limits.IsLimited(target.Run()) {
 			return target, reason
@@ -100,7 +103,6 @@
 	if after == 0 {
 		after = defaultRetryAfter
 	}
-	after += time.Duration(rand.Float64() * retryAfterSpread * float64(after))
 	refusal := refuseNotRun("the targets' limits are used up", after)
 	refusal.LogFields = logrus.Fields{"service": x.service, "limited": limited, "targets": len(service.Targets)}
 	return refusal
