Spread the Retry-After of callers that are refused together

What callers saw: all that were refused for one reason, such as a target that is away, got the same half second and came back together, to be refused again. Now up to a quarter is added at random, up to the longest Retry-After.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -66,6 +66,8 @@
 	maxRetryAfter = 3 * time.Second
 	// defaultRetryAfter is the Retry-After if no better time is known.
 	defaultRetryAfter = 500 * time.Millisecond
+	// retryAfterSpread is the largest random part of a Retry-After, as a part of it.
+	retryAfterSpread = 0.25
 )
 
 // Times of the controllers.
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -234,6 +234,7 @@
 // refuse writes a refusal and reports whether the client's connection can be
 // reused.
 func (x *exchange) refuse(refusal *Refusal) bool {
+	refusal.RetryAfter = spreadRetryAfter(refusal.RetryAfter, rand.Float64())
 	x.proxy.recordRefusal(x.req.AttemptID, refusal)
 	closeConn := refusal.Close || x.req.Close || x.proxy.board.shouldCloseConns()
 	return x.client.write(refusal.encode(x.req.AttemptID, closeConn)) == nil && !closeConn
--- a/bluebellport/proxy/refusal.go
+++ b/bluebellport/proxy/refusal.go
@@ -70,6 +70,17 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: retryAfter}
 }
 
+// spreadRetryAfter makes a Retry-After longer by a random part (0 to 1 of
+// retryAfterSpread), so that callers that are refused together do not come back
+// together. One of up to maxRetryAfter stays below that.
+func spreadRetryAfter(after time.Duration, random float64) time.Duration {
+	spread := after + time.Duration(random*retryAfterSpread*float64(after))
+	if after <= maxRetryAfter {
+		return min(spread, maxRetryAfter)
+	}
+	return spread
+}
+
 // refuseUnknownOutcome ends a request that a target may have run.
 func refuseUnknownOutcome(reason string) *Refusal {
 	return &Refusal{Status: http.StatusBadGateway, Reason: reason}
