Send nothing to a target that leaves while a request waits for its permit

A request that waits for a permit may wait longer than it takes until a leaving target gets no more work, or until the fleet refuses a request that crashes its targets; both were looked at before the wait only. They are looked at again after it.

--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -185,6 +185,11 @@
 			}
 			break
 		}
+		if crashing := x.checkCrashes(); crashing != nil { // choosing may have waited for a permit
+			x.returnPermit(target)
+			refusal = crashing
+			break
+		}
 		result := x.attempt(target)
 		x.proxy.recordResult(x, target, &result)
 		switch result.kind {
--- a/bluebellport/proxy/permit.go
+++ b/bluebellport/proxy/permit.go
@@ -38,7 +38,10 @@
 			return target, reason
 		}
 		if x.acquire(target, asker) {
-			return target, reason
+			if x.mayStillSend(target) {
+				return target, reason
+			}
+			x.returnPermit(target)
 		}
 		denied = append(denied, target.ID)
 	}
@@ -73,6 +76,15 @@
 	return x.hasPermit
 }
 
+// mayStillSend reports whether a target is still in use after a wait for its
+// permit: it may have announced meanwhile that it leaves.
+func (x *exchange) mayStillSend(target *Target) bool {
+	service := x.proxy.board.targetsOf(x.service)
+	return service != nil && slices.ContainsFunc(service.Targets, func(t *Target) bool {
+		return t.Run() == target.Run() && t.Address == target.Address && !t.Leaving
+	})
+}
+
 // asker tells how long the request can wait for a permit: not at all where a
 // target without a limit is open, else as long as it can then still be served.
 func (x *exchange) asker(service *ServiceTargets, request *bbplace.Request, now time.Time) bblimit.Asker {
--- a/bluebellport/proxy/permit_test.go
+++ b/bluebellport/proxy/permit_test.go
@@ -1,13 +1,17 @@
 package bbproxy
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"bluebellport.example/platform"
 	bbplatformstand "bluebellport.example/platform/stand"
 )
 
@@ -96,3 +100,37 @@
 	h.eventually("the new run is used", func() bool { return h.call("GET", "/read/1", "").status == http.StatusOK })
 	is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
 }
+
+// TestTargetThatLeavesDuringTheWaitGetsNoRequest guards against a permit that is
+// used after its target has announced that it leaves.
+func TestTargetThatLeavesDuringTheWaitGetsNoRequest(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 0)
+	leaving := h.limitedTargets("1", "t1")[0]
+	h.start()
+	is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { // more than the limit lets through at once, so they wait
+			r, err := http.NewRequest("GET", "http://"+h.settings.FrontendAddress+"/read/1", http.NoBody)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Host = testHost
+			r.Header.Set(bbplatform.HeaderAttemptID, fmt.Sprint("waits-", i))
+			r.Header.Set(bbplatform.HeaderAPIKey, testKey)
+			r.Header.Set(bbplatform.HeaderDeadline, "1900")
+			if resp, err := http.DefaultTransport.RoundTrip(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	is.NoErr(leaving.Register(t.Context(), h.mem, "draining"))
+	h.eventually("the leaving is known", func() bool { return strings.Contains(h.logs.String(), `"leaving":true`) })
+	known := time.Now()
+	wg.Wait()
+	for _, at := range leaving.Arrivals() {
+		is.True(at.Before(known.Add(100 * time.Millisecond)))
+	}
+}
