--- a/bluebellport/crash/fleet_test.go
+++ b/bluebellport/crash/fleet_test.go
@@ -27,25 +27,25 @@
 	var thirdAt time.Time
 	var again func()
 	again = func() {
-		s.after(interval, again)
+		s.After(interval, again)
 		n := s.randomNode()
 		if n == nil || n.tracker.IsRefused(guilty) {
 			return
 		}
-		if crashes >= 3 && s.clock.Sub(thirdAt) > simContact {
+		if crashes >= 3 && s.Now().Sub(thirdAt) > simContact {
 			late.all++
-			if n.inTouch() {
+			if n.InTouch(simContact) {
 				late.inTouch++
 			}
 		}
 		if crashes++; crashes == 3 {
-			thirdAt = s.clock
+			thirdAt = s.Now()
 		}
-		run, sentAt := s.newRun(), s.clock
-		s.after(simCrashDelay, func() {
-			brokenAt := s.clock
-			s.after(simCrashDelay, func() {
-				if n.up {
+		run, sentAt := s.newRun(), s.Now()
+		s.After(simCrashDelay, func() {
+			brokenAt := s.Now()
+			s.After(simCrashDelay, func() {
+				if n.Up {
 					n.tracker.RecordCrash(Observation{Fingerprint: guilty, Run: run, SentAt: sentAt, BrokenAt: brokenAt})
 				}
 			})
@@ -57,20 +57,20 @@
 			s.crashTarget(run, others, sentAt.Add(-100*time.Millisecond))
 		})
 	}
-	s.after(interval, again)
+	s.After(interval, again)
 }
 
 func TestCrashingRequestIsRefusedByTheWholeFleet(t *testing.T) {
 	calm := func(*simulation) {}
 	herdKills := func(s *simulation) {
 		for i := range 4 {
-			s.after(time.Duration(6+9*i)*time.Second, func() { s.killShare(0.6, 2*time.Second) })
+			s.After(time.Duration(6+9*i)*time.Second, func() { s.KillShare(0.6, 2*time.Second) })
 		}
 	}
 	otherCrashes := func(s *simulation) {
 		for i := range 40 {
-			s.after(time.Duration(i)*time.Second, func() {
-				s.crashTarget(s.newRun(), []uint64{uint64(100 + 2*i), uint64(101 + 2*i)}, s.clock.Add(-100*time.Millisecond))
+			s.After(time.Duration(i)*time.Second, func() {
+				s.crashTarget(s.newRun(), []uint64{uint64(100 + 2*i), uint64(101 + 2*i)}, s.Now().Add(-100*time.Millisecond))
 			})
 		}
 	}
@@ -80,17 +80,17 @@
 	}
 	joins := func(s *simulation) {
 		for i := range len(s.nodes) / 2 {
-			s.after(time.Duration(i)*200*time.Millisecond, s.addNode)
+			s.After(time.Duration(i)*200*time.Millisecond, s.Add)
 		}
 	}
 	domainCut := func(s *simulation) {
 		for i := range 3 {
-			s.after(time.Duration(2+13*i)*time.Second, func() { s.cutDomain("d1", 7*time.Second) })
+			s.After(time.Duration(2+13*i)*time.Second, func() { s.CutDomain("d1", 7*time.Second) })
 		}
 	}
 	allKilled := func(s *simulation) {
 		for i := range 3 {
-			s.after(time.Duration(10+12*i)*time.Second, func() { s.killShare(1, 2*time.Second) })
+			s.After(time.Duration(10+12*i)*time.Second, func() { s.KillShare(1, 2*time.Second) })
 		}
 	}
 	for _, c := range []struct {
@@ -120,10 +120,10 @@
 			for seed := range *simSeeds {
 				var late lateSends
 				s := newSimulation(c.instances, c.loss, seed)
-				s.run(3 * time.Second)
+				s.Run(3 * time.Second)
 				s.repeatGuilty(c.interval, &late)
 				c.trouble(s)
-				s.run(max(45*time.Second, 12*c.interval))
+				s.Run(max(45*time.Second, 12*c.interval))
 				if late.inTouch > maxLateSends {
 					t.Errorf("seed %d: %d sends later than %s after the third crash", seed, late.inTouch, simContact)
 				}
--- a/bluebellport/crash/innocent_test.go
+++ b/bluebellport/crash/innocent_test.go
@@ -29,7 +29,7 @@
 }
 
 func (w *workload) up(target *simTarget) bool {
-	return target.crashesAt.IsZero() || w.clock.Before(target.crashesAt)
+	return target.crashesAt.IsZero() || w.Now().Before(target.crashesAt)
 }
 
 // request sends a request to a random target, and again where it crashes.
@@ -39,17 +39,17 @@
 		w.refusals[fingerprint] = true
 		return
 	}
-	target := w.targets[w.rng.IntN(len(w.targets))]
+	target := w.targets[w.Rand.IntN(len(w.targets))]
 	for !w.up(target) {
-		target = w.targets[w.rng.IntN(len(w.targets))]
+		target = w.targets[w.Rand.IntN(len(w.targets))]
 	}
-	run, sentAt := target.run, w.clock
-	duration := time.Duration(w.rng.Int64N(int64(2 * innocentDuration)))
+	run, sentAt := target.run, w.Now()
+	duration := time.Duration(w.Rand.Int64N(int64(2 * innocentDuration)))
 	if target.crashesAt.IsZero() || sentAt.Add(duration).Before(target.crashesAt) {
-		w.after(duration, func() { n.tracker.RecordAnswer(fingerprint) })
+		w.After(duration, func() { n.tracker.RecordAnswer(fingerprint) })
 		return
 	}
-	w.after(target.crashesAt.Sub(sentAt)+simCrashDelay, func() {
+	w.After(target.crashesAt.Sub(sentAt)+simCrashDelay, func() {
 		n.tracker.RecordCrash(Observation{Fingerprint: fingerprint, Run: run, SentAt: sentAt, BrokenAt: target.crashesAt})
 		if attempts > 1 {
 			w.request(fingerprint, w.randomNode(), attempts-1)
@@ -63,19 +63,19 @@
 	for range innocentTargets {
 		w.targets = append(w.targets, &simTarget{run: w.newRun()})
 	}
-	start := w.clock.Add(2 * time.Second)
-	for _, i := range w.rng.Perm(len(w.targets))[:len(w.targets)/4] {
-		w.targets[i].crashesAt = start.Add(time.Duration(w.rng.Int64N(int64(span) + 1)))
+	start := w.Now().Add(2 * time.Second)
+	for _, i := range w.Rand.Perm(len(w.targets))[:len(w.targets)/4] {
+		w.targets[i].crashesAt = start.Add(time.Duration(w.Rand.Int64N(int64(span) + 1)))
 	}
 	interval := innocentDuration / (innocentTargets * innocentInFlight)
 	end, next := start.Add(span+2*time.Second), uint64(1000)
 	var again func()
 	again = func() {
-		if w.clock.After(end) {
+		if w.Now().After(end) {
 			return
 		}
-		w.after(interval, again)
-		fingerprint := uint64(w.rng.IntN(10*popularRequests)) + 1
+		w.After(interval, again)
+		fingerprint := uint64(w.Rand.IntN(10*popularRequests)) + 1
 		if fingerprint > popularRequests {
 			next++
 			fingerprint = next
@@ -83,7 +83,7 @@
 		w.request(fingerprint, w.randomNode(), innocentAttempts)
 	}
 	again()
-	w.run(end.Sub(w.clock) + 4*time.Second)
+	w.Run(end.Sub(w.Now()) + 4*time.Second)
 }
 
 func TestInnocentRequestsAreNotRefusedForAMassCrash(t *testing.T) {
@@ -92,7 +92,7 @@
 			sent, refused := 0, 0
 			for seed := range *simSeeds {
 				w := &workload{simulation: newSimulation(84, 0.3, seed), sent: map[uint64]bool{}, refusals: map[uint64]bool{}}
-				w.run(3 * time.Second)
+				w.Run(3 * time.Second)
 				w.play(span)
 				sent, refused = sent+len(w.sent), refused+len(w.refusals)
 				for _, n := range w.nodes {
--- a/bluebellport/crash/tracker_test.go
+++ b/bluebellport/crash/tracker_test.go
@@ -13,7 +13,7 @@
 // observe records a crash that an instance saw just now, of a request sent a
 // while before.
 func (n *simNode) observe(fingerprint uint64, run TargetRun, flight time.Duration) {
-	now := n.sim.clock
+	now := n.sim.Now()
 	n.tracker.RecordCrash(Observation{Fingerprint: fingerprint, Run: run, SentAt: now.Add(-flight), BrokenAt: now})
 }
 
@@ -31,7 +31,7 @@
 			run := TargetRun{ID: "only", StartedAtMillis: started}
 			n.observe(guilty, run, time.Millisecond)
 			is.True(!n.tracker.IsRefused(guilty))
-			s.run(time.Second)
+			s.Run(time.Second)
 			n.observe(guilty, run, time.Millisecond)
 			is.True(n.tracker.IsRefused(guilty))
 		})
@@ -43,7 +43,7 @@
 	s, n := newSingle()
 	for range 2 {
 		n.observe(7, s.newRun(), time.Millisecond)
-		s.run(time.Second)
+		s.Run(time.Second)
 	}
 	is.True(n.tracker.IsRefused(7))
 	n.tracker.RecordAnswer(7) // it was in flight at another target meanwhile
@@ -54,7 +54,7 @@
 func TestAnswersAreRememberedWhileOthersAreServed(t *testing.T) {
 	is := is.New(t)
 	s, n := newSingle()
-	s.skip(time.Minute)
+	s.Skip(time.Minute)
 	n.tracker.RecordAnswer(7)
 	for i := range uint64(10_000) {
 		n.tracker.RecordAnswer(1000 + i)
@@ -64,7 +64,7 @@
 		return &bbwire.Crash{Id: uint64(newCrashID(run)), Target: string(run.ID), Age: micros(from), Flight: micros(from - to), Counted: true}
 	}
 	verdict := &bbwire.CrashRecord{Print: 7, Crashes: []*bbwire.Crash{crash(30*time.Second, 29*time.Second), crash(20*time.Second, 19*time.Second)}}
-	n.handler("other", &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: &bbwire.Crashes{Verdicts: []*bbwire.CrashRecord{verdict}}}})
+	n.Deliver("other", &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: &bbwire.Crashes{Verdicts: []*bbwire.CrashRecord{verdict}}}})
 	is.True(!n.tracker.IsRefused(7))
 }
 
@@ -74,10 +74,10 @@
 	n.tracker.RecordAnswer(guilty)
 	for i := range 3 {
 		is.True(!n.tracker.IsRefused(guilty)) // crash i
-		s.run(time.Second)
+		s.Run(time.Second)
 		n.observe(guilty, s.newRun(), time.Duration(i+1)*time.Millisecond)
 	}
-	s.run(objectionPeriod + 2*tickInterval)
+	s.Run(objectionPeriod + 2*tickInterval)
 	is.True(n.tracker.IsRefused(guilty))
 }
 
@@ -85,19 +85,19 @@
 	is := is.New(t)
 	s, n := newSingle()
 	first, second := s.newRun(), s.newRun()
-	opened := s.clock
-	s.run(time.Second)
+	opened := s.Now()
+	s.Run(time.Second)
 	n.observe(7, first, time.Millisecond)
-	s.run(time.Second)
+	s.Run(time.Second)
 	n.observe(7, second, time.Millisecond)
 	is.True(n.tracker.IsRefused(7))
-	crashedAt := s.clock
-	s.run(time.Second)
-	n.tracker.RecordTargetAnswer(second, s.clock, s.clock) // a new connection proves nothing
+	crashedAt := s.Now()
+	s.Run(time.Second)
+	n.tracker.RecordTargetAnswer(second, s.Now(), s.Now()) // a new connection proves nothing
 	is.True(n.tracker.IsRefused(7))
 	n.tracker.RecordTargetAnswer(second, opened, crashedAt) // an answer that was under way proves nothing
 	is.True(n.tracker.IsRefused(7))
-	n.tracker.RecordTargetAnswer(second, opened, s.clock)
+	n.tracker.RecordTargetAnswer(second, opened, s.Now())
 	is.True(!n.tracker.IsRefused(7))
 }
 
@@ -106,11 +106,11 @@
 	s, n := newSingle()
 	for range 2 {
 		n.observe(7, s.newRun(), time.Millisecond)
-		s.run(time.Second)
+		s.Run(time.Second)
 	}
 	is.True(n.tracker.IsRefused(7))
 	n.observe(8, s.newRun(), time.Millisecond)
-	s.run(2 * tickInterval)
+	s.Run(2 * tickInterval)
 	is.True(!n.tracker.IsRefused(7))
 	n.observe(7, s.newRun(), time.Millisecond)
 	is.True(n.tracker.IsRefused(7))
@@ -121,22 +121,22 @@
 	s, n := newSingle()
 	for range 2 {
 		n.observe(guilty, s.newRun(), time.Millisecond)
-		s.run(time.Second)
+		s.Run(time.Second)
 	}
-	s.run(backgroundPeriod + time.Second)
+	s.Run(backgroundPeriod + time.Second)
 	run := s.newRun()
 	for i := range uint64(maxRecords + 100) {
 		n.observe(1000+i, run, time.Millisecond)
 	}
-	s.run(2 * time.Second)
+	s.Run(2 * time.Second)
 	is.True(len(n.tracker.records) <= maxRecords)
 	is.True(n.tracker.IsRefused(guilty)) // others go first
-	s.skip(suspectTTL)
-	s.run(2 * time.Second)
+	s.Skip(suspectTTL)
+	s.Run(2 * time.Second)
 	is.Equal(len(n.tracker.records), 1)
 	is.True(n.tracker.IsRefused(guilty))
-	s.skip(refusedTTL)
-	s.run(2 * time.Second)
+	s.Skip(refusedTTL)
+	s.Run(2 * time.Second)
 	is.Equal(len(n.tracker.records), 0)
 	is.Equal(n.tracker.digest, uint64(0))
 }
@@ -144,7 +144,7 @@
 func TestMalformedMessagesAreCountedAndChangeNothing(t *testing.T) {
 	is := is.New(t)
 	_, n := newSingle()
-	n.handler("other", &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: &bbwire.Crashes{
+	n.Deliver("other", &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: &bbwire.Crashes{
 		Verdicts: []*bbwire.CrashRecord{{Print: 1}, nil},
 		Reports:  []*bbwire.CrashRecord{{Crashes: []*bbwire.Crash{{Id: 1, Target: "t"}}}},
 		Acks:     []*bbwire.CrashAck{nil, {Print: 9}},
@@ -179,23 +179,23 @@
 	for _, instances := range []int{84, 300} {
 		is := is.New(t)
 		s := newSimulation(instances, 0, 1)
-		s.run(20 * time.Second) // all have asked what the fleet refuses
+		s.Run(20 * time.Second) // all have asked what the fleet refuses
 		count := func(d time.Duration) (messages, bytes float64) {
-			s.messages, s.bytes = 0, 0
-			s.run(d)
-			return float64(s.messages) / float64(instances) / d.Seconds(), float64(s.bytes) / float64(instances) / d.Seconds()
+			s.Messages, s.Bytes = 0, 0
+			s.Run(d)
+			return float64(s.Messages) / float64(instances) / d.Seconds(), float64(s.Bytes) / float64(instances) / d.Seconds()
 		}
 		messages, bytes := count(10 * time.Second)
 		is.Equal(messages, 0.0)
 		is.Equal(bytes, 0.0)
 		for range 2 {
 			s.nodes[0].observe(guilty, s.newRun(), time.Millisecond)
-			s.run(time.Second)
+			s.Run(time.Second)
 		}
 		messages, bytes = count(10 * time.Second)
 		t.Logf("%d instances, just refused: %.1f messages and %.0f bytes a second for each instance", instances, messages, bytes)
 		is.True(messages <= 2*float64(time.Second/busyRoundInterval))
-		s.run(busyRoundPeriod)
+		s.Run(busyRoundPeriod)
 		messages, bytes = count(10 * time.Second)
 		t.Logf("%d instances, later: %.1f messages and %.0f bytes a second for each instance", instances, messages, bytes)
 		is.True(messages <= 2*float64(time.Second)/float64(quietRoundInterval))
@@ -209,7 +209,7 @@
 	var homes []*simNode
 	for _, id := range r.top(fingerprint, homeCount) {
 		for _, n := range s.nodes {
-			if n.member.ID == id {
+			if n.Member.ID == id {
 				homes = append(homes, n)
 			}
 		}
@@ -220,20 +220,20 @@
 func TestEvidenceReachesHomesThatRestart(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(30, 0.3, 1)
-	s.run(3 * time.Second)
+	s.Run(3 * time.Second)
 	homes := s.homesOf(guilty)
 	reporter := s.nodes[0]
 	for i := 1; homes[0] == reporter || homes[1] == reporter || homes[2] == reporter; i++ {
 		reporter = s.nodes[i]
 	}
 	reporter.observe(guilty, s.newRun(), time.Millisecond)
-	s.run(2 * time.Second)
+	s.Run(2 * time.Second)
 	for _, home := range homes {
 		is.Equal(home.tracker.record(guilty).valid(), 1)
-		s.kill(home)
-		s.start(home)
+		s.Kill(home.Node)
+		s.Start(home.Node)
 	}
-	s.run(4 * time.Second)
+	s.Run(4 * time.Second)
 	for _, home := range homes {
 		is.Equal(home.tracker.record(guilty).valid(), 1)
 	}
--- a/bluebellport/emulate/fleet.go
+++ b/bluebellport/emulate/fleet.go
@@ -19,8 +19,8 @@
 const (
 	// domainCount is the number of failure domains.
 	domainCount = 5
-	// latency is the least time of a message on its way; up to as much is added.
-	latency = time.Millisecond
+	// defaultLatency is the Latency of a new fleet.
+	defaultLatency = time.Millisecond
 	// suspicion is how long a member that does not answer stays in the view,
 	// rejoin how long after a cut the members see each other again.
 	suspicion = 5 * time.Second
@@ -31,8 +31,10 @@
 type Fleet struct {
 	Rand *rand.Rand
 	// Loss is the probability that a message is lost.
-	Loss  float64
-	Nodes []*Node
+	Loss float64
+	// Latency is the least time of a message on its way; up to as much is added.
+	Latency time.Duration
+	Nodes   []*Node
 	// Messages and Bytes count what was sent.
 	Messages, Bytes int
 
@@ -63,7 +65,7 @@
 // again whenever it was killed and starts anew.
 func NewFleet(n int, loss float64, seed uint64, start func(n *Node)) *Fleet {
 	f := &Fleet{
-		Rand: rand.New(rand.NewPCG(seed, 0)), Loss: loss, start: start, clock: time.Unix(1e9, 0), byID: map[bbunit.InstanceID]*Node{},
+		Rand: rand.New(rand.NewPCG(seed, 0)), Loss: loss, Latency: defaultLatency, start: start, clock: time.Unix(1e9, 0), byID: map[bbunit.InstanceID]*Node{},
 	}
 	for range n {
 		f.Add()
@@ -80,10 +82,11 @@
 	n := &Node{fleet: f, Member: bbmember.Member{ID: bbunit.InstanceID(fmt.Sprintf("i%d", i)), Domain: bbunit.DomainID(fmt.Sprintf("d%d", i%domainCount))}}
 	f.Nodes = append(f.Nodes, n)
 	f.byID[n.Member.ID] = n
-	f.startNode(n)
+	f.Start(n)
 }
 
-func (f *Fleet) startNode(n *Node) {
+// Start starts an instance that was killed.
+func (f *Fleet) Start(n *Node) {
 	n.Up, n.CalmSince, n.killedAt = true, f.clock, time.Time{}
 	n.Member.Inc++
 	f.epoch++
@@ -97,12 +100,17 @@
 		if !n.Up {
 			continue
 		}
-		n.Up, n.killedAt = false, f.clock
-		f.After(suspicion, func() { f.epoch++ })
-		f.After(down, func() { f.startNode(n) })
+		f.Kill(n)
+		f.After(down, func() { f.Start(n) })
 	}
 }
 
+// Kill ends an instance.
+func (f *Fleet) Kill(n *Node) {
+	n.Up, n.killedAt = false, f.clock
+	f.After(suspicion, func() { f.epoch++ })
+}
+
 // CutDomain cuts a failure domain off for a time.
 func (f *Fleet) CutDomain(domain bbunit.DomainID, duration time.Duration) {
 	f.setCut(domain, true)
@@ -147,6 +155,14 @@
 	f.clock = end
 }
 
+// Skip advances the clock without running anything meanwhile.
+func (f *Fleet) Skip(d time.Duration) {
+	f.clock = f.clock.Add(d)
+	for i := range f.queue.events {
+		f.queue.events[i].at = f.queue.events[i].at.Add(d)
+	}
+}
+
 // Every calls fn at each interval as long as this run of the instance lasts.
 func (n *Node) Every(interval time.Duration, fn func()) {
 	f, inc := n.fleet, n.Member.Inc
@@ -174,14 +190,17 @@
 		return nil
 	}
 	receiver := f.byID[to]
-	f.After(latency+time.Duration(f.Rand.Int64N(int64(latency))), func() {
+	f.After(f.Latency+time.Duration(f.Rand.Int64N(int64(f.Latency))), func() {
 		if receiver.Up && receiver.Cut == n.Cut {
-			receiver.handler(n.Member.ID, e)
+			receiver.Deliver(n.Member.ID, e)
 		}
 	})
 	return nil
 }
 
+// Deliver hands a message to the instance at once.
+func (n *Node) Deliver(from bbunit.InstanceID, e *bbwire.Envelope) { n.handler(from, e) }
+
 // Handle sets the function that gets the messages to this instance.
 func (n *Node) Handle(_ *bbwire.Envelope, fn func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
 	n.handler = fn
