Grant no permits from instances whose list of instances lags

What was seen: 84 processes, six in ten killed and started again: a target that names 3.1 requests a second got 21 in 4 s of all instances (allowed 23); in the simulation, with lists that lag by 2 s, up to 26. An instance that has just started knows few others, takes itself for a home of every target, and granted itself permits from a line of its own. The rule excuses it for that time, but a fleet in which many start together would load a target that is in need.

Now an instance grants nothing in its first 2 s, nor for a target for which it is not among the first nine in rank; who asked passes it over. An account that got more than its part is now found over 5 s instead of 2, as one under its part was often taken for one above it.

The test of documented metrics now covers those of limits as well.

--- a/bluebellport/emulate/fleet.go
+++ b/bluebellport/emulate/fleet.go
@@ -25,6 +25,8 @@
 	// rejoin how long after a cut the members see each other again.
 	suspicion = 5 * time.Second
 	rejoin    = 2 * time.Second
+	// knownShare is of how many members an instance whose list lags knows one.
+	knownShare = 8
 )
 
 // Fleet is a fleet of instances.
@@ -34,7 +36,9 @@
 	Loss float64
 	// Latency is the least time of a message on its way; up to as much is added.
 	Latency time.Duration
-	Nodes   []*Node
+	// Lag is how long an instance that starts knows only some of the members.
+	Lag   time.Duration
+	Nodes []*Node
 	// Messages and Bytes count what was sent.
 	Messages, Bytes int
 
@@ -90,6 +94,7 @@
 	n.Up, n.CalmSince, n.killedAt = true, f.clock, time.Time{}
 	n.Member.Inc++
 	f.epoch++
+	f.After(f.Lag, func() { f.epoch++ })
 	f.start(n)
 }
 
@@ -213,7 +218,11 @@
 		return n.view
 	}
 	v := &bbmember.View{Self: n.Member}
-	for _, other := range f.Nodes {
+	lags := f.clock.Sub(n.CalmSince) < f.Lag
+	for i, other := range f.Nodes {
+		if lags && other != n && (i+int(n.Member.Inc))%knownShare != 0 {
+			continue
+		}
 		gone := !other.Up && f.clock.Sub(other.killedAt) >= suspicion
 		cutOff := other.Cut != n.Cut && f.clock.Sub(later(other.CalmSince, n.CalmSince)) >= suspicion
 		if !gone && !cutOff {
--- a/bluebellport/limit/constants.go
+++ b/bluebellport/limit/constants.go
@@ -46,6 +46,9 @@
 	homeCount = 3
 	// homeCandidates is how many instances in rank are tried while some are silent.
 	homeCandidates = 9
+	// homeWarmup is how long after its start an instance grants no permits: it does
+	// not know yet which other homes there are.
+	homeWarmup = 2 * time.Second
 	// minBurst is how many permits may come at once, burstPeriod the same as a part
 	// of the limit, confirmBurst how many more a home confirms.
 	minBurst     = 2
@@ -58,7 +61,7 @@
 	maxPause   = 5 * time.Second
 	// fairPeriod is the time over which the permits of accounts are compared,
 	// heavyDivisor divides the patience of one that got more than its part.
-	fairPeriod   = 2 * time.Second
+	fairPeriod   = 5 * time.Second
 	heavyDivisor = 4
 	// answerTTL is how long a home remembers its reply to a question that may be
 	// repeated.
@@ -82,6 +85,9 @@
 	// unansweredPause is how long an instance does without permits after no home
 	// has answered in time.
 	unansweredPause = 200 * time.Millisecond
+	// declinedPause is how long an instance that declined is passed over, and how
+	// long one does without permits after all that it took for homes have.
+	declinedPause = 300 * time.Millisecond
 	// permitTTL is how long a permit can be used.
 	permitTTL = 500 * time.Millisecond
 	// silentTries and silentPeriod tell when a home is passed over that does not
--- a/bluebellport/limit/decision_test.go
+++ b/bluebellport/limit/decision_test.go
@@ -141,3 +141,28 @@
 	is.Equal(h.answer(&ask{from: "b", id: 1, count: 1}, 4, now, zero).count, 1)
 	is.True(h.line.next.After(next))
 }
+
+// TestInstanceWithALaggingListGrantsNothing guards against instances that have
+// just started and take themselves for the homes of all targets.
+func TestInstanceWithALaggingListGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(30, 0, 1, 3.1)
+	s.Run(time.Second)
+	run := s.targets[0].run
+	s.keepers[s.Nodes[0]].Observe(run, Statement{Limit: 3.1, SentAt: s.Now(), HeardAt: s.Now()})
+	s.Run(10 * time.Second)
+	s.Lag = homeWarmup
+	s.Add()
+	started := s.keepers[s.Nodes[30]]
+	s.Run(500 * time.Millisecond)
+	is.True(started.IsLimited(run))
+	for range 10 {
+		r := started.begin(run, Asker{})
+		s.Run(150 * time.Millisecond)
+		is.True(r == nil || (<-r.done).Permit.Count == 0) // whom it takes for homes declines
+	}
+	s.Run(homeWarmup)
+	r := started.begin(run, Asker{Patience: time.Second})
+	s.Run(askTimeout)
+	is.Equal((<-r.done).Permit.Count, 1)
+}
--- a/bluebellport/limit/fleet_test.go
+++ b/bluebellport/limit/fleet_test.go
@@ -34,6 +34,10 @@
 			s.After(time.Duration(4+6*i)*time.Second, func() { s.KillShare(0.6, 2*time.Second) })
 		}
 	}
+	lags := func(s *simulation) {
+		s.Lag = 2 * time.Second
+		kills(s)
+	}
 	cut := func(s *simulation) {
 		s.After(4*time.Second, func() { s.CutDomain("d1", 9*time.Second) })
 	}
@@ -49,6 +53,7 @@
 			limitRow{"all callers at one instance", n, 0, oneInstance, true},
 			limitRow{"messages lost", n, 0.3, calm, false},
 			limitRow{"six in ten killed, messages lost", n, 0.3, kills, false},
+			limitRow{"six in ten killed, lists that lag", n, 0, lags, false},
 			limitRow{"a domain cut off", n, 0.1, cut, false},
 			limitRow{"new instances", n, 0.1, joins, false},
 		)
@@ -144,7 +149,7 @@
 				s.Run(simContact)
 				since := s.Now()
 				s.offered, s.ran, s.slowestRefusal = map[uint64]int{}, map[uint64]int{}, 0
-				s.Run(2 * *simTime)
+				s.Run(4 * *simTime)
 				most, _ := s.checkLimits(t, limit, since)
 				used := min(s.targets[0].used(limit, since, s.Now()), s.targets[1].used(limit, since, s.Now()))
 				light := float64(s.ran[2]) / float64(s.offered[2])
--- a/bluebellport/limit/home.go
+++ b/bluebellport/limit/home.go
@@ -23,6 +23,8 @@
 	count       int
 	delay       time.Duration
 	wait, pause time.Duration
+	// declined means that the instance is no home, and decided nothing.
+	declined bool
 }
 
 // home grants the permits of one target. It decides alone how many; that most of
--- a/bluebellport/limit/keeper.go
+++ b/bluebellport/limit/keeper.go
@@ -77,6 +77,7 @@
 	nextRound time.Time
 	nextPrune time.Time
 	learner   learner
+	startedAt time.Time
 }
 
 // entry is what an instance knows of one target's limit, and its part in keeping
@@ -104,9 +105,11 @@
 // peerState tells whether an instance answers questions. The zero value is one
 // that has not been asked.
 type peerState struct {
-	tries       int
-	firstAt     time.Time
-	silentUntil time.Time
+	tries   int
+	firstAt time.Time
+	// passedUntil is until when it is passed over, as it was silent or declined.
+	passedUntil time.Time
+	declined    bool
 }
 
 type keeperMetrics struct {
@@ -135,7 +138,8 @@
 		dirty: map[bbplan.TargetRun]bool{}, rounds: map[uint64]*round{}, peers: map[bbunit.InstanceID]*peerState{}, nextID: uint64(cfg.Rand(1<<30)) << 30,
 	}
 	k.limited.Store(&map[bbplan.TargetRun]bool{})
-	k.learner.giveUpAt = cfg.Now().Add(learnPeriod)
+	k.startedAt = cfg.Now()
+	k.learner.giveUpAt = k.startedAt.Add(learnPeriod)
 	cfg.Network.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Limits{}}, k.receive)
 	return k
 }
@@ -308,7 +312,7 @@
 		k.publish()
 	}
 	for id, p := range k.peers {
-		if _, member := k.members[id]; !member && now.After(p.silentUntil) {
+		if _, member := k.members[id]; !member && now.After(p.passedUntil) {
 			delete(k.peers, id)
 		}
 	}
--- a/bluebellport/limit/message.go
+++ b/bluebellport/limit/message.go
@@ -49,14 +49,14 @@
 
 // encodeTell converts a reply.
 func encodeTell(t *tell, entry *bbwire.LimitEntry) *bbwire.PermitTell {
-	return &bbwire.PermitTell{Id: t.id, Entry: entry, Count: uint32(t.count), Delay: micros(t.delay), Wait: micros(t.wait), Pause: micros(t.pause)}
+	return &bbwire.PermitTell{Id: t.id, Entry: entry, Count: uint32(t.count), Delay: micros(t.delay), Wait: micros(t.wait), Pause: micros(t.pause), Declined: t.declined}
 }
 
 // decodeTell converts a reply. Times that are too long are shortened.
 func decodeTell(m *bbwire.PermitTell) tell {
 	return tell{
 		id: m.Id, count: int(min(m.Count, maxCount)), delay: fromMicros(min(m.Delay, micros(maxPatience))),
-		wait: fromMicros(min(m.Wait, micros(maxWait))), pause: fromMicros(min(m.Pause, micros(maxPause))),
+		wait: fromMicros(min(m.Wait, micros(maxWait))), pause: fromMicros(min(m.Pause, micros(maxPause))), declined: m.Declined,
 	}
 }
 
--- a/bluebellport/limit/news.go
+++ b/bluebellport/limit/news.go
@@ -160,7 +160,7 @@
 // handle applies a message and returns the replies.
 func (k *Keeper) handle(from bbunit.InstanceID, msg *bbwire.Limits, now time.Time) []outgoing {
 	k.updateView(now)
-	delete(k.peers, from) // it is not silent
+	k.heardFrom(from)
 	for _, m := range msg.Entries[:min(len(msg.Entries), maxEntriesPerMessage)] {
 		k.merge(from, m, now)
 	}
@@ -179,6 +179,13 @@
 	return append(out, k.flood(now)...)
 }
 
+// heardFrom notes that an instance is not silent.
+func (k *Keeper) heardFrom(id bbunit.InstanceID) {
+	if p := k.peers[id]; p != nil && !p.declined {
+		delete(k.peers, id)
+	}
+}
+
 // handleAsk answers a question for permits.
 func (k *Keeper) handleAsk(from bbunit.InstanceID, m *bbwire.PermitAsk, now time.Time) []outgoing {
 	e := k.merge(from, m.Entry, now)
--- a/bluebellport/limit/permit.go
+++ b/bluebellport/limit/permit.go
@@ -240,8 +240,13 @@
 	e.open = 0
 }
 
-// answerAsk answers a question as a home of the target.
+// answerAsk answers a question as a home of the target. An instance that is not
+// one of the first in rank, or that has just started, declines: its list or that
+// of the other lags.
 func (k *Keeper) answerAsk(e *entry, a *ask, now time.Time) tell {
+	if now.Sub(k.startedAt) < homeWarmup || !slices.Contains(k.rankOf(e), k.view.Self.ID) {
+		return tell{id: a.id, declined: true}
+	}
 	if e.home == nil {
 		e.home = newHome(e.statement.Limit, now)
 	}
@@ -250,6 +255,9 @@
 
 // hearTell takes a home's reply.
 func (k *Keeper) hearTell(from bbunit.InstanceID, t tell, now time.Time) []outgoing {
+	if t.declined {
+		k.peers[from] = &peerState{passedUntil: now.Add(declinedPause), declined: true}
+	}
 	r := k.rounds[t.id]
 	if r == nil || !r.hear(from, t, now) {
 		if t.count > 0 {
@@ -266,21 +274,28 @@
 	return k.nextID
 }
 
+// rankOf returns the first instances in rank for a target, this one if none is
+// known.
+func (k *Keeper) rankOf(e *entry) []bbunit.InstanceID {
+	if e.rankView == k.view {
+		return e.rank
+	}
+	e.rankView, e.rank = k.view, nil
+	for _, m := range k.view.Rank(rankKey(e.run), "", homeCandidates) {
+		e.rank = append(e.rank, m.ID)
+	}
+	if len(e.rank) == 0 {
+		e.rank = []bbunit.InstanceID{k.view.Self.ID}
+	}
+	return e.rank
+}
+
 // homesOf returns the homes of a target: the first in rank, without those that
-// have been silent.
+// have been silent or have declined.
 func (k *Keeper) homesOf(e *entry, now time.Time) []bbunit.InstanceID {
-	if e.rankView != k.view {
-		e.rankView, e.rank = k.view, nil
-		for _, m := range k.view.Rank(rankKey(e.run), "", homeCandidates) {
-			e.rank = append(e.rank, m.ID)
-		}
-		if len(e.rank) == 0 {
-			e.rank = []bbunit.InstanceID{k.view.Self.ID}
-		}
-	}
 	homes := make([]bbunit.InstanceID, 0, homeCount)
-	for _, id := range e.rank {
-		if p := k.peers[id]; p != nil && now.Before(p.silentUntil) {
+	for _, id := range k.rankOf(e) {
+		if p := k.peers[id]; p != nil && now.Before(p.passedUntil) {
 			continue
 		}
 		if homes = append(homes, id); len(homes) == homeCount {
@@ -302,7 +317,7 @@
 		p.firstAt = now
 	}
 	if p.tries >= silentTries && now.Sub(p.firstAt) >= silentPeriod {
-		*p = peerState{silentUntil: now.Add(silentTTL)}
+		*p = peerState{passedUntil: now.Add(silentTTL)}
 		k.silent.Inc(1)
 		k.cfg.Log.WithFields(logrus.Fields{"event": "limit", "peer": id}).Info("home of limits is silent; the next in rank is asked")
 	}
--- a/bluebellport/limit/round.go
+++ b/bluebellport/limit/round.go
@@ -122,6 +122,8 @@
 			granted++
 			permit.Count = min(permit.Count, h.tell.count)
 			permit.UsableAt = later(permit.UsableAt, h.heardAt.Add(h.tell.delay))
+		case h.tell.declined:
+			denied.Wait, denied.Pause = max(denied.Wait, declinedPause), max(denied.Pause, declinedPause)
 		default:
 			denials++
 			denied.Wait, denied.Pause = max(denied.Wait, h.tell.wait), max(denied.Pause, h.tell.pause)
--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -7,10 +7,12 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"bluebellport.example/bluebellport/limit"
 	"bluebellport.example/platform"
 	"bluebellport.example/platform/stand"
 )
@@ -24,13 +26,15 @@
 	c := newProxyMetrics(metrics.NewRegistry())
 	c.recordRefusal(http.StatusNotFound)
 	c.recordFailure(resultBroken)
+	limits := bblimit.New(bblimit.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
+	newHintReader(limits, nil, c.registry)
 	registered := map[string]bool{}
 	c.registry.Each(func(name string, _ any) {
 		name = strings.Replace(name, "refused.404", "refused.STATUS", 1)
 		registered[strings.Replace(name, "attempts."+resultBroken.String(), "attempts.KIND", 1)] = true
 	})
 	documented := map[string]bool{}
-	for _, m := range regexp.MustCompile("(?m)^\\| `(door\\.[^`]+)`").FindAllStringSubmatch(string(page), -1) {
+	for _, m := range regexp.MustCompile("(?m)^\\| `((?:door|limit)\\.[^`]+)`").FindAllStringSubmatch(string(page), -1) {
 		documented[m[1]] = true
 	}
 	is.Equal(documented, registered)
--- a/bluebellport/proxy/permit_test.go
+++ b/bluebellport/proxy/permit_test.go
@@ -15,6 +15,15 @@
 	bbplatformstand "bluebellport.example/platform/stand"
 )
 
+// permitWarmup is how long after its start an instance grants no permits.
+const permitWarmup = 2100 * time.Millisecond
+
+// startWarm runs the proxy and waits until it grants permits.
+func (h *harness) startWarm() {
+	h.start()
+	time.Sleep(permitWarmup)
+}
+
 // limitedTargets starts targets of the plain service that name a limit, and
 // teaches the proxy so.
 func (h *harness) limitedTargets(limit string, ids ...string) []*bbplatformstand.Target {
@@ -34,7 +43,7 @@
 	h := newHarness(t, 0)
 	limited := h.limitedTargets("2", "t1")[0]
 	h.startTarget(bbplatformstand.TargetOptions{ID: "t2", Service: "desk"})
-	h.start()
+	h.startWarm()
 	for len(limited.Executions()) == 0 {
 		is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
 	}
@@ -54,7 +63,7 @@
 	is := is.New(t)
 	h := newHarness(t, 0)
 	h.limitedTargets("0", "t1")
-	h.start()
+	h.startWarm()
 	h.eventually("the limit is known", func() bool { return h.call("GET", "/read/1", "").status == http.StatusServiceUnavailable })
 	began := time.Now()
 	got := h.call("POST", "/book/1", "x")
@@ -72,7 +81,7 @@
 	is := is.New(t)
 	h := newHarness(t, 0)
 	target := h.limitedTargets("4", "t1")[0]
-	h.start()
+	h.startWarm()
 	began := time.Now()
 	for range 8 {
 		is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
@@ -94,7 +103,7 @@
 	is := is.New(t)
 	h := newHarness(t, 0)
 	h.limitedTargets("0", "t1")
-	h.start()
+	h.startWarm()
 	h.eventually("the limit is known", func() bool { return h.call("GET", "/read/1", "").status == http.StatusServiceUnavailable })
 	h.startTarget(bbplatformstand.TargetOptions{ID: "t1", Service: "desk"}) // at another address, started later
 	h.eventually("the new run is used", func() bool { return h.call("GET", "/read/1", "").status == http.StatusOK })
@@ -107,7 +116,7 @@
 	is := is.New(t)
 	h := newHarness(t, 0)
 	leaving := h.limitedTargets("1", "t1")[0]
-	h.start()
+	h.startWarm()
 	is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
 	var wg sync.WaitGroup
 	for i := range 4 {
