--- a/bluebellport/limit/round.go
+++ b/bluebellport/limit/round.go
@@ -7,17 +7,6 @@
 	"bluebellport.example/shared/bbunit"
 )
 
-// Permit allows requests to be sent to a target. The zero value allows none.
-type Permit struct {
-	Count int
-	// UsableAt and ExpiresAt bound when it can be used.
-	UsableAt, ExpiresAt time.Time
-	// limit that it was granted under
-	limit float64
-	// owner is the round whose request waits for the permit, 0 for any request.
-	owner uint64
-}
-
 // round asks the homes of a target for permits: the first one, and once it has
 // granted them, the next, until most have. It decides what to send and has
 // neither clock nor network.
