--- a/bluebellport/limit/fleet_test.go
+++ b/bluebellport/limit/fleet_test.go
@@ -149,7 +149,7 @@
 				s.Run(simContact)
 				since := s.Now()
 				s.offered, s.ran, s.slowestRefusal = map[uint64]int{}, map[uint64]int{}, 0
-				s.Run(4 * *simTime)
+				s.Run(2 * *simTime)
 				most, _ := s.checkLimits(t, limit, since)
 				used := min(s.targets[0].used(limit, since, s.Now()), s.targets[1].used(limit, since, s.Now()))
 				light := float64(s.ran[2]) / float64(s.offered[2])
