Play planned stops with callers that go on, on real processes

No test on processes sent requests during a stop.

The play stops 24 instances of "bluebellport native" in series, a quarter of a second apart, and kills each at the end of its grace period (2, 6 or 8 s), as the platform does. Each has 40 connections that are open before SIGTERM and each used at its own moment, and 80 new ones; requests last 0.2 to 6 s, have a time limit of 2.5, 7 or 10 s, and are plain answers that may run once or be repeated, or streams that may run once or be resumed. Some instances have served such requests before, others none. Outcomes are counted by the second after SIGTERM, from what the callers were told and what the targets ran.

--- /dev/null
+++ b/e2e/native_stop_test.go
@@ -0,0 +1,188 @@
+package bbe2e
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var (
+	stopSeeds     = flag.Int("stop-seeds", 0, "seeds of TestNativeInstanceAnswersWhatItTakesInAPlannedStop; 0 plays the short form")
+	stopFirstSeed = flag.Uint64("stop-seed", 1, "first of these seeds")
+	stopInstances = flag.Int("stop-instances", 24, "instances that stop with each seed")
+)
+
+// stopCounts are the outcomes of the requests of a row that were sent in a span
+// after SIGTERM.
+type stopCounts map[stopOutcome]int
+
+// checkedRow is a row with its outcomes.
+type checkedRow struct {
+	*stopRow
+	bySecond map[int]stopCounts // -1: sent before SIGTERM
+	// early is how many sent in the first 2 s were served, baseEarly how many of them
+	// 880ada0 is sure to serve, lateLost how many sent from 3 to 3.5 s were not.
+	early, baseEarly, lateLost int
+	examples                   []string
+}
+
+// check counts the outcomes of a row.
+func (p *stopPlay) check(row *stopRow) *checkedRow {
+	c := &checkedRow{stopRow: row, bySecond: map[int]stopCounts{}}
+	for _, q := range row.requests {
+		after := q.sentAt.Sub(row.stoppedAt)
+		second := -1
+		if after >= 0 {
+			second = int(after / time.Second)
+		}
+		if c.bySecond[second] == nil {
+			c.bySecond[second] = stopCounts{}
+		}
+		runs := p.runsOf(row, q.attemptID)
+		outcome := q.outcome(runs)
+		c.bySecond[second][outcome]++
+		if after >= 0 && after < 2*time.Second {
+			if outcome == outcomeServed {
+				c.early++
+			}
+			if after+q.work < row.grace-stopReserve-baseMargin && q.work < row.limit-baseMargin {
+				c.baseEarly++
+			}
+		}
+		if after >= 3*time.Second && after < 3500*time.Millisecond && outcome != outcomeServed {
+			c.lateLost++
+		}
+		if after >= 0 && (outcome == outcomeCut || outcome == outcomeFalseRefusal || outcome == outcomeOther) && len(c.examples) < 3 {
+			c.examples = append(c.examples, fmt.Sprintf("%s sent %d ms after SIGTERM, kept connection %t, work %s, %d runs: %s after %d ms: status %d %q, %v",
+				q.attemptID, after.Milliseconds(), q.kept, q.work, len(runs), outcome, q.endedAt.Sub(q.sentAt).Milliseconds(), q.status, q.detail, q.err))
+		}
+	}
+	return c
+}
+
+// after returns how many requests sent after SIGTERM had an outcome.
+func (c *checkedRow) after(outcome stopOutcome) int {
+	n := 0
+	for second, counts := range c.bySecond {
+		if second >= 0 {
+			n += counts[outcome]
+		}
+	}
+	return n
+}
+
+// report logs the outcomes by second after SIGTERM.
+func (c *checkedRow) report(t *testing.T) {
+	t.Logf("%s: %d of those sent in the first 2 s served (880ada0: %d, sure %d), killed %t", c.stopRow, c.early, c.served, c.baseEarly, c.inst.killed)
+	for second := -1; second < int(c.grace/time.Second)+1; second++ {
+		if counts := c.bySecond[second]; counts != nil {
+			line := ""
+			for _, outcome := range allStopOutcomes {
+				if counts[outcome] > 0 {
+					line += fmt.Sprintf(", %s %d", outcome, counts[outcome])
+				}
+			}
+			t.Logf("  sent in second %d%s", second, line)
+		}
+	}
+	for _, text := range c.examples {
+		t.Log("  " + text)
+	}
+}
+
+// checkStop checks the bounds of a row.
+func (c *checkedRow) checkStop(t *testing.T) {
+	c.report(t)
+	if n := c.after(outcomeCut); n > 0 {
+		t.Errorf("%d requests sent after SIGTERM ran and were cut", n)
+	}
+	if n := c.after(outcomeFalseRefusal) + c.bySecond[-1][outcomeFalseRefusal]; n > 0 {
+		t.Errorf("%d requests were told that they did not run, and ran", n)
+	}
+	if least := max(c.served, c.baseEarly); c.early < least {
+		t.Errorf("%d of the requests sent in the first 2 s were served, 880ada0 serves %d", c.early, least)
+	}
+	if known := c.work == 2*time.Second || c.work == 3*time.Second; known && c.warm && c.grace == 8*time.Second && c.limit > c.work+time.Second && c.lateLost > 0 {
+		t.Errorf("%d requests sent from 3 to 3.5 s after SIGTERM were not served", c.lateLost)
+	}
+}
+
+// playStop plays rows and checks each in a test of its own.
+func playStop(t *testing.T, seed uint64, rows []*stopRow) {
+	p := newStopPlay(t, seed, rows)
+	p.run()
+	totals := stopCounts{}
+	for _, row := range rows {
+		t.Run(row.String(), func(t *testing.T) {
+			c := p.check(row)
+			c.checkStop(t)
+			for _, outcome := range allStopOutcomes {
+				totals[outcome] += c.after(outcome)
+			}
+		})
+	}
+	t.Logf("seed %d, %d instances: sent after SIGTERM: %v", seed, len(rows), totals)
+}
+
+// TestNativeInstanceAnswersWhatItTakesInAPlannedStop guards against requests that
+// are taken late in a planned stop, run, and are given up with the process.
+func TestNativeInstanceAnswersWhatItTakesInAPlannedStop(t *testing.T) {
+	if *stopSeeds == 0 {
+		playStop(t, *stopFirstSeed, shortStopRows())
+		return
+	}
+	for seed := *stopFirstSeed; seed < *stopFirstSeed+uint64(*stopSeeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { playStop(t, seed, randomStopRows(seed, *stopInstances)) })
+	}
+}
+
+// shortStopRows are the rows that are played with each test run. Each length of
+// work, grace period, kind and time limit is in several of them.
+func shortStopRows() []*stopRow {
+	ms := time.Millisecond
+	row := func(kind stopKind, work, grace, limit time.Duration, warm bool, served int) *stopRow {
+		return &stopRow{kind: kind, work: work * ms, grace: grace * ms, limit: limit * ms, warm: warm, served: served}
+	}
+	return []*stopRow{
+		row(kindPlain, 4000, 8000, 7000, true, 30),
+		row(kindPlain, 4000, 8000, 7000, false, 30),
+		row(kindPlain, 200, 8000, 2500, true, 30),
+		row(kindPlain, 200, 2000, 7000, true, 37),
+		row(kindPlain, 1000, 2000, 2500, false, 0),
+		row(kindPlain, 1000, 6000, 10000, true, 40),
+		row(kindPlain, 2000, 8000, 7000, true, 30),
+		row(kindPlain, 3000, 8000, 10000, true, 30),
+		row(kindPlain, 6000, 8000, 10000, true, 12),
+		row(kindPlain, 0, 8000, 7000, true, 29),
+		row(kindPlain, 0, 6000, 10000, false, 29),
+		row(kindRepeat, 4000, 6000, 7000, true, 16),
+		row(kindRepeat, 3000, 8000, 7000, false, 30),
+		row(kindRepeat, 2000, 2000, 2500, true, 0),
+		row(kindRepeat, 0, 8000, 2500, true, 14),
+		row(kindStream, 4000, 8000, 7000, true, 30),
+		row(kindStream, 2000, 8000, 10000, true, 30),
+		row(kindStream, 6000, 6000, 7000, false, 0),
+		row(kindStream, 0, 6000, 10000, true, 25),
+		row(kindResume, 4000, 8000, 10000, true, 30),
+		row(kindResume, 3000, 6000, 7000, true, 36),
+		row(kindResume, 1000, 2000, 7000, true, 0),
+		row(kindResume, 6000, 8000, 7000, false, 12),
+		row(kindResume, 0, 8000, 10000, true, 27),
+	}
+}
+
+// randomStopRows draws rows from all combinations.
+func randomStopRows(seed uint64, n int) []*stopRow {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	pick := func(of ...time.Duration) time.Duration { return of[rng.IntN(len(of))] }
+	var rows []*stopRow
+	for range n {
+		rows = append(rows, &stopRow{
+			kind: allStopKinds[rng.IntN(len(allStopKinds))], work: pick(append(mixedWork, 0)...), warm: rng.IntN(2) == 0, served: -1,
+			grace: pick(2*time.Second, 6*time.Second, 8*time.Second), limit: pick(2500*time.Millisecond, 7*time.Second, 10*time.Second),
+		})
+	}
+	return rows
+}
--- a/e2e/native_test.go
+++ b/e2e/native_test.go
@@ -1,6 +1,7 @@
 package bbe2e
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,7 @@
 	nativePromptTokens = 100
 	nativeEventCount   = 5
 	nativeStride       = 10
+	nativeGrace        = 6 * time.Second
 )
 
 // nativePlan is a platform plan with an engine service and two plain services,
@@ -56,6 +58,8 @@
 	targets      []*bbplatformstand.Target
 	instances    []*nativeInstance
 	attemptCount atomic.Int64
+	// grace is the grace period of instances; 0 means nativeGrace.
+	grace time.Duration
 }
 
 func newNativeFleet(t *testing.T, domains ...string) *nativeFleet {
@@ -106,22 +110,37 @@
 // startInstance writes the settings of an instance, starts it and waits until
 // it is ready.
 func (f *nativeFleet) startInstance(name, domain string) *nativeInstance {
+	inst := f.newInstance(name, domain)
+	f.startAndWait(inst, name)
+	return inst
+}
+
+// newInstance writes the settings of an instance that is not started yet.
+func (f *nativeFleet) newInstance(name, domain string) *nativeInstance {
 	inst := &nativeInstance{callerAddress: freeAddress(f.t), readyAddress: freeAddress(f.t), peerAddress: freeAddress(f.t)}
 	inst.settingsPath = filepath.Join(f.t.TempDir(), name)
 	lines := []string{
 		"node-name=" + name, "zone=" + domain, "listen-addresses.frontend=" + inst.callerAddress, "listen-addresses.ready=" + inst.readyAddress,
-		"listen-addresses.control-plane=" + inst.peerAddress, "platform.address=" + f.storeAddress, "bounds.grace-period-s=6", "unknown.field=1",
+		"listen-addresses.control-plane=" + inst.peerAddress, "platform.address=" + f.storeAddress, fmt.Sprint("bounds.grace-period-s=", cmp.Or(f.grace, nativeGrace).Seconds()), "unknown.field=1",
 	}
 	is.New(f.t).NoErr(os.WriteFile(inst.settingsPath, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
-	f.startAndWait(inst, name)
 	return inst
 }
 
 // startAndWait starts the process of an instance and waits until it is ready;
 // the name is that of the process.
 func (f *nativeFleet) startAndWait(inst *nativeInstance, name string) {
-	f.t.Setenv(bbplatform.SettingsVariable, inst.settingsPath)
-	inst.process = startProcess(f.t, name, "bluebellport", "native")
+	f.start(inst, name)
+	f.waitReady(inst)
+}
+
+// start starts the process of an instance.
+func (f *nativeFleet) start(inst *nativeInstance, name string) {
+	inst.process = startProcessWith(f.t, []string{bbplatform.SettingsVariable + "=" + inst.settingsPath}, name, "bluebellport", "native")
+}
+
+// waitReady waits until an instance reports that it is ready.
+func (f *nativeFleet) waitReady(inst *nativeInstance) {
 	for end := time.Now().Add(readyTimeout); ; time.Sleep(20 * time.Millisecond) {
 		if r, err := http.Get("http://" + inst.readyAddress + bbplatform.PathReadiness); err == nil {
 			_ = r.Body.Close()
@@ -130,7 +149,7 @@
 			}
 		}
 		if time.Now().After(end) {
-			f.t.Fatalf("%s is not ready", name)
+			f.t.Fatalf("%s is not ready", inst.name)
 		}
 	}
 }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -37,8 +37,15 @@
 // startProcess starts a program. It is killed at the end of the test if it is
 // still running then.
 func startProcess(t *testing.T, name, prog string, args ...string) *process {
+	t.Helper()
+	return startProcessWith(t, nil, name, prog, args...)
+}
+
+// startProcessWith is startProcess with additional environment variables.
+func startProcessWith(t *testing.T, env []string, name, prog string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, cmd: exec.Command(programPath(prog), args...), done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
 	p.logPath = filepath.Join(t.TempDir(), "log")
 	f, err := os.Create(p.logPath)
 	if err != nil {
--- /dev/null
+++ b/e2e/stop_caller_test.go
@@ -0,0 +1,124 @@
+package bbe2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// callerSlack is how long after its time limit a caller still waits, and how long
+	// before it an answer that says so counts as given in time.
+	callerSlack = 300 * time.Millisecond
+	// callerDial limits opening a connection.
+	callerDial = time.Second
+)
+
+// stopOutcome is what became of one request around a planned stop.
+type stopOutcome string
+
+// Outcomes.
+const (
+	outcomeServed       stopOutcome = "served"
+	outcomeRefused      stopOutcome = "refused" // told that it was not run, and it was not
+	outcomeNotTaken     stopOutcome = "not taken"
+	outcomeCut          stopOutcome = "run and cut"
+	outcomeFalseRefusal stopOutcome = "told not run and ran"
+	outcomeTimeUp       stopOutcome = "caller's time up"
+	outcomeOther        stopOutcome = "other"
+)
+
+var allStopOutcomes = []stopOutcome{outcomeServed, outcomeRefused, outcomeNotTaken, outcomeCut, outcomeFalseRefusal, outcomeTimeUp, outcomeOther}
+
+// stopRequest is one request of a caller and what it was told.
+type stopRequest struct {
+	attemptID, path string
+	work, limit     time.Duration
+	kept            bool // sent on a connection that was open before
+	sentAt, endedAt time.Time
+	status          int // 0: no head came
+	whole           bool
+	text, detail    string
+	notRun          bool
+	err             error
+}
+
+// head returns the request as it is sent.
+func (q *stopRequest) head() string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\nContent-Length: 4\r\n\r\nbody",
+		q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds())
+}
+
+// send sends the request on a connection, a new one to the address if it is nil,
+// and reads what its caller is told.
+func (q *stopRequest) send(conn net.Conn, address string) {
+	q.sentAt, q.kept = time.Now(), conn != nil
+	defer func() { q.endedAt = time.Now() }()
+	if conn == nil {
+		if conn, q.err = net.DialTimeout("tcp4", address, callerDial); q.err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	_ = conn.SetDeadline(q.sentAt.Add(q.limit + callerSlack))
+	if _, q.err = io.WriteString(conn, q.head()); q.err != nil {
+		return
+	}
+	q.err = q.read(conn)
+}
+
+// read reads the answer.
+func (q *stopRequest) read(conn net.Conn) error {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	if id := resp.Header.Get("Attempt-Id"); id != q.attemptID {
+		return fmt.Errorf("the answer of request %q", id)
+	}
+	q.status = resp.StatusCode
+	body, err := io.ReadAll(resp.Body)
+	if q.text = string(body); err != nil {
+		return err
+	}
+	var problem struct{ Outcome, Detail string }
+	if json.Unmarshal(body, &problem) == nil {
+		q.detail = problem.Detail
+	}
+	q.notRun = slices.Contains([]int{408, 421, 429, 503}, q.status) || problem.Outcome == "not-run"
+	targetID, _ := strings.CutSuffix(resp.Header.Get("Server-Signature"), "."+q.attemptID)
+	expected := rawBody(q.attemptID, targetID)
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		expected = ""
+		for i := range workEvents {
+			expected += workEvent(i + 1)
+		}
+	}
+	q.whole = q.status == http.StatusOK && q.text == expected
+	return nil
+}
+
+// outcome compares what the caller was told with what targets did.
+func (q *stopRequest) outcome(runs []workRun) stopOutcome {
+	switch ran := len(runs) > 0; {
+	case q.whole:
+		return outcomeServed
+	case q.notRun && ran:
+		return outcomeFalseRefusal
+	case q.notRun:
+		return outcomeRefused
+	case q.endedAt.Sub(q.sentAt) > q.limit-callerSlack:
+		return outcomeTimeUp
+	case ran:
+		return outcomeCut
+	case q.status == 0:
+		return outcomeNotTaken
+	}
+	return outcomeOther
+}
