--- a/e2e/native_stop_test.go
+++ b/e2e/native_stop_test.go
@@ -54,9 +54,8 @@
 		if after >= 3*time.Second && after < 3500*time.Millisecond && outcome != outcomeServed {
 			c.lateLost++
 		}
-		if after >= 0 && (outcome == outcomeCut || outcome == outcomeFalseRefusal || outcome == outcomeOther) && len(c.examples) < 3 {
-			c.examples = append(c.examples, fmt.Sprintf("%s sent %d ms after SIGTERM, kept connection %t, work %s, %d runs: %s after %d ms: status %d %q, %v",
-				q.attemptID, after.Milliseconds(), q.kept, q.work, len(runs), outcome, q.endedAt.Sub(q.sentAt).Milliseconds(), q.status, q.detail, q.err))
+		if after >= 0 && outcome.isFault() && len(c.examples) < 3 {
+			c.examples = append(c.examples, fmt.Sprintf("sent %d ms after SIGTERM: %s", after.Milliseconds(), q.describe(runs)))
 		}
 	}
 	return c
@@ -101,6 +100,9 @@
 	if n := c.after(outcomeFalseRefusal) + c.bySecond[-1][outcomeFalseRefusal]; n > 0 {
 		t.Errorf("%d requests were told that they did not run, and ran", n)
 	}
+	if n := c.after(outcomeDropped); n > 0 {
+		t.Errorf("%d requests were read and their connections closed without an answer", n)
+	}
 	if least := max(c.served, c.baseEarly); c.early < least {
 		t.Errorf("%d of the requests sent in the first 2 s were served, 880ada0 serves %d", c.early, least)
 	}
--- a/e2e/stop_caller_test.go
+++ b/e2e/stop_caller_test.go
@@ -18,6 +18,19 @@
 	callerSlack = 300 * time.Millisecond
 	// callerDial limits opening a connection.
 	callerDial = time.Second
+	// crossingTime is how long after its last byte a request may still cross the
+	// close of its connection.
+	crossingTime = 200 * time.Millisecond
+)
+
+// slowPart is the part of a request in the middle of which its caller pauses.
+type slowPart int
+
+// Slow parts.
+const (
+	slowNone slowPart = iota
+	slowHead
+	slowBody
 )
 
 // stopOutcome is what became of one request around a planned stop.
@@ -30,19 +43,24 @@
 	outcomeNotTaken     stopOutcome = "not taken"
 	outcomeCut          stopOutcome = "run and cut"
 	outcomeFalseRefusal stopOutcome = "told not run and ran"
+	outcomeDropped      stopOutcome = "read and dropped" // closed without an answer, later than after a crossing
 	outcomeTimeUp       stopOutcome = "caller's time up"
 	outcomeOther        stopOutcome = "other"
 )
 
-var allStopOutcomes = []stopOutcome{outcomeServed, outcomeRefused, outcomeNotTaken, outcomeCut, outcomeFalseRefusal, outcomeTimeUp, outcomeOther}
+var allStopOutcomes = []stopOutcome{outcomeServed, outcomeRefused, outcomeNotTaken, outcomeCut, outcomeFalseRefusal, outcomeDropped, outcomeTimeUp, outcomeOther}
 
 // stopRequest is one request of a caller and what it was told.
 type stopRequest struct {
 	attemptID, path string
 	work, limit     time.Duration
 	kept            bool // sent on a connection that was open before
+	slow            slowPart
+	pause           time.Duration // in the middle of the slow part
 	sentAt, endedAt time.Time
-	status          int // 0: no head came
+	writtenAt       time.Time // when the last byte was sent; zero: it was not
+	closed          bool      // the answer closes the connection
+	status          int       // 0: no head came
 	whole           bool
 	text, detail    string
 	notRun          bool
@@ -66,11 +84,27 @@
 		}
 		defer func() { _ = conn.Close() }()
 	}
-	_ = conn.SetDeadline(q.sentAt.Add(q.limit + callerSlack))
-	if _, q.err = io.WriteString(conn, q.head()); q.err != nil {
-		return
+	_ = conn.SetDeadline(q.sentAt.Add(q.pause + q.limit + callerSlack))
+	if q.err = q.write(conn); q.err == nil {
+		q.err = q.read(conn)
 	}
-	q.err = q.read(conn)
+}
+
+// write writes the request, with a pause in the middle of its slow part.
+func (q *stopRequest) write(conn net.Conn) error {
+	text := q.head()
+	at := map[slowPart]int{slowHead: len(text) / 2, slowBody: len(text) - 2}[q.slow]
+	if _, err := io.WriteString(conn, text[:at]); err != nil {
+		return err
+	}
+	if q.slow != slowNone {
+		time.Sleep(q.pause)
+	}
+	_, err := io.WriteString(conn, text[at:])
+	if err == nil {
+		q.writtenAt = time.Now()
+	}
+	return err
 }
 
 // read reads the answer.
@@ -82,7 +116,7 @@
 	if id := resp.Header.Get("Attempt-Id"); id != q.attemptID {
 		return fmt.Errorf("the answer of request %q", id)
 	}
-	q.status = resp.StatusCode
+	q.status, q.closed = resp.StatusCode, resp.Close
 	body, err := io.ReadAll(resp.Body)
 	if q.text = string(body); err != nil {
 		return err
@@ -113,12 +147,29 @@
 		return outcomeFalseRefusal
 	case q.notRun:
 		return outcomeRefused
-	case q.endedAt.Sub(q.sentAt) > q.limit-callerSlack:
+	case q.endedAt.Sub(q.sentAt) > q.pause+q.limit-callerSlack:
 		return outcomeTimeUp
 	case ran:
 		return outcomeCut
+	case q.status == 0 && !q.writtenAt.IsZero() && q.endedAt.Sub(q.writtenAt) > crossingTime:
+		return outcomeDropped
 	case q.status == 0:
 		return outcomeNotTaken
 	}
 	return outcomeOther
 }
+
+// isFault reports whether a planned stop may not end a request like this.
+func (o stopOutcome) isFault() bool {
+	return o == outcomeCut || o == outcomeFalseRefusal || o == outcomeDropped || o == outcomeOther
+}
+
+// describe tells what became of the request, for the log.
+func (q *stopRequest) describe(runs []workRun) string {
+	text := fmt.Sprintf("%s %s, kept connection %t, slow part %d, work %s, limit %s: %s after %d ms: status %d %q, %v",
+		q.attemptID, q.path, q.kept, q.slow, q.work, q.limit, q.outcome(runs), q.endedAt.Sub(q.sentAt).Milliseconds(), q.status, q.detail, q.err)
+	for _, run := range runs {
+		text += fmt.Sprintf("; run at %s from %d to %d ms, whole %t", run.targetID, run.beganAt.Sub(q.sentAt).Milliseconds(), run.endedAt.Sub(q.sentAt).Milliseconds(), run.whole)
+	}
+	return text
+}
--- a/e2e/stop_play_test.go
+++ b/e2e/stop_play_test.go
@@ -115,10 +115,9 @@
 			p.targets[name] = append(p.targets[name], target)
 		}
 		services = append(services, fmt.Sprintf(`{"name":%q}`, name))
-		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"path-prefix":"/%s/",%s,"service":%q,"timeout-ms":%d,"target-latency-ms":7000,"target-gap-ms":700,"max-attempts":2}`,
-			name, nativeHost, name, routeFields[row.kind], name, stopRouteTimeout.Milliseconds()))
+		routes = append(routes, stopRoute(row.kind, name, name))
 	}
-	p.writePlan(2, routes, services)
+	p.writeStopPlan(2, routes, services)
 	for i, domain := range domainNames(stopStayers) {
 		p.instances = append(p.instances, p.startInstance(fmt.Sprint("stays", i), domain))
 	}
@@ -133,15 +132,21 @@
 	return p
 }
 
-// writePlan writes a plan with routes and services.
-func (p *stopPlay) writePlan(version int, routes, services []string) {
-	is := is.New(p.t)
+// stopRoute returns a route of a kind to a service.
+func stopRoute(kind stopKind, name, service string) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"path-prefix":"/%s/",%s,"service":%q,"timeout-ms":%d,"target-latency-ms":7000,"target-gap-ms":700,"max-attempts":2}`,
+		name, nativeHost, name, routeFields[kind], service, stopRouteTimeout.Milliseconds())
+}
+
+// writeStopPlan writes a plan with routes and services.
+func (f *nativeFleet) writeStopPlan(version int, routes, services []string) {
+	is := is.New(f.t)
 	plan := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":8192,"max-body-bytes":300000,"header-timeout-ms":3000,"idle-timeout-ms":30000},
 		"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, version, strings.Join(routes, ","), strings.Join(services, ","), nativeKey, nativePrepaid)
 	is.True(json.Valid([]byte(plan)))
-	old, err := p.memStore.Get(p.t.Context(), bbplatform.KeyPlan)
+	old, err := f.memStore.Get(f.t.Context(), bbplatform.KeyPlan)
 	is.NoErr(err)
-	_, err = p.memStore.CAS(p.t.Context(), bbplatform.KeyPlan, []byte(plan), old.Rev, 0)
+	_, err = f.memStore.CAS(f.t.Context(), bbplatform.KeyPlan, []byte(plan), old.Rev, 0)
 	is.NoErr(err)
 }
 
