Add a package that decides on requests during a planned stop

bbstop knows the times of a planned stop and how long requests of a kind took, and decides from these whether a request can end before the stop does. It has no network and no clock. Nothing uses it yet; the proxy and serve are to share it.

While the load balancer may not know of the stop, requests are taken that usually end in time, and those of which nothing is known; after that only those that end in time even if they take as long as the longest known. The maxima of two minutes are kept beside the newest 64 samples, since these last under a second on a busy route.

--- /dev/null
+++ b/bluebellport/stop/constants.go
@@ -0,0 +1,44 @@
+package bbstop
+
+import "time"
+
+// Times of a stop.
+const (
+	// maxIntakePeriod is how long after the order to stop the load balancer may not
+	// know of it: two failed checks, one second apart, and the time in which their
+	// result takes effect. maxAcceptPeriod is how long new connections are accepted.
+	maxIntakePeriod = 2500 * time.Millisecond
+	maxAcceptPeriod = 3500 * time.Millisecond
+	// intakeDivisor and acceptDivisor divide the time from the order to the end of
+	// the stop: at most that part of it is the intake period, or is accepted in.
+	intakeDivisor = 3
+	acceptDivisor = 2
+	// exitPeriod is how long before the kill the stop ends: the last answers are
+	// written, shares are returned and the log is flushed. A grace period under
+	// exitDivisor times that leaves a smaller part of itself.
+	exitPeriod  = 500 * time.Millisecond
+	exitDivisor = 4
+)
+
+// What is known of the length of requests.
+const (
+	// recentSamples is how many of the newest requests a quantile covers.
+	recentSamples = 64
+	// peakPeriod is the time that one maximum covers, peakPeriods how many of them
+	// are kept: a rare long request is not forgotten as short ones follow.
+	peakPeriod  = 30 * time.Second
+	peakPeriods = 4
+	// usualQuantile is the quantile that counts as the usual time.
+	usualQuantile = 0.9
+	// answerTime is how long it may take to pass on an answer that has ended.
+	answerTime = 100 * time.Millisecond
+	// fewSamples is the number of requests under which a maximum says little.
+	// fewSamplesMargin is the margin on it then, maxMargin the margin on any other,
+	// as parts of the maximum.
+	fewSamples       = 16
+	fewSamplesMargin = 0.25
+	maxMargin        = 0.125
+	// openFactor times its age is how long a request is expected to take that has
+	// been open for longer than any other took.
+	openFactor = 2
+)
--- /dev/null
+++ b/bluebellport/stop/stop.go
@@ -0,0 +1,73 @@
+// Package bbstop decides what an instance does with requests during a planned
+// stop: until when it takes which requests, and when it ends those that are still
+// open. It uses no network and no clock; each call is given the time of a steady
+// clock, so a process that was frozen goes on with the time that is left.
+//
+// An instance keeps one Stop and one Durations for each kind of request:
+//
+//	stop.Begin(bbstop.NewTimes(now, gracePeriod))          // at the order to stop
+//	durations.Record(now, head, rest, size)                // as a request ends
+//	times := stop.Times()                                  // nil: not stopping
+//	if d := times.Decide(now, &bbstop.Request{...}); !d.Take {
+//		// answer 503 or its like: not run. Log d.Fields().
+//	}
+//
+// Decide is called as a request is admitted and again directly before each send,
+// since a request may have waited in between. At Times.AcceptUntil the listener
+// and idle connections are closed; at Times.End the requests that are still open
+// are ended, each with an answer; at Times.ExitBy the process has to be gone.
+package bbstop
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Times are the times of one stop, on a steady clock.
+type Times struct {
+	// Begin is when the instance was told to stop.
+	Begin time.Time
+	// IntakeEnd is until when the load balancer may not know of the stop. Until then
+	// requests are taken that usually end in time, afterwards only those that do so
+	// surely.
+	IntakeEnd time.Time
+	// AcceptUntil is when the listener and idle connections are closed.
+	AcceptUntil time.Time
+	// End is when requests that are still open are ended.
+	End time.Time
+	// ExitBy is when the process has to be gone.
+	ExitBy time.Time
+}
+
+// NewTimes returns the times of a stop that the platform ends with a kill at the
+// end of the grace period.
+func NewTimes(begin time.Time, grace time.Duration) *Times {
+	toEnd := grace - min(exitPeriod, grace/exitDivisor)
+	return &Times{
+		Begin:       begin,
+		IntakeEnd:   begin.Add(min(maxIntakePeriod, toEnd/intakeDivisor)),
+		AcceptUntil: begin.Add(min(maxAcceptPeriod, toEnd/acceptDivisor)),
+		End:         begin.Add(toEnd),
+		ExitBy:      begin.Add(grace),
+	}
+}
+
+// Stop is what an instance knows of its planned stop. The zero value is an
+// instance that is not stopping. It may be used by several goroutines.
+type Stop struct {
+	times atomic.Pointer[Times]
+	ended atomic.Bool
+}
+
+// Begin begins the stop and reports whether it did: a later order changes
+// nothing.
+func (s *Stop) Begin(t *Times) bool { return s.times.CompareAndSwap(nil, t) }
+
+// Times returns the times of the stop, nil if the instance is not stopping.
+func (s *Stop) Times() *Times { return s.times.Load() }
+
+// SetEnded is called once requests that are still open are to be ended.
+func (s *Stop) SetEnded() { s.ended.Store(true) }
+
+// Ended reports whether SetEnded was called.
+func (s *Stop) Ended() bool { return s.ended.Load() }
