Log what is known of each request that is sent during a planned stop

Callers lost a request that was sent 3.495 s after SIGTERM and cut 7.103 s after it. The log told the cut, but neither what was known as the request was sent nor how the time up to the kill was spent.

Each request sent during the stop has a line, up to 256: the time left, its own time limit, how long requests of its route take and from how many samples, and what bbstop would decide from that. For this the proxy keeps durations by route; no decision changes.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -91,6 +91,7 @@
 		x.releaseConn(conn)
 		return attemptResult{kind: resultNoPermit}
 	}
+	x.logTaken(target)
 	target.State.Begin()
 	defer target.State.End()
 	if x.sentAttempts++; x.sentAttempts == 1 {
@@ -138,6 +139,7 @@
 	}
 	head := x.req.forwardHead(opts)
 	x.sentAt = x.proxy.now()
+	x.open.Store(&openAttempt{route: x.route.ID, sentAt: x.sentAt, size: x.expectedEvents()})
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true // until the target rules it out
 	if len(x.req.Body) <= maxInlineBody {
 		_, err := conn.Write(append(head, x.req.Body...))
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -156,8 +156,14 @@
 	graceMargin = 1200 * time.Millisecond
 )
 
-// maxCutLogged is how many of the requests that a shutdown cuts are logged.
-const maxCutLogged = 16
+// Log lines of one planned stop.
+const (
+	// maxCutLogged is how many of the requests that a stop cuts are logged.
+	maxCutLogged = 16
+	// maxTakenLogged is how many of the requests are logged that are sent during a
+	// stop.
+	maxTakenLogged = 256
+)
 
 // servedLogSample is the sampling ratio of the log: one in servedLogSample
 // served requests is logged.
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -44,6 +44,7 @@
 	unsentAttempts int           // attempts of which no byte was sent
 	tried          []bbunit.TargetID
 	lastTarget     atomic.Pointer[Target] // target of the latest attempt
+	open           atomic.Pointer[openAttempt]
 	// limitAtSend is the limit that the target chosen last was known to have as the
 	// request was sent, if limitedAtSend. hasPermit reports that the request has a
 	// permit for that target.
@@ -197,6 +198,7 @@
 			break
 		}
 		result := x.attempt(target)
+		x.recordDuration(&result)
 		x.proxy.recordResult(x, target, &result)
 		switch result.kind {
 		case resultDone:
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"bluebellport.example/bluebellport/crash"
 	"bluebellport.example/bluebellport/leave"
 	"bluebellport.example/bluebellport/limit"
+	"bluebellport.example/bluebellport/stop"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
@@ -57,7 +58,10 @@
 	metrics   *proxyMetrics
 	startedAt time.Time
 	closing   atomic.Bool // set once idle client connections are to be closed
-	mu        sync.Mutex  // guards conns
+	stop      bbstop.Stop
+	stopLines lineBudget
+	durations sync.Map   // bbplan.RouteID -> *bbstop.Durations
+	mu        sync.Mutex // guards conns
 	conns     map[*clientConn]bool
 	openConns sync.WaitGroup
 }
@@ -90,16 +94,12 @@
 	log.WithFields(logrus.Fields{"event": "start", "listen": settings.FrontendAddress, "domain": settings.Domain}).Info("serving")
 
 	<-ctx.Done()
-	deadline := time.Now().Add(settings.GracePeriod - graceMargin)
-	p.drain(clientListener, deadline)
+	times := stopTimes(p.now(), settings.GracePeriod)
+	p.drain(clientListener, times)
 	stopBackground()
 	_ = readyListener.Close()
 	_ = clientListener.Close()
-	wg.Wait()
-	closeCtx, cancel := context.WithDeadline(context.Background(), deadline.Add(shareReturnTimeout))
-	defer cancel()
-	p.shares.close(closeCtx)
-	log.WithField("event", "stop").Info("stopped")
+	p.exit(times, wg.Wait)
 	return nil
 }
 
@@ -170,65 +170,3 @@
 		}()
 	}
 }
-
-// drain stops taking requests. It reports not ready at once, accepts
-// connections for lingerPeriod more, closes those without a request, and waits
-// for the others until the deadline.
-func (p *Proxy) drain(clientListener net.Listener, deadline time.Time) {
-	p.board.Leaving.Store(true)
-	p.shares.drain()
-	p.log.WithField("event", "leaving").Info("leaving")
-	time.Sleep(min(lingerPeriod, time.Until(deadline)))
-	p.closing.Store(true)
-	_ = clientListener.Close()
-	p.closeIdleConns()
-	allClosed := make(chan struct{})
-	go func() {
-		p.openConns.Wait()
-		close(allClosed)
-	}()
-	select {
-	case <-allClosed:
-	case <-time.After(time.Until(deadline)):
-		p.logCutRequests()
-	}
-}
-
-// logCutRequests logs up to maxCutLogged of the requests that are still open at
-// the end of the grace period.
-func (p *Proxy) logCutRequests() {
-	requests := p.openRequests()
-	p.log.WithFields(logrus.Fields{"event": "cut", "open": len(requests)}).Warn("requests still open at the end of the grace period")
-	for _, x := range requests[:min(len(requests), maxCutLogged)] {
-		fields := logrus.Fields{"request": x.req.AttemptID, "ms": time.Since(x.req.ReceivedAt).Milliseconds()}
-		if target := x.lastTarget.Load(); target != nil {
-			fields["target"] = target.ID
-		}
-		p.log.WithFields(fields).Warn("request cut")
-	}
-}
-
-// openRequests returns the requests in flight.
-func (p *Proxy) openRequests() []*exchange {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var requests []*exchange
-	for client := range p.conns {
-		if x := client.current.Load(); x != nil {
-			requests = append(requests, x)
-		}
-	}
-	return requests
-}
-
-// closeIdleConns closes the connections that have no request in flight, by
-// ending the read that waits for the next one.
-func (p *Proxy) closeIdleConns() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for client := range p.conns {
-		if client.idle.Load() {
-			_ = client.SetReadDeadline(time.Now())
-		}
-	}
-}
--- /dev/null
+++ b/bluebellport/proxy/stopping.go
@@ -0,0 +1,110 @@
+package bbproxy
+
+import (
+	"sync/atomic"
+	"time"
+
+	"bluebellport.example/bluebellport/stop"
+	"bluebellport.example/shared/bbplan"
+	"bluebellport.example/shared/bbunit"
+)
+
+// openAttempt is a request that was sent to a target, as it counts in decisions on
+// others of its route.
+type openAttempt struct {
+	route  bbplan.RouteID
+	sentAt time.Time // of the latest attempt, on the proxy's clock
+	size   float64   // expected events of the answer, 0 if not known
+}
+
+// lineBudget limits the log lines of one kind. The zero value has written none.
+type lineBudget struct{ used atomic.Int64 }
+
+// take reports whether another line may be written of at most limit.
+func (b *lineBudget) take(limit int64) bool { return b.used.Add(1) <= limit }
+
+// suppressed returns how many of the lines about taken requests were not written.
+func (b *lineBudget) suppressed() int64 { return max(b.used.Load()-maxTakenLogged, 0) }
+
+// durationsOf returns the durations of a route's requests.
+func (p *Proxy) durationsOf(id bbplan.RouteID) *bbstop.Durations {
+	if d, ok := p.durations.Load(id); ok {
+		return d.(*bbstop.Durations)
+	}
+	d, _ := p.durations.LoadOrStore(id, &bbstop.Durations{})
+	return d.(*bbstop.Durations)
+}
+
+// openOf returns the requests of a route that are open at targets, without one of
+// them.
+func (p *Proxy) openOf(id bbplan.RouteID, without *exchange) []bbstop.Open {
+	now := p.now()
+	var out []bbstop.Open
+	for _, x := range p.openRequests() {
+		if open := x.open.Load(); open != nil && open.route == id && x != without {
+			out = append(out, bbstop.Open{Age: now.Sub(open.sentAt), Size: open.size})
+		}
+	}
+	return out
+}
+
+// expectedEvents returns the most events that the answer still has, 0 if that is
+// not known.
+func (x *exchange) expectedEvents() float64 {
+	if x.maxEventTokens == 0 || !x.req.HasUsage {
+		return 0
+	}
+	done := max(x.stream.lastID, parseLastEventID(x.req.LastEventID))
+	return float64(max((x.req.OutputTokens+x.maxEventTokens-1)/x.maxEventTokens-bbunit.Tokens(done), 1))
+}
+
+// decideInStop tells whether the request can still be sent to a target before the
+// instance stops.
+func (x *exchange) decideInStop(times *bbstop.Times) bbstop.Decision {
+	return times.Decide(x.proxy.now(), &bbstop.Request{
+		Limit: x.deadline, Size: x.expectedEvents(), Durations: x.proxy.durationsOf(x.route.ID),
+		Open: func() []bbstop.Open { return x.proxy.openOf(x.route.ID, x) },
+	})
+}
+
+// logTaken logs that the request is sent during a stop, and what is known of how
+// long it will take.
+func (x *exchange) logTaken(target *Target) {
+	times := x.proxy.stop.Times()
+	if times == nil || !x.proxy.stopLines.take(maxTakenLogged) {
+		return
+	}
+	decision := x.decideInStop(times)
+	fields := decision.Fields()
+	fields["request"], fields["route"], fields["target"], fields["sends"] = x.req.AttemptID, x.route.ID, target.ID, x.sentAttempts
+	fields["since"], fields["read"] = x.proxy.sinceStop(), time.Since(x.req.ReceivedAt).Milliseconds()
+	x.proxy.log.WithFields(fields).Info("sent during the stop")
+}
+
+// recordDuration records how long the target took for the request. What failed, was
+// resumed or was given up by its client says nothing.
+func (x *exchange) recordDuration(result *attemptResult) {
+	now := x.proxy.now()
+	took, size := now.Sub(x.sentAt), x.expectedSize()
+	switch {
+	case result.kind != resultDone && result.kind != resultLate, result.sentAt.IsZero(), result.targetFailed:
+		return
+	case x.maxEventTokens == 0:
+		x.proxy.durationsOf(x.route.ID).Record(now, took, 0, 0)
+	case x.sentAttempts > 1:
+		return
+	case x.stream.firstEventAt.IsZero():
+		x.proxy.durationsOf(x.route.ID).Record(now, took, 0, size)
+	default:
+		head := x.stream.firstEventAt.Sub(x.sentAt)
+		x.proxy.durationsOf(x.route.ID).Record(now, head, took-head, size)
+	}
+}
+
+// expectedSize returns the size with which the latest attempt was sent.
+func (x *exchange) expectedSize() float64 {
+	if open := x.open.Load(); open != nil {
+		return open.size
+	}
+	return 0
+}
