--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -54,6 +54,7 @@
 	stop     context.CancelFunc
 	serveErr chan error // the result of Serve
 	calls    int
+	timeout  time.Duration // of the plan's routes
 	logs     logBuffer
 	peers    PeerNetwork
 }
@@ -88,7 +89,7 @@
 // many tokens. The proxy is started by start.
 func newHarness(t *testing.T, paid int64) *harness {
 	is := is.New(t)
-	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}}
+	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -110,8 +111,8 @@
 func (h *harness) declarePlan(version int, paid int64) {
 	h.t.Helper()
 	route := func(prefix, kind, service string, more string) string {
-		return fmt.Sprintf(`{"name":"r%s","host":%q,"path-prefix":%q,"kind":%q,"service":%q,"timeout-ms":2000,"target-latency-ms":100,"target-gap-ms":100%s}`,
-			prefix, testHost, prefix, kind, service, more)
+		return fmt.Sprintf(`{"name":"r%s","host":%q,"path-prefix":%q,"kind":%q,"service":%q,"timeout-ms":%d,"target-latency-ms":100,"target-gap-ms":100%s}`,
+			prefix, testHost, prefix, kind, service, h.timeout.Milliseconds(), more)
 	}
 	routes := []string{
 		route("/read/", "idempotent", "desk", `,"max-attempts":2`),
