Refuse what can't end before serve stops, and answer what is still open

Besides, one limit covered both the open requests and what has to follow them.

Package bbstop now decides, by the deadline of the request and by how long the service's requests take: as a request is taken, also one that a peer forwards (which then runs it itself), and before each attempt, since it may have waited for a place, a share or a claim. Requests that are open when they begin are ended with an answer: 502 with outcome unknown, or 503 not-run if no target got them; both with Retry-After, and billed.

--- a/bluebellport/src/board.go
+++ b/bluebellport/src/board.go
@@ -27,6 +27,8 @@
 	Leaving atomic.Bool
 	// Draining is set when the instance begins to refuse new requests.
 	Draining atomic.Bool
+	// Stop decides on requests during a planned stop.
+	Stop stopGate
 }
 
 // NewBoard returns a board with an empty state and an empty fleet.
--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -53,6 +53,13 @@
 	// orderTimeout is how long an operator's call waits for a target to
 	// acknowledge an order.
 	orderTimeout = 10 * time.Second
+	// handBackPeriod is the part of the drain time that is kept for handing back
+	// shares and records; of a short drain time, one part in handBackDivisor.
+	handBackPeriod  = 5 * time.Second
+	handBackDivisor = 4
+	// endAnswerPeriod is how long the answers to requests that the stop has ended may
+	// take to be written.
+	endAnswerPeriod = time.Second
 	// defaultRetryAfter is the Retry-After of refusals without a better
 	// estimate.
 	defaultRetryAfter = time.Second
--- a/bluebellport/src/forwarder.go
+++ b/bluebellport/src/forwarder.go
@@ -196,9 +196,6 @@
 // parseForwarded parses a forwarded request and checks it against this
 // instance's ticket state.
 func (f *Frontend) parseForwarded(msg *bbwire.Run) (*clientRequest, error) {
-	if err := f.checkAccepting(); err != nil {
-		return nil, err
-	}
 	raw := &rawRequest{
 		method: msg.Method, path: msg.Path, service: msg.Service, id: msg.Request, body: msg.Body,
 		deadlineMs: strconv.FormatInt(msg.Deadline, 10), priority: strconv.Itoa(int(msg.Priority)),
@@ -206,9 +203,13 @@
 	}
 	req, err := raw.parseForAccount(f.deps.Board.State.Load(), bbunit.AccountID(msg.Account), f.deps.Now(), f.opts.DefaultDeadline)
 	if err == nil {
-		req.forwarded, req.forwardedToOwner = true, msg.Fetch
+		err = f.checkAccepting(req)
+	}
+	if err != nil {
+		return nil, err
 	}
-	return req, err
+	req.forwarded, req.forwardedToOwner = true, msg.Fetch
+	return req, nil
 }
 
 // streamAnswer runs or joins the request and writes its answer to conn in
--- a/bluebellport/src/frontend.go
+++ b/bluebellport/src/frontend.go
@@ -144,7 +144,7 @@
 	raw := newRawRequest(c, service, path)
 	req, err := f.validate(raw, started)
 	if err == nil {
-		err = f.checkAccepting()
+		err = f.checkAccepting(req)
 	}
 	if err != nil {
 		span.RecordError(err)
@@ -212,9 +212,9 @@
 	return raw.parse(f.deps.Board.State.Load(), now, f.opts.DefaultDeadline)
 }
 
-// checkAccepting returns errDraining, errNotReady or errRecordBacklog while the
-// instance takes no new requests.
-func (f *Frontend) checkAccepting() error {
+// checkAccepting returns errDraining, errNotReady or errRecordBacklog if the
+// instance does not take the request.
+func (f *Frontend) checkAccepting(req *clientRequest) error {
 	switch {
 	case f.deps.Board.Draining.Load():
 		return errors.Trace(errDraining)
@@ -223,7 +223,7 @@
 	case f.runner.journal.Full():
 		return errors.Trace(errRecordBacklog)
 	}
-	return nil
+	return f.deps.Board.Stop.check(req.service.ID, req.deadline, f.deps.Now(), nil)
 }
 
 // newRawRequest copies a request out of the HTTP library's buffers, which are
--- a/bluebellport/src/refusal.go
+++ b/bluebellport/src/refusal.go
@@ -19,6 +19,7 @@
 	errBodyTooLarge     = errors.ConstError("request body too large")
 	errDeadlineExceeded = errors.ConstError("deadline exceeded")
 	errDraining         = errors.ConstError("instance is stopping")
+	errStopped          = errors.ConstError("instance stopped before the answer")
 	errNotReady         = errors.ConstError("instance has no state yet")
 	errRecordBacklog    = errors.ConstError("too many bills wait for the key-value service")
 	errTargetFailed     = errors.ConstError("target failed")
@@ -111,6 +112,7 @@
 	{ErrClaimNotWritten, http.StatusServiceUnavailable, true},
 	{errDeadlineExceeded, http.StatusGatewayTimeout, false},
 	{errDraining, http.StatusServiceUnavailable, true},
+	{errStopped, http.StatusBadGateway, true},
 	{errNotReady, http.StatusServiceUnavailable, true},
 	{errRecordBacklog, http.StatusServiceUnavailable, true},
 	{errTargetSilent, http.StatusBadGateway, false},
--- a/bluebellport/src/runner.go
+++ b/bluebellport/src/runner.go
@@ -48,6 +48,7 @@
 	relay        chatRelay
 	triedTargets []bbunit.TargetID
 	lastTarget   bbunit.TargetID
+	open         *openRun
 	// sent is set if a target may have run the request, in whole or in part.
 	sent bool
 	// ended is closed once the answer has ended and the request is recorded.
@@ -63,8 +64,12 @@
 func (r *runner) run(ctx context.Context, req *clientRequest, answer *Answer) {
 	ctx, cancel := context.WithDeadlineCause(ctx, req.deadline, errors.Trace(errDeadlineExceeded))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
 	e := &execution{runner: r, req: req, answer: answer, routeReq: newRouteRequest(ctx, req), ended: make(chan struct{})}
 	defer close(e.ended)
+	e.open = r.deps.Board.Stop.add(req.service.ID, r.deps.Now(), end)
+	defer func() { r.deps.Board.Stop.remove(e.open, r.deps.Now(), e.tellsDuration(ctx)) }()
 	admission, err := r.admit(e.routeReq)
 	if err != nil {
 		e.refuse(ctx, err)
@@ -89,6 +94,12 @@
 	e.finish(ctx, e.runAttempts(ctx))
 }
 
+// tellsDuration reports whether the request took as long as the service needs, or
+// longer than its caller waited.
+func (e *execution) tellsDuration(ctx context.Context) bool {
+	return e.sent && (e.answer.Outcome() == bbunit.OutcomeDone || errors.Is(context.Cause(ctx), errDeadlineExceeded))
+}
+
 // admit applies the limits of account and service. A request that has to be
 // claimed acquires its admission slot afterwards, so that it does not block
 // others while it waits for the claim.
@@ -181,6 +192,13 @@
 			}
 			return err
 		}
+		if err := e.deps.Board.Stop.check(e.req.service.ID, e.req.deadline, e.deps.Now(), e.open); err != nil {
+			attempt.Done(AttemptResult{Err: errors.WithType(err, ErrCancelled)})
+			if e.sent && last != nil {
+				return last
+			}
+			return err
+		}
 		result := e.runAttempt(ctx, attempt, n, state.Reconnected)
 		attempt.Done(result)
 		e.sent, last = e.sent || result.Sent, result.Err
@@ -287,6 +305,9 @@
 		e.fail(err, bbunit.OutcomeNotRun) // the copies with this id have another body
 		return
 	}
+	if errors.Is(context.Cause(ctx), errStopped) {
+		err = errors.WithType(err, errDraining) // it waited for a place, a share or a claim
+	}
 	e.fail(err, e.outcomeIfNotRun(ctx, e.req, e.rec.GetOwner()))
 }
 
