Refuse requests that can't end before a planned stop does

Callers lost requests that were sent 2.8 to 3.5 s after SIGTERM and ran longer than what was left: the instance accepted connections for 3.5 s without looking at the time that a request needs, and gave up 6.8 s after SIGTERM.

bbstop now decides as a request is admitted, before it waits for money, and directly before each send. A stream that has begun is resumed as before.

The stop ends 0.5 s before the kill, not 1.2 s. Grace periods under 2 s keep a quarter.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -38,6 +38,8 @@
 	// resultWithdrawn means that no byte was sent, as the target has said since it
 	// was chosen that it wants no requests.
 	resultWithdrawn
+	// resultStopping means that no byte was sent, as the instance stops too soon.
+	resultStopping
 )
 
 // attemptResult describes how an attempt ended.
@@ -91,7 +93,11 @@
 		x.releaseConn(conn)
 		return attemptResult{kind: resultNoPermit}
 	}
-	x.logTaken(target)
+	if x.stopRefusal = x.checkStopBeforeSend(target); x.stopRefusal != nil {
+		x.releaseConn(conn)
+		x.returnPermit(target)
+		return attemptResult{kind: resultStopping}
+	}
 	target.State.Begin()
 	defer target.State.End()
 	if x.sentAttempts++; x.sentAttempts == 1 {
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -145,15 +145,6 @@
 	maxShareBackoff = 1500 * time.Millisecond
 	// shareLogInterval is the time between two log lines with the shares held.
 	shareLogInterval = 4 * time.Second
-	// shareReturnTimeout is how long shares are still returned after the last
-	// request.
-	shareReturnTimeout = 700 * time.Millisecond
-	// lingerPeriod is how long an instance that shuts down accepts connections,
-	// while the balancer learns that it is not ready.
-	lingerPeriod = 3500 * time.Millisecond
-	// graceMargin is how long before the platform's kill an instance that shuts
-	// down stops by itself.
-	graceMargin = 1200 * time.Millisecond
 )
 
 // Log lines of one planned stop.
--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -10,14 +10,6 @@
 	"bluebellport.example/bluebellport/stop"
 )
 
-// stopTimes returns the times of a stop that begins now.
-func stopTimes(now time.Time, grace time.Duration) *bbstop.Times {
-	times := bbstop.NewTimes(now, grace)
-	times.End = now.Add(grace - graceMargin)
-	times.AcceptUntil = now.Add(min(lingerPeriod, grace-graceMargin))
-	return times
-}
-
 // drain stops taking requests. It reports not ready at once, accepts
 // connections for some time more, closes those without a request, and waits for
 // the others until the end of the stop.
@@ -49,15 +41,23 @@
 // exit ends the controllers and returns the shares, as far as there is time.
 func (p *Proxy) exit(times *bbstop.Times, waitForControllers func()) {
 	drainedAt := p.now()
-	waitForControllers()
-	controllersEndedAt := p.now()
-	closeCtx, cancel := context.WithDeadline(context.Background(), times.End.Add(shareReturnTimeout))
+	ctx, cancel := context.WithDeadline(context.Background(), times.SharesUntil())
 	defer cancel()
-	p.shares.close(closeCtx)
-	p.log.WithFields(logrus.Fields{
-		"event": "stop", "drained": drainedAt.Sub(times.Begin).Milliseconds(), "controllers": controllersEndedAt.Sub(drainedAt).Milliseconds(),
-		"shares": p.now().Sub(controllersEndedAt).Milliseconds(), "unlogged": p.stopLines.suppressed(),
-	}).Info("stopped")
+	controllersEnded := make(chan struct{})
+	go func() {
+		defer close(controllersEnded)
+		waitForControllers()
+	}()
+	fields := logrus.Fields{"event": "stop", "drained": drainedAt.Sub(times.Begin).Milliseconds(), "unlogged": p.stopLines.suppressed()}
+	select {
+	case <-controllersEnded:
+		endedAt := p.now()
+		p.shares.close(ctx)
+		fields["controllers"], fields["shares"] = endedAt.Sub(drainedAt).Milliseconds(), p.now().Sub(endedAt).Milliseconds()
+	case <-ctx.Done():
+		p.log.WithField("event", "money-stuck").Warn("controllers still running; shares not returned, they count as spent")
+	}
+	p.log.WithFields(fields).Info("stopped")
 }
 
 // sinceStop returns how long ago the stop began, in ms.
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -59,6 +59,9 @@
 	chunk    []byte // reused for the chunks of a stream
 	stream   streamState
 	heard    heardResponse // of the latest attempt
+	// stopRefusal is the refusal of an attempt that the stop of the instance leaves
+	// no time for.
+	stopRefusal *Refusal
 
 	mu      sync.Mutex // guards conn and aborted
 	conn    *targetConn
@@ -79,6 +82,9 @@
 func (x *exchange) admit() *Refusal {
 	x.plan = x.proxy.board.Plan.Load()
 	if x.plan == nil || x.proxy.board.Services.Load() == nil {
+		if x.proxy.stop.Times() != nil {
+			return refuseNotRun(reasonStopping, 0)
+		}
 		return refuseNotRun("nothing is in force here yet", defaultRetryAfter)
 	}
 	if x.route = x.plan.FindRoute(x.req.Host, x.req.Path()); x.route == nil {
@@ -96,6 +102,12 @@
 	x.deadline = x.deadline.Add(-responseMargin)
 	x.service = x.route.PickService(rand.Float64())
 	x.fingerprint = x.req.Fingerprint(x.accountID())
+	if service := x.plan.Services[x.service]; service != nil && service.Engine != nil {
+		x.maxEventTokens = service.Engine.MaxEventTokens
+	}
+	if refusal := x.checkStop(); refusal != nil {
+		return refusal
+	}
 	if refusal := x.checkCrashes(); refusal != nil {
 		return refusal
 	}
@@ -123,12 +135,7 @@
 // reserve reserves the most tokens that the request can use: its prompt, and
 // its output rounded up to whole events of maxEventTokens.
 func (x *exchange) reserve() *Refusal {
-	service := x.plan.Services[x.service]
-	if service == nil || service.Engine == nil {
-		return nil
-	}
-	x.maxEventTokens = service.Engine.MaxEventTokens
-	if x.account == nil || !x.account.Prepaid {
+	if x.maxEventTokens == 0 || x.account == nil || !x.account.Prepaid {
 		return nil
 	}
 	if !x.req.HasUsage {
@@ -225,6 +232,8 @@
 	case resultWithdrawn: // each target once, so the loop ends
 		x.tried = x.tried[:len(x.tried)-1]
 		return refuseNotRun("no target of the service can be used", defaultRetryAfter), true
+	case resultStopping:
+		return x.stopRefusal, false
 	case resultUnsent:
 		x.unsentAttempts++
 		return refuseNotRun("no target could be reached", defaultRetryAfter), x.unsentAttempts <= maxUnsentAttempts
@@ -308,50 +317,6 @@
 	return nil, x.refuseUnusable(service, &request)
 }
 
-// abortOnClientClose aborts the exchange when the client closes its connection.
-// The function that it returns stops this.
-func (x *exchange) abortOnClientClose(clientGone <-chan struct{}) func() {
-	stopped := make(chan struct{})
-	go func() {
-		select {
-		case <-clientGone:
-			x.abort()
-		case <-stopped:
-		}
-	}()
-	return func() { close(stopped) }
-}
-
-// abort closes the connection to the target, which cancels the request there,
-// and keeps further attempts from starting.
-func (x *exchange) abort() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.aborted = true
-	if x.conn != nil {
-		_ = x.conn.Close()
-	}
-}
-
-// setConn sets the connection that abort closes. It returns false if the
-// exchange has already been aborted.
-func (x *exchange) setConn(conn *targetConn) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.aborted {
-		return false
-	}
-	x.conn = conn
-	return true
-}
-
-// isAborted reports whether abort has been called.
-func (x *exchange) isAborted() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.aborted
-}
-
 // withDeadline returns a context that ends at the request's deadline.
 func (x *exchange) withDeadline() (context.Context, context.CancelFunc) {
 	return context.WithDeadline(context.Background(), x.deadline)
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -94,7 +94,7 @@
 	log.WithFields(logrus.Fields{"event": "start", "listen": settings.FrontendAddress, "domain": settings.Domain}).Info("serving")
 
 	<-ctx.Done()
-	times := stopTimes(p.now(), settings.GracePeriod)
+	times := bbstop.NewTimes(p.now(), settings.GracePeriod)
 	p.drain(clientListener, times)
 	stopBackground()
 	_ = readyListener.Close()
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -32,7 +32,7 @@
 	case resultGone:
 		p.watchForCrash(x, target, result)
 		return
-	case resultNoPermit, resultWithdrawn:
+	case resultNoPermit, resultWithdrawn, resultStopping:
 		p.metrics.recordFailure(result.kind)
 		return
 	case resultNotRun:
--- a/bluebellport/proxy/resultkind_enumer.go
+++ b/bluebellport/proxy/resultkind_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _resultKindName = "doneunsentnot-runbrokenlateunprovengoneno-permitwithdrawn"
+const _resultKindName = "doneunsentnot-runbrokenlateunprovengoneno-permitwithdrawnstopping"
 
-var _resultKindIndex = [...]uint8{0, 4, 10, 17, 23, 27, 35, 39, 48, 57}
+var _resultKindIndex = [...]uint8{0, 4, 10, 17, 23, 27, 35, 39, 48, 57, 65}
 
-const _resultKindLowerName = "doneunsentnot-runbrokenlateunprovengoneno-permitwithdrawn"
+const _resultKindLowerName = "doneunsentnot-runbrokenlateunprovengoneno-permitwithdrawnstopping"
 
 func (i resultKind) String() string {
 	if i < 0 || i >= resultKind(len(_resultKindIndex)-1) {
@@ -33,9 +33,10 @@
 	_ = x[resultGone-(6)]
 	_ = x[resultNoPermit-(7)]
 	_ = x[resultWithdrawn-(8)]
+	_ = x[resultStopping-(9)]
 }
 
-var _resultKindValues = []resultKind{resultDone, resultUnsent, resultNotRun, resultBroken, resultLate, resultUnproven, resultGone, resultNoPermit, resultWithdrawn}
+var _resultKindValues = []resultKind{resultDone, resultUnsent, resultNotRun, resultBroken, resultLate, resultUnproven, resultGone, resultNoPermit, resultWithdrawn, resultStopping}
 
 var _resultKindNameToValueMap = map[string]resultKind{
 	_resultKindName[0:4]:   resultDone,
@@ -47,6 +48,7 @@
 	_resultKindName[35:39]: resultGone,
 	_resultKindName[39:48]: resultNoPermit,
 	_resultKindName[48:57]: resultWithdrawn,
+	_resultKindName[57:65]: resultStopping,
 }
 
 var _resultKindLowerNameToValueMap = map[string]resultKind{
@@ -59,6 +61,7 @@
 	_resultKindLowerName[35:39]: resultGone,
 	_resultKindLowerName[39:48]: resultNoPermit,
 	_resultKindLowerName[48:57]: resultWithdrawn,
+	_resultKindLowerName[57:65]: resultStopping,
 }
 
 var _resultKindNames = []string{
@@ -71,6 +74,7 @@
 	_resultKindName[35:39],
 	_resultKindName[39:48],
 	_resultKindName[48:57],
+	_resultKindName[57:65],
 }
 
 // resultKindString retrieves an enum value from the enum constants string name.
--- a/bluebellport/proxy/stopping.go
+++ b/bluebellport/proxy/stopping.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bluebellport.example/bluebellport/stop"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbunit"
@@ -67,18 +69,50 @@
 	})
 }
 
-// logTaken logs that the request is sent during a stop, and what is known of how
-// long it will take.
-func (x *exchange) logTaken(target *Target) {
+// reasonStopping is the reason of refusals that another instance would not give.
+const reasonStopping = "the instance stops before the request could end"
+
+// checkStop returns the refusal of a request that may not end before the instance
+// stops, nil for any other. A stream that has begun is resumed as long as the
+// instance runs.
+func (x *exchange) checkStop() *Refusal {
+	refusal, _ := x.decideOnStop()
+	return refusal
+}
+
+// checkStopBeforeSend is checkStop for a request that is about to be sent to a
+// target. It logs the requests that are.
+func (x *exchange) checkStopBeforeSend(target *Target) *Refusal {
+	refusal, decision := x.decideOnStop()
+	if refusal == nil && decision.Reason != bbstop.ReasonRunning && x.proxy.stopLines.take(maxTakenLogged) {
+		fields := x.stopFields(&decision)
+		fields["request"], fields["target"], fields["sends"] = x.req.AttemptID, target.ID, x.sentAttempts
+		x.proxy.log.WithFields(fields).Info("sent during the stop")
+	}
+	return refusal
+}
+
+// decideOnStop returns the decision on the request, and the refusal if it is not
+// sent.
+func (x *exchange) decideOnStop() (*Refusal, bbstop.Decision) {
 	times := x.proxy.stop.Times()
-	if times == nil || !x.proxy.stopLines.take(maxTakenLogged) {
-		return
+	if times == nil {
+		return nil, bbstop.Decision{Take: true}
 	}
 	decision := x.decideInStop(times)
+	if decision.Take || x.stream.started && decision.Left > 0 {
+		return nil, decision
+	}
+	refusal := refuseNotRun(reasonStopping, 0)
+	refusal.LogFields = x.stopFields(&decision)
+	return refusal, decision
+}
+
+// stopFields returns the log fields of a decision on the request.
+func (x *exchange) stopFields(decision *bbstop.Decision) logrus.Fields {
 	fields := decision.Fields()
-	fields["request"], fields["route"], fields["target"], fields["sends"] = x.req.AttemptID, x.route.ID, target.ID, x.sentAttempts
-	fields["since"], fields["read"] = x.proxy.sinceStop(), time.Since(x.req.ReceivedAt).Milliseconds()
-	x.proxy.log.WithFields(fields).Info("sent during the stop")
+	fields["route"], fields["since"], fields["read"] = x.route.ID, x.proxy.sinceStop(), time.Since(x.req.ReceivedAt).Milliseconds()
+	return fields
 }
 
 // recordDuration records how long the target took for the request. What failed, was
--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -9,15 +9,21 @@
 	// result takes effect. maxAcceptPeriod is how long new connections are accepted.
 	maxIntakePeriod = 2500 * time.Millisecond
 	maxAcceptPeriod = 3500 * time.Millisecond
-	// intakeDivisor and acceptDivisor divide the time from the order to the end of
-	// the stop: at most that part of it is the intake period, or is accepted in.
+	// intakeDivisor and closedDivisor divide the time from the order to the end of the
+	// stop: at most that part of it is the intake period, and at least that part is
+	// left once nothing more is accepted.
 	intakeDivisor = 3
-	acceptDivisor = 2
+	closedDivisor = 3
 	// exitPeriod is how long before the kill the stop ends: the last answers are
 	// written, shares are returned and the log is flushed. A grace period under
 	// exitDivisor times that leaves a smaller part of itself.
 	exitPeriod  = 500 * time.Millisecond
 	exitDivisor = 4
+	// answersDivisor divides the time from the end of the stop to the kill: the last
+	// answers to clients may take that part of it. The last logDivisor part is kept
+	// for the log.
+	answersDivisor = 2
+	logDivisor     = 5
 )
 
 // What is known of the length of requests.
--- a/bluebellport/stop/stop.go
+++ b/bluebellport/stop/stop.go
@@ -46,12 +46,18 @@
 	return &Times{
 		Begin:       begin,
 		IntakeEnd:   begin.Add(min(maxIntakePeriod, toEnd/intakeDivisor)),
-		AcceptUntil: begin.Add(min(maxAcceptPeriod, toEnd/acceptDivisor)),
+		AcceptUntil: begin.Add(min(maxAcceptPeriod, toEnd-toEnd/closedDivisor)),
 		End:         begin.Add(toEnd),
 		ExitBy:      begin.Add(grace),
 	}
 }
 
+// AnswersUntil is until when the last answers to clients are written.
+func (t *Times) AnswersUntil() time.Time { return t.End.Add(t.ExitBy.Sub(t.End) / answersDivisor) }
+
+// SharesUntil is until when shares are returned. The rest is for the log.
+func (t *Times) SharesUntil() time.Time { return t.ExitBy.Add(-t.ExitBy.Sub(t.End) / logDivisor) }
+
 // Stop is what an instance knows of its planned stop. The zero value is an
 // instance that is not stopping. It may be used by several goroutines.
 type Stop struct {
