--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -143,9 +143,41 @@
 	return t
 }
 
+// startUnready runs the proxy and waits until it accepts connections.
+func (h *harness) startUnready() {
+	h.t.Helper()
+	h.run()
+	h.eventually("listening", func() bool {
+		conn, err := net.Dial("tcp4", h.settings.FrontendAddress)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+}
+
 // start runs the proxy and waits until it reports ready.
 func (h *harness) start() {
 	h.t.Helper()
+	h.run()
+	h.eventually("ready", func() bool {
+		select {
+		case err := <-h.serveErr:
+			h.serveErr <- err
+			h.t.Fatalf("the proxy ended: %v", err)
+		default:
+		}
+		r, err := http.Get("http://" + h.settings.ReadinessAddress + bbplatform.PathReadiness)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		return r.StatusCode == http.StatusOK
+	})
+}
+
+// run runs the proxy until the test ends or h.stop is called.
+func (h *harness) run() {
 	log := logrus.New()
 	log.SetOutput(&h.logs)
 	log.SetFormatter(&logrus.JSONFormatter{})
@@ -163,20 +195,6 @@
 			h.t.Error("the proxy did not stop")
 		}
 	})
-	h.eventually("ready", func() bool {
-		select {
-		case err := <-h.serveErr:
-			h.serveErr <- err
-			h.t.Fatalf("the proxy ended: %v", err)
-		default:
-		}
-		r, err := http.Get("http://" + h.settings.ReadinessAddress + bbplatform.PathReadiness)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = r.Body.Close() }()
-		return r.StatusCode == http.StatusOK
-	})
 }
 
 // eventually is await within five seconds.
