--- a/e2e/native_stop_soak_test.go
+++ b/e2e/native_stop_soak_test.go
@@ -17,6 +17,7 @@
 // soakResult is what a soak found.
 type soakResult struct {
 	outcomes, excused stopCounts
+	refusals          map[string]int // by status and reason, by instances that do not stop
 	faults            []string
 }
 
@@ -28,7 +29,7 @@
 // judge compares what callers were told with what targets did, and looks at how
 // the processes ended.
 func (s *stopSoak) judge() *soakResult {
-	r := &soakResult{outcomes: stopCounts{}, excused: stopCounts{}}
+	r := &soakResult{outcomes: stopCounts{}, excused: stopCounts{}, refusals: map[string]int{}}
 	targets := make([]*workTarget, 0, s.joined)
 	for _, all := range s.targets {
 		targets = append(targets, all...)
@@ -64,6 +65,9 @@
 		r.excused[outcome]++
 		return
 	}
+	if outcome == outcomeRefused && (record.life.stoppedAt.IsZero() || record.sentAt.Before(record.life.stoppedAt)) {
+		r.refusals[fmt.Sprint(record.status, " ", record.path, " ", record.detail)]++
+	}
 	if r.outcomes[outcome]++; outcome.isFault() {
 		r.addFault("%s, %s, sent %d ms after its SIGTERM: %s", record.life.name, record.life.way, record.sentAt.Sub(record.life.stoppedAt).Milliseconds(), record.describe(runs))
 	}
@@ -92,8 +96,8 @@
 			s := newStopSoak(t, seed, *soakStopping)
 			s.run()
 			r := s.judge()
-			t.Logf("seed %d, %d of %d instances stop, %.1f s: %v, excused as frozen %v, %d faults",
-				seed, s.stopping, len(s.all), time.Since(begin).Seconds(), r.outcomes, r.excused, len(r.faults))
+			t.Logf("seed %d, %d of %d instances stop, %.1f s: %v, excused as frozen %v, refused before a stop %v, %d faults",
+				seed, s.stopping, len(s.all), time.Since(begin).Seconds(), r.outcomes, r.excused, r.refusals, len(r.faults))
 			for _, fault := range r.faults {
 				t.Error(fault)
 			}
--- a/e2e/stop_caller_test.go
+++ b/e2e/stop_caller_test.go
@@ -69,8 +69,8 @@
 
 // head returns the request as it is sent.
 func (q *stopRequest) head() string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\nContent-Length: 4\r\n\r\nbody",
-		q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds())
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\nToken-Usage: %d,%d\r\nContent-Length: 4\r\n\r\nbody",
+		q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds(), nativePromptTokens, workEvents)
 }
 
 // send sends the request on a connection, a new one to the address if it is nil,
--- a/e2e/stop_play_test.go
+++ b/e2e/stop_play_test.go
@@ -32,6 +32,8 @@
 	// use, baseMargin how far from that limit a request has to end to be sure.
 	stopReserve = 1200 * time.Millisecond
 	baseMargin  = 150 * time.Millisecond
+	// stopPrepaid is what the account has paid, in tokens.
+	stopPrepaid = 100_000_000
 	// stopRouteTimeout is the time-out of the routes.
 	stopRouteTimeout = 30 * time.Second
 )
@@ -46,13 +48,17 @@
 	kindRepeat stopKind = "repeat"
 	kindStream stopKind = "stream"
 	kindResume stopKind = "resume"
+	// kindTokens are streams that cost tokens, kindLimited answers of targets that
+	// name a limit.
+	kindTokens  stopKind = "stream-tokens"
+	kindLimited stopKind = "limited"
 )
 
 var allStopKinds = []stopKind{kindPlain, kindRepeat, kindStream, kindResume}
 
 // routeFields are the fields of the routes that differ by kind.
 var routeFields = map[stopKind]string{
-	kindPlain: `"kind":"non_idempotent"`, kindRepeat: `"kind":"idempotent"`, kindStream: `"kind":"streaming"`, kindResume: `"kind":"streaming","resumable":true`,
+	kindPlain: `"kind":"non_idempotent"`, kindLimited: `"kind":"non_idempotent"`, kindTokens: `"kind":"streaming"`, kindRepeat: `"kind":"idempotent"`, kindStream: `"kind":"streaming"`, kindResume: `"kind":"streaming","resumable":true`,
 }
 
 // mixedWork are the lengths of work of which each request of a row without one
@@ -142,7 +148,7 @@
 func (f *nativeFleet) writeStopPlan(version int, routes, services []string) {
 	is := is.New(f.t)
 	plan := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":8192,"max-body-bytes":300000,"header-timeout-ms":3000,"idle-timeout-ms":30000},
-		"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, version, strings.Join(routes, ","), strings.Join(services, ","), nativeKey, nativePrepaid)
+		"tenants":[{"name":"a","api-keys":[%q],"prepaid":%d}]}`, version, strings.Join(routes, ","), strings.Join(services, ","), nativeKey, stopPrepaid)
 	is.True(json.Valid([]byte(plan)))
 	old, err := f.memStore.Get(f.t.Context(), bbplatform.KeyPlan)
 	is.NoErr(err)
--- a/e2e/stop_soak_test.go
+++ b/e2e/stop_soak_test.go
@@ -31,10 +31,15 @@
 	// soakDrainTimeout is how long after it has said that it leaves a target may get
 	// requests.
 	soakDrainTimeout = 2 * time.Second
+	// soakLimit is the limit of each target with a limit, in requests a second.
+	soakLimit = "40"
 	// soakTargets is the number of targets of each service.
 	soakTargets = 3
 )
 
+// soakKinds are the kinds of requests.
+var soakKinds = append([]stopKind{kindTokens, kindLimited}, allStopKinds...)
+
 // stopWay is what happens to an instance around its stop.
 type stopWay string
 
@@ -106,11 +111,15 @@
 		targets: map[stopKind][]*workTarget{}, left: map[*workTarget]time.Time{},
 	}
 	s.grace = soakGrace
-	for _, kind := range allStopKinds {
+	for _, kind := range soakKinds {
 		for range soakTargets {
 			s.join(kind)
 		}
-		s.services = append(s.services, fmt.Sprintf(`{"name":%q}`, kind))
+		engine := ""
+		if kind == kindTokens {
+			engine = `,"engine":{"slots":2000,"kv-cache-tokens":10000000,"stride":1}`
+		}
+		s.services = append(s.services, fmt.Sprintf(`{"name":%q%s}`, kind, engine))
 		s.routes = append(s.routes, stopRoute(kind, string(kind), string(kind)))
 	}
 	s.changePlan()
@@ -148,6 +157,9 @@
 	defer s.mu.Unlock()
 	s.joined++
 	target := newWorkTarget(s.t, fmt.Sprint(kind, "-", s.joined), string(kind), fmt.Sprint("domain-", s.joined%3))
+	if kind == kindLimited {
+		target.limit = soakLimit
+	}
 	target.write(s.t, s.memStore, "ready")
 	s.targets[kind] = append(s.targets[kind], target)
 }
@@ -184,7 +196,7 @@
 
 // draw returns a random request.
 func (s *stopSoak) draw(rng *rand.Rand) *stopRequest {
-	kind := allStopKinds[rng.IntN(len(allStopKinds))]
+	kind := soakKinds[rng.IntN(len(soakKinds))]
 	q := &stopRequest{attemptID: fmt.Sprint("attempt-", s.attemptCount.Add(1)), path: "/" + string(kind) + "/1", limit: 10 * time.Second}
 	switch n := rng.IntN(20); {
 	case n < 2:
@@ -309,7 +321,7 @@
 			s.changePlan()
 			continue
 		}
-		kind := allStopKinds[rng.IntN(len(allStopKinds))]
+		kind := soakKinds[rng.IntN(len(soakKinds))]
 		s.join(kind)
 		s.mu.Lock()
 		target := s.targets[kind][0]
--- a/e2e/stop_target_test.go
+++ b/e2e/stop_target_test.go
@@ -34,7 +34,8 @@
 // workTarget is a target whose requests last as long as they say. It works on
 // any number at once, stops when the connection is closed, and records each.
 type workTarget struct {
-	*rawTarget // its id, address and entry only
+	*rawTarget        // its id, address and entry only
+	limit      string // its Server-Limit, empty: none
 
 	mu   sync.Mutex // guards runs
 	runs map[string][]*workRun
@@ -123,6 +124,9 @@
 // answer answers a request over the time that it lasts.
 func (w *workTarget) answer(c net.Conn, r *http.Request, id string, work time.Duration, closed <-chan struct{}) bool {
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\n" + w.signature(id) + fmt.Sprintf("Server-Load: 1,0,%d\r\nKeep-Alive: timeout=30\r\n", workSlots)
+	if w.limit != "" {
+		head += "Server-Limit: " + w.limit + "\r\n"
+	}
 	if !strings.HasPrefix(r.URL.Path, "/stream") && !strings.HasPrefix(r.URL.Path, "/resume") {
 		if !waitUnless(closed, work) {
 			return false
