--- a/e2e/stop_caller_test.go
+++ b/e2e/stop_caller_test.go
@@ -21,6 +21,9 @@
 	// crossingTime is how long after its last byte a request may still cross the
 	// close of its connection.
 	crossingTime = 200 * time.Millisecond
+	// excusedSends is how long after SIGTERM a request may be sent that is cut with
+	// the platform's excuse.
+	excusedSends = 3 * time.Second
 )
 
 // slowPart is the part of a request in the middle of which its caller pauses.
@@ -164,6 +167,14 @@
 	return o == outcomeCut || o == outcomeFalseRefusal || o == outcomeDropped || o == outcomeOther
 }
 
+// isExcused reports whether the platform excuses that the request ran and was cut:
+// it was sent in the first 3 s of the stop, and the target was still at work in the
+// last sixth of the grace period.
+func (q *stopRequest) isExcused(runs []workRun, stoppedAt time.Time, grace time.Duration) bool {
+	after := q.sentAt.Sub(stoppedAt)
+	return q.outcome(runs) == outcomeCut && after <= excusedSends && runs[len(runs)-1].endedAt.Sub(stoppedAt) >= grace*5/6
+}
+
 // describe tells what became of the request, for the log.
 func (q *stopRequest) describe(runs []workRun) string {
 	text := fmt.Sprintf("%s %s, kept connection %t, slow part %d, work %s, limit %s: %s after %d ms: status %d %q, %v",
