Tell the fleet that an instance leaves as it begins to stop

Seen: in a soak of 24 instances that stop in series, instances that do not stop refused callers: "no share of the account's money at hand" and "the targets' limits are used up", for seconds at the same instance.

Cause: an instance on the platform told its peers that it leaves only as its process ended, up to the grace period after SIGTERM. Until then it remained the home of accounts, permits and crashes, though its shares grant only what is asked for at the moment, and the watcher of its failure domain. "serve" has always said so at once.

Native now announces the leave as it is told to stop. Membership, homes and watchers have rules for members that leave; none had to change. The instance goes on to answer calls and to watch the store for itself until it ends.

The soak counts these refusals from the first stop on.

--- a/bluebellport/src/native.go
+++ b/bluebellport/src/native.go
@@ -65,6 +65,7 @@
 		return fmt.Errorf("start peers: %w", err)
 	}
 	defer closePeers()
+	defer context.AfterFunc(ctx, peers.Leave)() // others take over at once what this instance does for them
 	return bbproxy.Serve(ctx, settings, peers, deps.Metrics, instanceLog)
 }
 
--- a/e2e/stop_soak_test.go
+++ b/e2e/stop_soak_test.go
@@ -93,6 +93,7 @@
 	routes   []string
 	services []string
 	version  int
+	begunAt  time.Time // of the first stop
 	end      chan struct{}
 	idle     sync.WaitGroup // requests on idle connections
 
@@ -297,6 +298,7 @@
 	}
 	time.Sleep(soakWarmup)
 	begin := time.Now()
+	s.begunAt = begin
 	for i := range s.stopping {
 		rng := rand.New(rand.NewPCG(s.seed, uint64(1000+i)))
 		stops.Go(func() {
