Count a freeze as part of the grace period

An instance that is frozen as SIGTERM comes learns of it only as it goes on, while the time to the kill runs. It counted the whole grace period from then, and would be killed in the middle of its drain.

A pulse each 0.25 s now tells that the process did not run for over a second; the stop then counts from the begin of that, but keeps at least half of the grace period. bbstop's tests play it on a clock; it has not been played on a process here.

--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -10,8 +10,17 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/bluebellport/stop"
+	"bluebellport.example/shared/bbclock"
 )
 
+// beat shows that the process runs, until ctx ends.
+func (p *Proxy) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.pulse.Beat(p.now())
+		bbclock.Wait(ctx, bbstop.PulseInterval)
+	}
+}
+
 // drain stops taking requests. It reports not ready at once, accepts
 // connections for some time more, closes those without a request, and waits for
 // the others until the end of the stop. What is open then is ended: its client gets
@@ -21,7 +30,7 @@
 	p.stop.Begin(times)
 	p.shares.drain()
 	p.log.WithFields(logrus.Fields{
-		"event": "leaving", "grace": p.settings.GracePeriod.Milliseconds(), "requests": len(p.openRequests()), "intake": times.IntakeEnd.Sub(times.Begin).Milliseconds(),
+		"event": "leaving", "frozen": p.sinceStop(), "grace": p.settings.GracePeriod.Milliseconds(), "requests": len(p.openRequests()), "intake": times.IntakeEnd.Sub(times.Begin).Milliseconds(),
 		"accept": times.AcceptUntil.Sub(times.Begin).Milliseconds(), "end": times.End.Sub(times.Begin).Milliseconds(),
 	}).Info("leaving")
 	time.Sleep(time.Until(times.AcceptUntil))
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -59,6 +59,7 @@
 	startedAt time.Time
 	closing   atomic.Bool // set once idle client connections are to be closed
 	stop      bbstop.Stop
+	pulse     bbstop.Pulse
 	stopLines lineBudget
 	durations sync.Map   // bbplan.RouteID -> *bbstop.Durations
 	mu        sync.Mutex // guards conns
@@ -94,7 +95,7 @@
 	log.WithFields(logrus.Fields{"event": "start", "listen": settings.FrontendAddress, "domain": settings.Domain}).Info("serving")
 
 	<-ctx.Done()
-	times := bbstop.NewTimes(p.now(), settings.GracePeriod)
+	times := bbstop.NewTimes(p.pulse.OrderedAt(p.now(), settings.GracePeriod), settings.GracePeriod)
 	p.drain(clientListener, times)
 	stopBackground()
 	_ = readyListener.Close()
@@ -124,6 +125,7 @@
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { r.run(ctx) })
 	wg.Go(func() { p.monitorLink(ctx) })
+	wg.Go(func() { p.beat(ctx) })
 	wg.Go(func() { p.crashes.Run(ctx) })
 	wg.Go(func() { p.limits.Run(ctx) })
 	wg.Go(func() { p.leaving.Run(ctx) })
--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -26,6 +26,13 @@
 	logDivisor     = 5
 )
 
+// PulseInterval is the time between two calls of Pulse.Beat.
+const PulseInterval = 250 * time.Millisecond
+
+// frozenAfter is the time between two beats from which the process counts as frozen.
+// Less may be load.
+const frozenAfter = time.Second
+
 // What is known of the length of requests.
 const (
 	// recentSamples is how many of the newest requests a quantile covers.
