Play requests that share a part of their prompts and crash targets with it

Callers saw requests of one kind crash one target after the other: no two of them were alike, so the fingerprint by which the fleet knows a crashing request again never came twice.

The play starts real instances. Their targets crash in the middle of the answer to a request whose prompt has a given part, other than the last, and are back as another run after 3 s. Sound requests share the account and all other parts. Counted are crashing requests that reach targets later than 3 s after the fifth crash, and the sound requests that are served. Rows by -prompt-rows: answers with and without framing, crashes by reset and by a plain close, the part's position, two parts, targets that end by themselves, instances killed meanwhile, 8, 30 and 84 instances.

--- a/e2e/native_crash_test.go
+++ b/e2e/native_crash_test.go
@@ -88,17 +88,17 @@
 }
 
 // heartbeats writes the entries of the targets that listen until the test ends.
-func (r *crashRun) heartbeats(stop <-chan struct{}) {
+func (f *nativeFleet) heartbeats(stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(crashHeartbeat):
 		}
-		for _, target := range r.targets {
+		for _, target := range f.targets {
 			if conn, err := net.Dial("tcp4", target.Address()); err == nil {
 				_ = conn.Close()
-				_ = target.Register(r.t.Context(), r.memStore, "ready") // a conflict is repeated
+				_ = target.Register(f.t.Context(), f.memStore, "ready") // a conflict is repeated
 			}
 		}
 	}
--- /dev/null
+++ b/e2e/native_prompt_play_test.go
@@ -0,0 +1,190 @@
+package bbe2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"bluebellport.example/platform"
+)
+
+// promptPlay is one run of a promptRow.
+type promptPlay struct {
+	*nativeFleet
+	promptRow
+	rng      *rand.Rand // of the goroutine of play
+	attempts int
+	cost     processCost
+
+	mu      sync.Mutex // guards the fields below
+	sent    map[string]promptSend
+	up      map[*nativeInstance][]upSpan
+	stormAt time.Time
+}
+
+// promptSend is one request of a caller.
+type promptSend struct {
+	inst            *nativeInstance
+	sentAt          time.Time
+	culprit         int // -1: sound
+	ended           bool
+	served, refused bool // refused for crashes
+	status          int
+}
+
+// upSpan is a time in which an instance ran; to is zero while it runs.
+type upSpan struct{ from, to time.Time }
+
+// play sends sound requests, later crashing ones too, until the storm is over and
+// all are answered.
+func (p *promptPlay) play() {
+	time.Sleep(promptWarmUp)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	p.sendFor(&wg, promptCalm, false)
+	p.mu.Lock()
+	p.stormAt = time.Now()
+	p.mu.Unlock()
+	stop := make(chan struct{})
+	if p.ownEnds {
+		wg.Go(func() { p.endTargets(stop) })
+	}
+	if p.kills {
+		wg.Go(func() { p.killInstances(stop) })
+	}
+	var began processUsage
+	if !p.kills {
+		began = p.usage()
+	}
+	p.sendFor(&wg, promptStorm, true)
+	if !p.kills {
+		p.cost = p.usage().since(began)
+	}
+	close(stop)
+}
+
+// sendFor sends requests at the rates of the row for a while.
+func (p *promptPlay) sendFor(wg *sync.WaitGroup, d time.Duration, storm bool) {
+	start := time.Now()
+	sound, crashing := 0, 0
+	for {
+		elapsed := time.Since(start)
+		if elapsed >= d {
+			return
+		}
+		if float64(sound) < p.sound*elapsed.Seconds() {
+			sound++
+			p.sendOne(wg, -1, p.soundParts())
+		}
+		if storm && float64(crashing) < p.crashing*elapsed.Seconds() {
+			crashing++
+			culprit := p.rng.IntN(p.culprits)
+			p.sendOne(wg, culprit, p.crashingParts(culprit))
+		}
+		time.Sleep(time.Duration(p.rng.Int64N(int64(4 * time.Millisecond))))
+	}
+}
+
+// sendOne sends a request to a random instance that runs.
+func (p *promptPlay) sendOne(wg *sync.WaitGroup, culprit int, parts string) {
+	p.attempts++
+	attempt := fmt.Sprintf("%s-%d", p.name, p.attempts)
+	p.mu.Lock()
+	var running []*nativeInstance
+	for _, inst := range p.instances {
+		if spans := p.up[inst]; spans[len(spans)-1].to.IsZero() {
+			running = append(running, inst)
+		}
+	}
+	s := promptSend{inst: running[p.rng.IntN(len(running))], sentAt: time.Now(), culprit: culprit}
+	p.sent[attempt] = s
+	p.mu.Unlock()
+	wg.Go(func() {
+		status, text := p.callWith(s.inst, p.path+attempt, "body of "+attempt,
+			bbplatform.HeaderAttemptID, attempt, bbplatform.HeaderPromptParts, parts, bbplatform.HeaderDeadline, fmt.Sprint(promptDeadline.Milliseconds()))
+		s.ended, s.status, s.served, s.refused = true, status, p.isServed(status, text, attempt), strings.Contains(text, statusRefusedByVerdict)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sent[attempt] = s
+	})
+}
+
+// sharedParts returns a first part that all requests have and one of four second
+// parts.
+func (p *promptPlay) sharedParts() []string {
+	return []string{"f0000000:60", fmt.Sprintf("s%07d:20", p.rng.IntN(4))}
+}
+
+// soundParts returns the parts of a sound request: the shared ones, now and then one
+// of a session, and its own.
+func (p *promptPlay) soundParts() string {
+	parts, own := p.sharedParts(), fmt.Sprintf("o%07d:10", p.attempts)
+	if p.odd {
+		switch p.attempts % 12 {
+		case 0:
+			return culpritPart(0) + ":100" // the last part, as it is the only one
+		case 1:
+			return strings.Join(append(parts, culpritPart(0)+":20"), ",")
+		case 2:
+			return "::,,x:y:z,f0000000:-1,:5," + own // malformed
+		}
+	}
+	if p.rng.IntN(2) == 0 {
+		parts = append(parts, fmt.Sprintf("e%07d:10", p.rng.IntN(promptSessions)))
+	}
+	return strings.Join(append(parts, own), ",")
+}
+
+// crashingParts returns the parts of a request with a part that crashes targets, now
+// and then twice.
+func (p *promptPlay) crashingParts(culprit int) string {
+	parts, part := p.sharedParts(), culpritPart(culprit)+":10"
+	list := append(append(append([]string{}, parts[:p.position]...), part), parts[p.position:]...)
+	if p.odd && p.attempts%4 == 0 {
+		list = append(list, part)
+	}
+	return strings.Join(append(list, fmt.Sprintf("o%07d:10", p.attempts)), ",")
+}
+
+// endTargets ends a target each second.
+func (p *promptPlay) endTargets(stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(*promptSeed, 1))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+			go p.targets[rng.IntN(len(p.targets))].Crash()
+		}
+	}
+}
+
+// killInstances kills a share of the instances and starts them again, until the
+// storm is over.
+func (p *promptPlay) killInstances(stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(*promptSeed, 2))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(2 * time.Second):
+		}
+		var killed []*nativeInstance
+		for _, i := range rng.Perm(len(p.instances))[:int(promptKillShare*float64(len(p.instances)))] {
+			inst := p.instances[i]
+			p.mu.Lock()
+			p.up[inst][len(p.up[inst])-1].to = time.Now()
+			p.mu.Unlock()
+			inst.kill()
+			killed = append(killed, inst)
+		}
+		for i, inst := range killed {
+			p.startAndWait(inst, fmt.Sprint("again-", i))
+			p.mu.Lock()
+			p.up[inst] = append(p.up[inst], upSpan{from: time.Now()})
+			p.mu.Unlock()
+		}
+	}
+}
--- a/e2e/native_test.go
+++ b/e2e/native_test.go
@@ -141,8 +141,9 @@
 	return f.callWith(inst, path, "body")
 }
 
-// callWith is call with another body of the request.
-func (f *nativeFleet) callWith(inst *nativeInstance, path, body string) (int, string) {
+// callWith is call with another body of the request, and with header fields that
+// replace the usual ones: names and values in turn.
+func (f *nativeFleet) callWith(inst *nativeInstance, path, body string, fields ...string) (int, string) {
 	r, err := http.NewRequest("POST", "http://"+inst.callerAddress+path, strings.NewReader(body))
 	is.New(f.t).NoErr(err)
 	r.Host = nativeHost
@@ -150,6 +151,9 @@
 	r.Header.Set(bbplatform.HeaderAPIKey, nativeKey)
 	r.Header.Set(bbplatform.HeaderDeadline, "3000")
 	r.Header.Set(bbplatform.HeaderTokenUsage, fmt.Sprintf("%d,%d", nativePromptTokens, nativeEventCount*nativeStride))
+	for i := 0; i+1 < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
 	resp, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, ""
