Name the parts of a prompt where a target crashes or answers

Callers of one route saw target after target crash under requests of which no two were alike. The log named the requests, not what they had in common, and the record of crashes is kept by a hash of account, method, path and body, so it cannot tell.

The proxy now reads the parts of a prompt once for each request, and 'crash recorded' names those that other requests may share: all but the last. Answers come with the parts and the time of sending. Nothing is decided by this yet.

--- a/bluebellport/crash/constants.go
+++ b/bluebellport/crash/constants.go
@@ -11,6 +11,11 @@
 	// answersSize is the number of entries in an answerSet: an hour of 18 different
 	// requests a second, so that answers are remembered about as long as crashes.
 	answersSize = 1 << 16
+	// maxEvidenceParts is how many parts of one request's prompt are suspects of a
+	// crash.
+	maxEvidenceParts = 8
+	// maxPartBytes is the longest id of a part in logs and messages.
+	maxPartBytes = 40
 )
 
 // Times that decide what counts.
--- a/bluebellport/crash/innocent_test.go
+++ b/bluebellport/crash/innocent_test.go
@@ -46,7 +46,7 @@
 	run, sentAt := target.run, w.Now()
 	duration := time.Duration(w.Rand.Int64N(int64(2 * innocentDuration)))
 	if target.crashesAt.IsZero() || sentAt.Add(duration).Before(target.crashesAt) {
-		w.After(duration, func() { n.tracker.RecordAnswer(fingerprint) })
+		w.After(duration, func() { n.tracker.RecordAnswer(fingerprint, nil, time.Time{}) })
 		return
 	}
 	w.After(target.crashesAt.Sub(sentAt)+simCrashDelay, func() {
--- a/bluebellport/crash/tracker.go
+++ b/bluebellport/crash/tracker.go
@@ -151,6 +151,8 @@
 // Observation is a crash as one instance saw it.
 type Observation struct {
 	Fingerprint uint64
+	// Parts are the parts of the request's prompt that other requests may share.
+	Parts []Part
 	// Request is the id of the request, for the log.
 	Request string
 	Run     TargetRun
@@ -182,13 +184,15 @@
 	t.publish()
 	t.cfg.Log.WithFields(logrus.Fields{
 		"event": "crash", "request": o.Request, "fingerprint": FingerprintText(o.Fingerprint), "target": o.Run.ID, "born": o.Run.StartedAtMillis,
-		"ms": o.BrokenAt.Sub(o.SentAt).Milliseconds(), "excused": crash.Excused, "crashes": t.record(o.Fingerprint).valid(),
+		"ms": o.BrokenAt.Sub(o.SentAt).Milliseconds(), "excused": crash.Excused, "crashes": t.record(o.Fingerprint).valid(), "parts": PartIDs(o.Parts),
 	}).Info("crash recorded")
 }
 
-// RecordAnswer records that a request was answered by a target: whatever crashed
-// before, this request was not the cause.
-func (t *Tracker) RecordAnswer(fingerprint uint64) {
+// RecordAnswer records that a target answered a request that was sent at a time,
+// and that the answer is known to be whole: whatever crashed before, this request
+// was not the cause, and whatever crashed before it was sent, none of the parts
+// of its prompt.
+func (t *Tracker) RecordAnswer(fingerprint uint64, _ []Part, _ time.Time) {
 	if fingerprint == 0 {
 		return
 	}
--- a/bluebellport/crash/tracker_test.go
+++ b/bluebellport/crash/tracker_test.go
@@ -46,7 +46,7 @@
 		s.Run(time.Second)
 	}
 	is.True(n.tracker.IsRefused(7))
-	n.tracker.RecordAnswer(7) // it was in flight at another target meanwhile
+	n.tracker.RecordAnswer(7, nil, time.Time{}) // it was in flight at another target meanwhile
 	is.True(!n.tracker.IsRefused(7))
 	is.True(!n.tracker.IsSuspect(7))
 }
@@ -55,9 +55,9 @@
 	is := is.New(t)
 	s, n := newSingle()
 	s.Skip(time.Minute)
-	n.tracker.RecordAnswer(7)
+	n.tracker.RecordAnswer(7, nil, time.Time{})
 	for i := range uint64(10_000) {
-		n.tracker.RecordAnswer(1000 + i)
+		n.tracker.RecordAnswer(1000+i, nil, time.Time{})
 	}
 	crash := func(from, to time.Duration) *bbwire.Crash {
 		run := s.newRun()
@@ -71,7 +71,7 @@
 func TestRequestThatTurnsBadIsRefused(t *testing.T) {
 	is := is.New(t)
 	s, n := newSingle()
-	n.tracker.RecordAnswer(guilty)
+	n.tracker.RecordAnswer(guilty, nil, time.Time{})
 	for i := range 3 {
 		is.True(!n.tracker.IsRefused(guilty)) // crash i
 		s.Run(time.Second)
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -31,8 +31,9 @@
 	route       *bbplan.Route
 	account     *bbplan.Account
 	service     bbunit.ServiceID
-	deadline    time.Time // by when the client needs the response
-	fingerprint uint64    // hash by which a repeated request is recognized
+	deadline    time.Time      // by when the client needs the response
+	fingerprint uint64         // hash by which a repeated request is recognized
+	parts       []bbcrash.Part // of the prompt, that other requests may share
 
 	balance        *bbshare.Balance
 	reserved       bbunit.Tokens
@@ -95,6 +96,7 @@
 	x.deadline = x.deadline.Add(-responseMargin)
 	x.service = x.route.PickService(rand.Float64())
 	x.fingerprint = x.req.Fingerprint(x.accountID())
+	x.parts = x.req.SharedParts()
 	if refusal := x.checkCrashes(); refusal != nil {
 		return refusal
 	}
--- a/bluebellport/proxy/request.go
+++ b/bluebellport/proxy/request.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"bluebellport.example/bluebellport/crash"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbunit"
 )
@@ -128,17 +129,39 @@
 	return h.Sum64()
 }
 
+// sharedPartsText returns the field of the prompt's parts without its last entry,
+// which belongs to the request alone or to its session.
+func (r *Request) sharedPartsText() string {
+	text := strings.TrimRight(r.Fields.Value(bbplatform.HeaderPromptParts), ", ")
+	return text[:max(strings.LastIndexByte(text, ','), 0)]
+}
+
 // SharedPrefix returns a hash of the parts of the prompt that other requests may
 // share, and their tokens: all parts but the last.
 func (r *Request) SharedPrefix() (uint64, bbunit.Tokens) {
-	text := r.Fields.Value(bbplatform.HeaderPromptParts)
-	i := strings.LastIndexByte(text, ',')
-	if i < 0 {
+	text := r.sharedPartsText()
+	if text == "" {
 		return 0, 0
 	}
 	var n bbunit.Tokens
-	for _, p := range bbplatform.ParsePromptParts(text[:i]) {
+	for _, p := range bbplatform.ParsePromptParts(text) {
 		n += p.Tokens
 	}
-	return xxhash.Sum64String(text[:i]), min(n, r.PromptTokens)
+	return xxhash.Sum64String(text), min(n, r.PromptTokens)
+}
+
+// SharedParts returns the parts of the prompt that other requests may share, all
+// but the last. Malformed ones are left out.
+func (r *Request) SharedParts() []bbcrash.Part {
+	parsed := bbplatform.ParsePromptParts(r.sharedPartsText())
+	if len(parsed) == 0 {
+		return nil
+	}
+	parts := make([]bbcrash.Part, 0, len(parsed))
+	for _, p := range parsed {
+		if p.ID != "" {
+			parts = append(parts, bbcrash.NewPart(p.ID))
+		}
+	}
+	return parts
 }
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -23,7 +23,7 @@
 		target.State.RecordResult(!result.targetFailed)
 		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
 		if !result.targetFailed {
-			p.crashes.RecordAnswer(x.fingerprint)
+			p.crashes.RecordAnswer(x.fingerprint, x.parts, result.sentAt)
 			p.retryBudget(x.service).Earn(p.retryPolicy())
 		}
 		p.metrics.recordServed(x.req.ReceivedAt, x.stream.firstEventAt)
@@ -72,7 +72,7 @@
 		return
 	}
 	p.crashWatch.attemptEnded(target, endedAttempt{
-		Observation: bbcrash.Observation{Fingerprint: x.fingerprint, Request: x.req.AttemptID, Run: target.Run(), SentAt: result.sentAt, BrokenAt: p.now()},
+		Observation: bbcrash.Observation{Fingerprint: x.fingerprint, Parts: x.parts, Request: x.req.AttemptID, Run: target.Run(), SentAt: result.sentAt, BrokenAt: p.now()},
 		brokeOff:    result.kind == resultBroken,
 		callerLeft:  result.kind == resultGone,
 	}, result.kind == resultBroken && result.connBroken)
--- a/bluebellport/src/router.go
+++ b/bluebellport/src/router.go
@@ -193,7 +193,7 @@
 	case routeRes.Err == nil:
 		g.RecordCompletion(t, result.OutputTokens, result.Total)
 		g.RetryBudget().Earn(&r.retryPolicy)
-		r.crashes.RecordAnswer(fingerprint)
+		r.crashes.RecordAnswer(fingerprint, nil, sentAt)
 		t.Circuit.RecordSuccess()
 	case errors.Is(routeRes.Err, ErrLeaving):
 		if t.MarkLeaving(now) {
