Look whether the target is still there after an answer that ends with its connection

Callers were told 200 and a whole answer although the target had crashed in the middle of it: an answer with neither a length nor chunks ends when its connection does, and a crash ends it in the same way. Such an answer cleared its request of every crash before, so a request that crashed target after target this way was never refused. So did any 4xx and any other status below 500, which need not come from a target that ran the request to its end.

Now only a success clears, and only one whose framing shows that it came whole. After an answer without framing the instance looks 0.2 s later whether the target still listens. If it refuses a connection, the attempt goes to the tracker as one that a crash has ended. If it accepts one, the answer was whole and clears its request. A target that is merely unreachable proves neither, nor does the list's word that its run has ended: many answers end in the seconds before.

Looks are cheap. An idle connection that is still open shows the same as a new one, a new one stays in the pool for the next request, there is one look at a time for each target, and only a tenth of the answers and one a second may open a connection for it, until a target crashes. Then all may for a minute, and the answers that waited are looked at.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -55,6 +55,9 @@
 	// targetFailed reports that the response passed to the client shows a failure
 	// of the target.
 	targetFailed bool
+	// succeeded reports that the target answered with success, endedByClose that its
+	// answer has neither a length nor chunks and ended with the connection.
+	succeeded, endedByClose bool
 }
 
 // isTargetsFault reports whether a failed attempt speaks against the target. What
@@ -163,7 +166,9 @@
 	conn.readHints(resp)
 	x.proxy.hints.record(target, resp, x.req.AttemptID, x.sentAt, x.proxy.now())
 	x.proxy.notices.record(target, resp, x.heard.origin, x.proxy.now())
-	return x.handleResponse(conn, resp)
+	result := x.handleResponse(conn, resp)
+	result.succeeded, result.endedByClose = resp.isSuccess(), resp.endsWithConn(x.req.Method)
+	return result
 }
 
 // awaitResponse reads the head of the request's own response. It skips up to
@@ -234,7 +239,7 @@
 		x.discardResponse(conn, resp)
 		return attemptResult{kind: resultNotRun, err: errors.Errorf("status %d", resp.Status)}
 	}
-	ok := resp.Status >= 200 && resp.Status < 300
+	ok := resp.isSuccess()
 	if !resp.isSigned() {
 		_ = conn.Close()
 		return attemptResult{kind: resultBroken, err: errors.Errorf("status %d without signature", resp.Status)}
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -1,6 +1,10 @@
 package bbproxy
 
-import "time"
+import (
+	"time"
+
+	"bluebellport.example/shared/bbroute"
+)
 
 // Sizes of heads and bodies.
 const (
@@ -302,11 +306,22 @@
 	// downRetention is how long it is remembered that a target was down or gone,
 	// for the attempts that are in flight there until their deadline.
 	downRetention = 30 * time.Second
+	// answerLookDelay is how long after an answer that ended with its connection it is
+	// looked whether its target still listens: its connections and its listener need
+	// not end at the same moment. It is also the time between two looks at a target.
+	answerLookDelay = 200 * time.Millisecond
+	// alertPeriod is how long after any crash all such answers are looked at.
+	alertPeriod = time.Minute
 	// maxEndedAttempts is how many attempts without a response are remembered for
 	// one target.
 	maxEndedAttempts = 128
 )
 
+// answerLookPolicy limits the connections that are opened only to look whether a
+// target still listens: to a share of the answers that ended with their connection,
+// and at least to MinPerSecond.
+var answerLookPolicy = bbroute.RetryPolicy{Ratio: 0.1, MinPerSecond: 1}
+
 // refusedKey is the key in the platform's store of the copy of the requests that
 // are refused because they crash targets.
 const refusedKey = "bluebellport/refused"
--- a/bluebellport/proxy/crashwatch.go
+++ b/bluebellport/proxy/crashwatch.go
@@ -3,12 +3,15 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/bluebellport/crash"
 	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbroute"
 )
 
 // crashWatch finds out which targets crashed, and so which attempts without a
@@ -19,22 +22,35 @@
 	now    func() time.Time
 	log    logrus.FieldLogger
 	record func(bbcrash.Observation)
+	// answered is called for a successful answer that ended with its connection and
+	// is known to be whole.
+	answered func(bbcrash.Observation)
+	// look looks whether a target still listens. It may open a connection for that
+	// if mayDial says so.
+	look       func(target *Target, mayDial func() bool) lookResult
+	lookBudget bbroute.RetryBudget
 
 	mu      sync.Mutex // guards the fields below
 	targets map[bbcrash.TargetRun]*watchedTarget
 	pruned  time.Time
+	// alertUntil is until when all answers are looked at that ended with their
+	// connection.
+	alertUntil time.Time
 }
 
 // watchedTarget is what is known of a target at which attempts ended without a
-// response.
+// response, or with an answer that ended with its connection.
 type watchedTarget struct {
+	target  *Target // set if an answer ended with its connection
 	ended   []endedAttempt
 	downAt  time.Time // when it last accepted no connection
 	goneAt  time.Time // when the list showed that its run had ended
 	probing bool
+	looking bool // at the target after answers that ended with their connection
 }
 
-// endedAttempt is an attempt without a response.
+// endedAttempt is an attempt without a response, or with an answer that ended with
+// its connection.
 type endedAttempt struct {
 	bbcrash.Observation // BrokenAt is the end of the attempt
 	// brokeOff means that the target broke off or was silent. Otherwise the
@@ -42,6 +58,17 @@
 	brokeOff bool
 	// callerLeft means that the instance gave up as nobody waited any more.
 	callerLeft bool
+	// answered means that an answer came and ended with its connection, succeeded
+	// that it was a success.
+	answered, succeeded bool
+}
+
+// add adds an attempt. Above maxEndedAttempts the oldest is forgotten.
+func (t *watchedTarget) add(attempt endedAttempt) {
+	if len(t.ended) >= maxEndedAttempts {
+		t.ended = append(t.ended[:0], t.ended[1:]...)
+	}
+	t.ended = append(t.ended, attempt)
 }
 
 func newCrashWatch(board *Board, now func() time.Time, log logrus.FieldLogger, record func(bbcrash.Observation)) *crashWatch {
@@ -57,12 +84,11 @@
 	watched := w.watch(attempt.Run)
 	if crashedAt, ok := watched.crashDuring(&attempt); ok {
 		attempt.BrokenAt = bbclock.Earlier(attempt.BrokenAt, crashedAt)
+		w.raiseAlert()
 		w.record(attempt.Observation)
 		return
 	}
-	if len(watched.ended) < maxEndedAttempts {
-		watched.ended = append(watched.ended, attempt)
-	}
+	watched.add(attempt)
 	if connBroken && !watched.probing {
 		watched.probing = true
 		go w.probe(target, attempt.Run)
@@ -85,7 +111,9 @@
 		w.log.WithField("target", target.ID).Info("no crash recorded yet: the target accepts connections or this instance's link is saturated")
 		return
 	}
-	w.targetDown(run)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down(w.watch(run), errors.Is(err, syscall.ECONNREFUSED))
 }
 
 // targetDown is called when a target accepts no connection: the attempts that
@@ -94,10 +122,16 @@
 func (w *crashWatch) targetDown(run bbcrash.TargetRun) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.down(w.watch(run), true)
+}
+
+// down is targetDown. Where the target has not refused a connection but could not be
+// reached, no answer is taken for one that a crash has ended. The caller holds the
+// lock.
+func (w *crashWatch) down(watched *watchedTarget, refused bool) {
 	now := w.now()
-	watched := w.watch(run)
 	watched.downAt = now
-	w.recordEnded(watched, func(a *endedAttempt) bool { return now.Sub(a.BrokenAt) < downPeriod })
+	w.recordEnded(watched, func(a *endedAttempt) bool { return now.Sub(a.BrokenAt) < downPeriod && (refused || !a.answered) })
 }
 
 // watch returns what is known of a target. The caller holds the lock, as for all
@@ -135,13 +169,14 @@
 		if a.brokeOff {
 			period = brokeOffPeriod
 		}
-		return now.Sub(a.BrokenAt) < period
+		return now.Sub(a.BrokenAt) < period && !a.answered
 	})
 }
 
 // recordEnded records the attempts that match as in flight at a crash, and
 // forgets all.
 func (w *crashWatch) recordEnded(watched *watchedTarget, matches func(a *endedAttempt) bool) {
+	w.raiseAlert()
 	for i := range watched.ended {
 		if matches(&watched.ended[i]) {
 			w.record(watched.ended[i].Observation)
@@ -165,7 +200,7 @@
 			}
 		}
 		watched.ended = kept
-		if len(kept) == 0 && !watched.probing && now.Sub(watched.downAt) > downRetention && now.Sub(watched.goneAt) > downRetention {
+		if len(kept) == 0 && !watched.probing && !watched.looking && now.Sub(watched.downAt) > downRetention && now.Sub(watched.goneAt) > downRetention {
 			delete(w.targets, run)
 		}
 	}
--- a/bluebellport/proxy/metrics.go
+++ b/bluebellport/proxy/metrics.go
@@ -15,6 +15,9 @@
 	// targetConns counts the connections to targets that were opened and used,
 	// strays the responses on them that belong to no request in flight there.
 	targetConns, strays metrics.Counter
+	// looks counts the connections that were opened to look whether a target still
+	// listens.
+	looks metrics.Counter
 	// dispatchTime is the time from a complete request to its first attempt, which
 	// is the instance's own part of the latency. firstByteTime is the time to the
 	// first event of a stream, or to the whole response otherwise. Both in
@@ -29,6 +32,7 @@
 		served:        metrics.GetOrRegisterCounter("door.served", registry),
 		targetConns:   metrics.GetOrRegisterCounter("door.conns", registry),
 		strays:        metrics.GetOrRegisterCounter("door.strays", registry),
+		looks:         metrics.GetOrRegisterCounter("door.looks", registry),
 		dispatchTime:  metrics.GetOrRegisterHistogram("door.own-us", registry, sample()),
 		firstByteTime: metrics.GetOrRegisterHistogram("door.first-us", registry, sample()),
 	}
--- a/bluebellport/proxy/pool.go
+++ b/bluebellport/proxy/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,29 +40,39 @@
 	address string
 	mu      sync.Mutex
 	idle    []*targetConn // the one used last at the end
-	closed  bool
-	meter   *trafficMeter
-	onLoad  func(running, waiting, slots int) // called with the load that a response reports
+	// idleTimeout is how long the target last said that it keeps an idle connection,
+	// less poolIdleMargin, if it has said so.
+	idleTimeout    time.Duration
+	hasIdleTimeout bool
+	closed         bool
+	meter          *trafficMeter
+	onLoad         func(running, waiting, slots int) // called with the load that a response reports
 }
 
-// get returns an idle connection, or else a new one. If unused, it returns a new
-// one in place of the idle connection that was used last.
+// get returns an idle connection, or else a new one. If unused, it returns one that
+// has carried no request, a new one in place of the idle connection that was used
+// last.
 func (p *connPool) get(ctx context.Context, unused bool) (*targetConn, error) {
-	if unused {
-		if c := p.popIdle(); c != nil {
-			_ = c.Close()
-		}
-		return p.dial(ctx)
-	}
 	for c := p.popIdle(); c != nil; c = p.popIdle() {
-		if time.Since(c.idleSince) < c.idleTimeout && openAndQuiet(c.Conn) && c.br.Buffered() == 0 {
+		usable := time.Since(c.idleSince) < c.idleTimeout && openAndQuiet(c.Conn) && c.br.Buffered() == 0
+		if usable && (!unused || c.requests == 0) {
 			return c, nil
 		}
 		_ = c.Close()
+		if unused {
+			break
+		}
 	}
 	return p.dial(ctx)
 }
 
+// hasOpenIdle reports whether an idle connection is still open.
+func (p *connPool) hasOpenIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, func(c *targetConn) bool { return openAndQuiet(c.Conn) })
+}
+
 // dial opens a connection.
 func (p *connPool) dial(ctx context.Context) (*targetConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -72,7 +83,13 @@
 		return nil, err
 	}
 	conn = p.meter.count(conn)
-	return &targetConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}, nil
+	c := &targetConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hasIdleTimeout {
+		c.idleTimeout = p.idleTimeout
+	}
+	return c, nil
 }
 
 // popIdle removes and returns the idle connection that was used last, nil if
@@ -133,6 +150,7 @@
 			digits, _, _ := strings.Cut(after, ",")
 			if s, err := strconv.Atoi(strings.TrimSpace(digits)); err == nil {
 				c.idleTimeout = max(time.Duration(s)*time.Second-poolIdleMargin, 0)
+				c.pool.setIdleTimeout(c.idleTimeout)
 			}
 		}
 	}
@@ -144,6 +162,14 @@
 	}
 }
 
+// setIdleTimeout sets how long connections may stay in the pool that have carried no
+// request yet.
+func (p *connPool) setIdleTimeout(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idleTimeout, p.hasIdleTimeout = d, true
+}
+
 // openAndQuiet reports whether an idle connection is open with nothing to read:
 // bytes that wait there belong to no request, so the connection must not be
 // used.
--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -49,6 +49,15 @@
 	return nil, errors.Annotate(ErrMalformed, "too many informational responses")
 }
 
+// isSuccess reports whether the status is a success.
+func (r *Response) isSuccess() bool { return r.Status >= 200 && r.Status < 300 }
+
+// endsWithConn reports whether the body of the response to a request with a method
+// ends with its connection, so that a crash of the target ends it in the same way.
+func (r *Response) endsWithConn(method string) bool {
+	return responseBody(nil, r.framing, r.Status, method).untilClose
+}
+
 // saysNotRun reports whether the target states that it did not run the request.
 func (r *Response) saysNotRun() bool {
 	_, count := r.Fields.Get(bbplatform.HeaderNotExecuted)
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -22,8 +22,8 @@
 		target.State.Circuit.RecordSuccess()
 		target.State.RecordResult(!result.targetFailed)
 		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
+		p.recordAnswer(x, target, result)
 		if !result.targetFailed {
-			p.crashes.RecordAnswer(x.fingerprint)
 			p.retryBudget(x.service).Earn(p.retryPolicy())
 		}
 		p.metrics.recordServed(x.req.ReceivedAt, x.stream.firstEventAt)
@@ -65,6 +65,22 @@
 	p.log.WithFields(x.logFields(target, result)).Info("attempt failed")
 }
 
+// recordAnswer clears a request that a target answered with success, if the answer
+// shows that it is whole. One that ended with its connection does not.
+func (p *Proxy) recordAnswer(x *exchange, target *Target, result *attemptResult) {
+	switch {
+	case result.endedByClose:
+		p.crashWatch.answerEnded(target, endedAttempt{Observation: p.observation(x, target, result), succeeded: result.succeeded})
+	case result.succeeded:
+		p.crashes.RecordAnswer(x.fingerprint)
+	}
+}
+
+// observation returns what is recorded if the target crashed now.
+func (p *Proxy) observation(x *exchange, target *Target, result *attemptResult) bbcrash.Observation {
+	return bbcrash.Observation{Fingerprint: x.fingerprint, Request: x.req.AttemptID, Run: target.Run(), SentAt: result.sentAt, BrokenAt: p.now()}
+}
+
 // watchForCrash passes an attempt without a response on, as its target may have
 // crashed.
 func (p *Proxy) watchForCrash(x *exchange, target *Target, result *attemptResult) {
@@ -72,7 +88,7 @@
 		return
 	}
 	p.crashWatch.attemptEnded(target, endedAttempt{
-		Observation: bbcrash.Observation{Fingerprint: x.fingerprint, Request: x.req.AttemptID, Run: target.Run(), SentAt: result.sentAt, BrokenAt: p.now()},
+		Observation: p.observation(x, target, result),
 		brokeOff:    result.kind == resultBroken,
 		callerLeft:  result.kind == resultGone,
 	}, result.kind == resultBroken && result.connBroken)
