--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -118,7 +118,7 @@
 	p.notices = newNoticeReader(p.leaving, p.log, p.metrics.registry)
 	p.crashWatch = newCrashWatch(p.board, p.now, p.log, p.crashes.RecordCrash)
 	p.crashWatch.look = p.lookAt
-	p.crashWatch.answered = func(o bbcrash.Observation) { p.crashes.RecordAnswer(o.Fingerprint) }
+	p.crashWatch.answered = func(o bbcrash.Observation) { p.crashes.RecordAnswer(o.Fingerprint, o.Parts, o.SentAt) }
 	f.onTargetEnded, f.onTargetLeaving = p.crashWatch.targetEnded, p.leaving.HearEntry
 	r := newRelay(peers, f) // takes messages from here on
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
