--- a/e2e/native_prompt_count_test.go
+++ b/e2e/native_prompt_count_test.go
@@ -1,12 +1,8 @@
 package bbe2e
 
 import (
-	"bytes"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"bluebellport.example/platform/stand"
@@ -131,60 +127,3 @@
 		in.served++
 	}
 }
-
-// processUsage is what the processes of a fleet have used: processor time and
-// resident memory, by process id.
-type processUsage struct {
-	at    time.Time
-	ticks map[int]float64
-	bytes map[int]float64
-}
-
-// processCost is what one instance used on average between two times.
-type processCost struct {
-	processes int
-	cores     float64 // of each process
-	mebibytes float64
-}
-
-func (c processCost) String() string {
-	return fmt.Sprintf("%d processes: %.3f cores and %.1f MiB each in the storm", c.processes, c.cores, c.mebibytes)
-}
-
-// clockTicks is the number of clock ticks a second in /proc.
-const clockTicks = 100
-
-// usage returns what the processes that run have used.
-func (p *promptPlay) usage() processUsage {
-	u := processUsage{at: time.Now(), ticks: map[int]float64{}, bytes: map[int]float64{}}
-	for _, inst := range p.instances {
-		pid := inst.cmd.Process.Pid
-		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-		if err != nil {
-			continue // it was killed
-		}
-		fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
-		user, _ := strconv.ParseFloat(fields[11], 64)
-		system, _ := strconv.ParseFloat(fields[12], 64)
-		pages, _ := strconv.ParseFloat(fields[21], 64)
-		u.ticks[pid], u.bytes[pid] = user+system, pages*float64(os.Getpagesize())
-	}
-	return u
-}
-
-// since returns the mean cost of the processes that ran at both times.
-func (u processUsage) since(before processUsage) processCost {
-	c := processCost{}
-	for pid, ticks := range u.ticks {
-		earlier, ok := before.ticks[pid]
-		if !ok {
-			continue
-		}
-		c.processes++
-		c.cores += (ticks - earlier) / clockTicks / u.at.Sub(before.at).Seconds()
-		c.mebibytes += u.bytes[pid] / (1 << 20)
-	}
-	n := float64(max(c.processes, 1))
-	c.cores, c.mebibytes = c.cores/n, c.mebibytes/n
-	return c
-}
--- a/e2e/native_prompt_play_test.go
+++ b/e2e/native_prompt_play_test.go
@@ -16,7 +16,8 @@
 	promptRow
 	rng      *rand.Rand // of the goroutine of play
 	attempts int
-	cost     processCost
+	// inCalm is the cost while only sound requests come, inStorm the one later.
+	inCalm, inStorm processCost
 
 	mu      sync.Mutex // guards the fields below
 	sent    map[string]promptSend
@@ -43,7 +44,7 @@
 	time.Sleep(promptWarmUp)
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	p.sendFor(&wg, promptCalm, false)
+	p.inCalm = p.measured(func() { p.sendFor(&wg, promptCalm, false) })
 	p.mu.Lock()
 	p.stormAt = time.Now()
 	p.mu.Unlock()
@@ -54,17 +55,22 @@
 	if p.kills {
 		wg.Go(func() { p.killInstances(stop) })
 	}
-	var began processUsage
-	if !p.kills {
-		began = p.usage()
-	}
-	p.sendFor(&wg, promptStorm, true)
-	if !p.kills {
-		p.cost = p.usage().since(began)
-	}
+	p.inStorm = p.measured(func() { p.sendFor(&wg, promptStorm, true) })
 	close(stop)
 }
 
+// measured returns what the instances use during a part of the play, nothing if some
+// of them are restarted.
+func (p *promptPlay) measured(part func()) processCost {
+	if p.kills {
+		part()
+		return processCost{}
+	}
+	before := p.usage()
+	part()
+	return costBetween(before, p.usage())
+}
+
 // sendFor sends requests at the rates of the row for a while.
 func (p *promptPlay) sendFor(wg *sync.WaitGroup, d time.Duration, storm bool) {
 	start := time.Now()
