--- a/e2e/native_crash_test.go
+++ b/e2e/native_crash_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -96,8 +95,7 @@
 		case <-time.After(crashHeartbeat):
 		}
 		for _, target := range f.targets {
-			if conn, err := net.Dial("tcp4", target.Address()); err == nil {
-				_ = conn.Close()
+			if !target.IsDown() {
 				_ = target.Register(f.t.Context(), f.memStore, "ready") // a conflict is repeated
 			}
 		}
--- a/e2e/native_prompt_cost_test.go
+++ b/e2e/native_prompt_cost_test.go
@@ -31,11 +31,12 @@
 	processes        int
 	cores, mebibytes float64
 	perSecond        map[string]float64 // by counter
+	accepted         float64            // connections that targets accepted from it, a second
 }
 
 func (c processCost) String() string {
-	return fmt.Sprintf("each of %d instances: %.3f cores, %.1f MiB, a second %.1f crash messages (%.0f bytes), %.2f connections to targets, %.3f looks",
-		c.processes, c.cores, c.mebibytes, c.perSecond[counterMessages], c.perSecond[counterBytes], c.perSecond[counterConns], c.perSecond[counterLooks])
+	return fmt.Sprintf("each of %d instances: %.3f cores, %.1f MiB, a second %.1f crash messages (%.0f bytes), %.2f connections to targets used and %.2f opened, %.2f looks",
+		c.processes, c.cores, c.mebibytes, c.perSecond[counterMessages], c.perSecond[counterBytes], c.perSecond[counterConns], c.accepted, c.perSecond[counterLooks])
 }
 
 // clockTicks is the number of clock ticks a second in /proc.
--- a/e2e/native_prompt_play_test.go
+++ b/e2e/native_prompt_play_test.go
@@ -66,9 +66,20 @@
 		part()
 		return processCost{}
 	}
-	before := p.usage()
+	before, conns, start := p.usage(), p.acceptedConns(), time.Now()
 	part()
-	return costBetween(before, p.usage())
+	cost := costBetween(before, p.usage())
+	cost.accepted = float64(p.acceptedConns()-conns) / time.Since(start).Seconds() / float64(len(p.instances))
+	return cost
+}
+
+// acceptedConns returns how many connections the targets have accepted.
+func (p *promptPlay) acceptedConns() int {
+	n := 0
+	for _, target := range p.targets {
+		n += target.AcceptedConns()
+	}
+	return n
 }
 
 // sendFor sends requests at the rates of the row for a while.
