Name the part of a prompt in explain where a request is refused for it

A request may be refused because targets crashed under one part of its prompt. Callers and operators then need the part, not the request, so bluebellctl explain names it with its crashes. Golden file explain-r8.

--- a/bluebellctl/src/cause.go
+++ b/bluebellctl/src/cause.go
@@ -37,8 +37,11 @@
 	}
 	_, isBudgetRefusal := l.Fields["account"]
 	storeLost, isStoreLost := s.findStateLine("store-lost")
-	if crashes := l.crashes(); len(crashes) > 0 {
-		return "the request crashes its targets: " + strings.Join(crashes, ", ")
+	if crashes := strings.Join(l.crashes(), ", "); crashes != "" {
+		if part := l.text("part"); part != "" {
+			return fmt.Sprintf("part %q of the prompt crashes targets: %s", part, crashes)
+		}
+		return "the request crashes its targets: " + crashes
 	}
 	switch status := int(l.number("status")); {
 	case isBudgetRefusal && status == http.StatusPaymentRequired:
--- a/bluebellctl/src/explain_test.go
+++ b/bluebellctl/src/explain_test.go
@@ -22,12 +22,12 @@
 // of the log files.
 func TestExplain(t *testing.T) {
 	f := newCLIFixture(t)
-	for _, request := range []string{"r1", "r2", "r3", "r4", "r5", "r7"} {
+	for _, request := range []string{"r1", "r2", "r3", "r4", "r5", "r7", "r8"} {
 		t.Run(request, func(t *testing.T) {
 			is := is.New(t)
 			code, stdout, stderr := f.run("explain", request, logTwo, logOne)
 			is.Equal(code, bbcli.ExitOK)
-			is.Equal(stderr, "19 lines read, 2 of them not of an instance\n")
+			is.Equal(stderr, "22 lines read, 2 of them not of an instance\n")
 			goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "explain-"+request, []byte(stdout))
 			_, swapped, _ := f.run("explain", request, logOne, logTwo)
 			is.Equal(swapped, stdout)
@@ -42,7 +42,7 @@
 	f := newCLIFixture(t)
 	code, _, stderr := f.run("explain", "r9", logOne, logTwo)
 	is.Equal(code, bbcli.ExitUsage)
-	is.True(strings.Contains(stderr, `no line of "r9" in `+logOne+", "+logTwo+" (19 lines read, 2 of them not of an instance)"))
+	is.True(strings.Contains(stderr, `no line of "r9" in `+logOne+", "+logTwo+" (22 lines read, 2 of them not of an instance)"))
 	code, _, stderr = f.run("explain", "r1", "testdata/none.log")
 	is.Equal(code, bbcli.ExitUsage)
 	is.True(strings.Contains(stderr, "none.log"))
