--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -24,15 +24,17 @@
 	proxy  *Proxy
 	client *clientConn
 	req    *Request
-	// clientGone is closed when the client has closed its connection.
-	clientGone <-chan struct{}
+	// gone is set when the client has closed its connection, or the stop of the
+	// instance has ended.
+	gone *signal
 
 	plan        *bbplan.Plan
 	route       *bbplan.Route
 	account     *bbplan.Account
 	service     bbunit.ServiceID
-	deadline    time.Time // by when the client needs the response
-	fingerprint uint64    // hash by which a repeated request is recognized
+	deadline    time.Time      // by when the client needs the response
+	fingerprint uint64         // hash by which a repeated request is recognized
+	parts       []bbcrash.Part // of the prompt, that other requests may share
 
 	balance        *bbshare.Balance
 	reserved       bbunit.Tokens
@@ -72,7 +74,7 @@
 // reused.
 func (x *exchange) serve() bool {
 	if refusal := x.admit(); refusal != nil {
-		return x.refuse(refusal)
+		return x.refuse(x.atStopEnd(refusal))
 	}
 	defer x.settle()
 	return x.attemptUntilResponse()
@@ -102,6 +104,7 @@
 	x.deadline = x.deadline.Add(-responseMargin)
 	x.service = x.route.PickService(rand.Float64())
 	x.fingerprint = x.req.Fingerprint(x.accountID())
+	x.parts = x.req.SharedParts()
 	if service := x.plan.Services[x.service]; service != nil && service.Engine != nil {
 		x.maxEventTokens = service.Engine.MaxEventTokens
 	}
@@ -143,7 +146,7 @@
 	}
 	x.reserved = x.req.PromptTokens + (x.req.OutputTokens+x.maxEventTokens-1)/x.maxEventTokens*x.maxEventTokens
 	var refusal *Refusal
-	x.balance, refusal = x.proxy.shares.reserve(x.account, x.reserved, x.deadline, x.clientGone)
+	x.balance, refusal = x.proxy.shares.reserve(x.account, x.reserved, x.deadline, x.gone.done())
 	return refusal
 }
 
@@ -211,7 +214,7 @@
 		case resultDone:
 			return result.keepConn
 		case resultGone:
-			return false
+			return x.proxy.stop.Ended() && x.giveUp(nil)
 		}
 		refusal, retry = x.afterAttempt(&result)
 	}
@@ -254,6 +257,7 @@
 	if x.stream.started || x.passedOn {
 		return false
 	}
+	refusal = x.atStopEnd(refusal)
 	if x.mayHaveRun && refusal.outcome() == "not-run" {
 		unknown := refuseUnknownOutcome(refusal.Reason)
 		unknown.RetryAfter, unknown.LogFields = refusal.RetryAfter, refusal.LogFields
--- a/e2e/native_crash_test.go
+++ b/e2e/native_crash_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -88,17 +87,16 @@
 }
 
 // heartbeats writes the entries of the targets that listen until the test ends.
-func (r *crashRun) heartbeats(stop <-chan struct{}) {
+func (f *nativeFleet) heartbeats(stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(crashHeartbeat):
 		}
-		for _, target := range r.targets {
-			if conn, err := net.Dial("tcp4", target.Address()); err == nil {
-				_ = conn.Close()
-				_ = target.Register(r.t.Context(), r.memStore, "ready") // a conflict is repeated
+		for _, target := range f.targets {
+			if !target.IsDown() {
+				_ = target.Register(f.t.Context(), f.memStore, "ready") // a conflict is repeated
 			}
 		}
 	}
