Let callers of the play of crashing parts repeat what failed

Callers repeat failed requests, so a sound request that stood beside a crashing one comes again, and a crashing one reaches further targets.

--- a/e2e/native_prompt_count_test.go
+++ b/e2e/native_prompt_count_test.go
@@ -26,7 +26,7 @@
 }
 
 func (s promptSum) String() string {
-	return fmt.Sprintf("%d crashes, the fifth %.1f s after the first request; %d crashing requests late at targets, %d late crashes; sound served %.2f before (%d of %d), %.2f after (%d of %d, statuses %v); %d of %d sound refused by verdict",
+	return fmt.Sprintf("%d crashes, the fifth %.1f s after the first request; %d crashing requests late at targets, %d late crashes; sound served %.2f before (%d of %d), %.2f after (%d of %d, statuses %v); %d of %d sound attempts refused by verdict",
 		s.crashes, s.fifthAfter.Seconds(), s.late, s.lateCrashes, s.before.share(), s.before.served, s.before.sent, s.after.share(), s.after.served, s.after.sent, s.statuses, s.refused, s.soundSent)
 }
 
@@ -114,6 +114,8 @@
 	}
 	in := &sum.before
 	switch {
+	case s.repeat:
+		return
 	case !s.sentAt.Before(p.stormAt) && s.sentAt.Sub(fifth) < 2*promptContact, !s.ended:
 		return
 	case !s.sentAt.Before(p.stormAt):
--- a/e2e/native_prompt_play_test.go
+++ b/e2e/native_prompt_play_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	inst            *nativeInstance
 	sentAt          time.Time
 	culprit         int // -1: sound
+	repeat          bool
 	ended           bool
 	served, refused bool // refused for crashes
 	status          int
@@ -104,10 +106,26 @@
 	}
 }
 
-// sendOne sends a request to a random instance that runs.
+// sendOne sends a request to a random instance that runs, and again up to
+// promptRepeats times while it fails.
 func (p *promptPlay) sendOne(wg *sync.WaitGroup, culprit int, parts string) {
 	p.attempts++
-	attempt := fmt.Sprintf("%s-%d", p.name, p.attempts)
+	request := fmt.Sprintf("%s-%d", p.name, p.attempts)
+	random := p.rng.Uint64()
+	wg.Go(func() {
+		rng := rand.New(rand.NewPCG(random, 0))
+		for i := range promptRepeats + 1 {
+			if p.send(rng, request, fmt.Sprintf("%s-%d", request, i), parts, promptSend{culprit: culprit, repeat: i > 0}) {
+				return
+			}
+			time.Sleep(promptRepeatDelay)
+		}
+	})
+}
+
+// send sends one attempt of a request to a random instance that runs. It reports
+// whether the caller is content with the answer or tries no more.
+func (p *promptPlay) send(rng *rand.Rand, request, attempt, parts string, s promptSend) bool {
 	p.mu.Lock()
 	var running []*nativeInstance
 	for _, inst := range p.instances {
@@ -115,17 +133,16 @@
 			running = append(running, inst)
 		}
 	}
-	s := promptSend{inst: running[p.rng.IntN(len(running))], sentAt: time.Now(), culprit: culprit}
+	s.inst, s.sentAt = running[rng.IntN(len(running))], time.Now()
 	p.sent[attempt] = s
 	p.mu.Unlock()
-	wg.Go(func() {
-		status, text := p.callWith(s.inst, p.path+attempt, "body of "+attempt,
-			bbplatform.HeaderAttemptID, attempt, bbplatform.HeaderPromptParts, parts, bbplatform.HeaderDeadline, fmt.Sprint(promptDeadline.Milliseconds()))
-		s.ended, s.status, s.served, s.refused = true, status, p.isServed(status, text, attempt), strings.Contains(text, statusRefusedByVerdict)
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.sent[attempt] = s
-	})
+	status, text := p.callWith(s.inst, p.path+request, "body of "+request,
+		bbplatform.HeaderAttemptID, attempt, bbplatform.HeaderPromptParts, parts, bbplatform.HeaderDeadline, fmt.Sprint(promptDeadline.Milliseconds()))
+	s.ended, s.status, s.served, s.refused = true, status, p.isServed(status, text, attempt), strings.Contains(text, statusRefusedByVerdict)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[attempt] = s
+	return s.served || status != 0 && status != http.StatusBadGateway && status != http.StatusServiceUnavailable
 }
 
 // sharedParts returns a first part that all requests have and one of four second
--- a/e2e/native_prompt_test.go
+++ b/e2e/native_prompt_test.go
@@ -41,6 +41,9 @@
 	promptDeadline  = 3 * time.Second
 	promptSessions  = 120
 	promptKillShare = 0.25
+	// promptRepeats is how often a caller sends a request again that failed.
+	promptRepeats     = 2
+	promptRepeatDelay = 150 * time.Millisecond
 )
 
 // promptRow is a play of requests of which some have a part that crashes targets.
