Forget how long requests took on routes that are gone

The durations of a route were kept for good, so memory grew with each plan that renames routes. Those of routes that the plan no longer has are forgotten as a new route's are begun.

The tests of stops in the package pass with -race.

--- a/bluebellport/proxy/stopping.go
+++ b/bluebellport/proxy/stopping.go
@@ -33,10 +33,27 @@
 	if d, ok := p.durations.Load(id); ok {
 		return d.(*bbstop.Durations)
 	}
-	d, _ := p.durations.LoadOrStore(id, &bbstop.Durations{})
+	d, loaded := p.durations.LoadOrStore(id, &bbstop.Durations{})
+	if !loaded {
+		p.forgetDurations()
+	}
 	return d.(*bbstop.Durations)
 }
 
+// forgetDurations forgets the durations of routes that the plan no longer has.
+func (p *Proxy) forgetDurations() {
+	plan := p.board.Plan.Load()
+	if plan == nil {
+		return
+	}
+	p.durations.Range(func(id, _ any) bool {
+		if !plan.HasRoute(id.(bbplan.RouteID)) {
+			p.durations.Delete(id)
+		}
+		return true
+	})
+}
+
 // openOf returns the requests of a route that are open at targets, without one of
 // them.
 func (p *Proxy) openOf(id bbplan.RouteID, without *exchange) []bbstop.Open {
--- a/shared/bbplan/plan.go
+++ b/shared/bbplan/plan.go
@@ -148,6 +148,18 @@
 	return nil
 }
 
+// HasRoute reports whether the plan has a route.
+func (p *Plan) HasRoute(id RouteID) bool {
+	for _, prefixes := range p.routes {
+		for _, r := range prefixes {
+			if r.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // AccountByKey returns the account with the given API key, or nil if there is none.
 func (p *Plan) AccountByKey(key string) *Account { return p.accountsByKey[key] }
 
