Play streams of engines in the planned stops, not streams read whole

The streams of the plays were those of services without an engine, which the proxy reads whole before it answers. So they were no streams to their callers. They are now those of engines, pass on as they come and cost tokens; the extra kind of the soak for that is gone.

A process that the clean-up of an earlier test ended is no longer reported as killed at the end of its grace period.

--- a/e2e/native_stop_test.go
+++ b/e2e/native_stop_test.go
@@ -78,7 +78,7 @@
 
 // report logs the outcomes by second after SIGTERM.
 func (c *checkedRow) report(t *testing.T) {
-	t.Logf("%s: %d of those sent in the first 2 s served (880ada0: %d, sure %d), killed %t", c.stopRow, c.early, c.served, c.baseEarly, c.inst.killed)
+	t.Logf("%s: %d of those sent in the first 2 s served (880ada0: %d, sure %d), killed %t", c.stopRow, c.early, c.served, c.baseEarly, c.killed)
 	for second := -1; second < int(c.grace/time.Second)+1; second++ {
 		if counts := c.bySecond[second]; counts != nil {
 			line := ""
--- a/e2e/stop_play_test.go
+++ b/e2e/stop_play_test.go
@@ -42,15 +42,13 @@
 type stopKind string
 
 // Kinds: answers with a length, which may run once or be repeated, and streams,
-// which may run once or be resumed.
+// which may run once or be resumed and cost tokens.
 const (
 	kindPlain  stopKind = "plain"
 	kindRepeat stopKind = "repeat"
 	kindStream stopKind = "stream"
 	kindResume stopKind = "resume"
-	// kindTokens are streams that cost tokens, kindLimited answers of targets that
-	// name a limit.
-	kindTokens  stopKind = "stream-tokens"
+	// kindLimited are answers of targets that name a limit.
 	kindLimited stopKind = "limited"
 )
 
@@ -58,7 +56,7 @@
 
 // routeFields are the fields of the routes that differ by kind.
 var routeFields = map[stopKind]string{
-	kindPlain: `"kind":"non_idempotent"`, kindLimited: `"kind":"non_idempotent"`, kindTokens: `"kind":"streaming"`, kindRepeat: `"kind":"idempotent"`, kindStream: `"kind":"streaming"`, kindResume: `"kind":"streaming","resumable":true`,
+	kindPlain: `"kind":"non_idempotent"`, kindLimited: `"kind":"non_idempotent"`, kindRepeat: `"kind":"idempotent"`, kindStream: `"kind":"streaming"`, kindResume: `"kind":"streaming","resumable":true`,
 }
 
 // mixedWork are the lengths of work of which each request of a row without one
@@ -76,6 +74,7 @@
 
 	inst      *nativeInstance
 	stoppedAt time.Time
+	killed    bool // at the end of the grace period
 	conns     []net.Conn
 	mu        sync.Mutex // guards requests
 	requests  []*stopRequest
@@ -124,7 +123,7 @@
 			target.write(t, p.memStore, "ready")
 			p.targets[name] = append(p.targets[name], target)
 		}
-		services = append(services, fmt.Sprintf(`{"name":%q}`, name))
+		services = append(services, stopService(row.kind, name))
 		routes = append(routes, stopRoute(row.kind, name, name))
 	}
 	p.writeStopPlan(2, routes, services)
@@ -142,6 +141,15 @@
 	return p
 }
 
+// stopService returns the service of a kind of requests. Only an engine's streams
+// are passed on as they come.
+func stopService(kind stopKind, name string) string {
+	if kind == kindStream || kind == kindResume {
+		return fmt.Sprintf(`{"name":%q,"engine":{"slots":%d,"kv-cache-tokens":10000000,"stride":1}}`, name, workSlots)
+	}
+	return fmt.Sprintf(`{"name":%q}`, name)
+}
+
 // stopRoute returns a route of a kind to a service.
 func stopRoute(kind stopKind, name, service string) string {
 	return fmt.Sprintf(`{"name":%q,"host":%q,"path-prefix":"/%s/",%s,"service":%q,"timeout-ms":%d,"target-latency-ms":7000,"target-gap-ms":700,"max-attempts":2}`,
@@ -259,6 +267,7 @@
 	select {
 	case <-row.inst.done:
 	case <-time.After(time.Until(row.stoppedAt.Add(row.grace))):
+		row.killed = true
 		row.inst.kill()
 	}
 }
--- a/e2e/stop_soak_test.go
+++ b/e2e/stop_soak_test.go
@@ -38,7 +38,7 @@
 )
 
 // soakKinds are the kinds of requests.
-var soakKinds = append([]stopKind{kindTokens, kindLimited}, allStopKinds...)
+var soakKinds = append([]stopKind{kindLimited}, allStopKinds...)
 
 // stopWay is what happens to an instance around its stop.
 type stopWay string
@@ -116,11 +116,7 @@
 		for range soakTargets {
 			s.join(kind)
 		}
-		engine := ""
-		if kind == kindTokens {
-			engine = `,"engine":{"slots":2000,"kv-cache-tokens":10000000,"stride":1}`
-		}
-		s.services = append(s.services, fmt.Sprintf(`{"name":%q%s}`, kind, engine))
+		s.services = append(s.services, stopService(kind, string(kind)))
 		s.routes = append(s.routes, stopRoute(kind, string(kind), string(kind)))
 	}
 	s.changePlan()
