End runs without a caller when serve stops, so that they are billed

A run whose callers have left goes on for a while, and a stop of "serve" neither waited for it nor ended it: it ended with the process, without a bill, and its reservation stayed until other instances counted it as spent.

Once no caller waits any more, or at the end of the stop, all runs are ended and have up to a second to be billed.

--- a/bluebellport/src/drain.go
+++ b/bluebellport/src/drain.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"bluebellport.example/shared/bbclock"
 )
 
@@ -24,18 +22,21 @@
 	times := gate.stop.Times()
 	bbclock.Wait(ctx, times.AcceptUntil.Sub(f.deps.Now()))
 	f.deps.Board.Draining.Store(true)
-	if f.waitForRequests(ctx, times.End) {
-		return
+	noCallers := func() bool { return f.openRequests.Load() == 0 }
+	if !f.waitUntil(ctx, times.End, noCallers) {
+		f.deps.Log.WithField("event", "drain").WithField("open", f.openRequests.Load()).Error("drain limit reached with requests open")
+	}
+	// Also a run whose callers have left is ended, so that it is billed.
+	if ended := gate.endAll(); ended > 0 {
+		f.deps.Log.WithField("event", "drain").WithField("runs", ended).Warn("runs ended by the stop")
 	}
-	ended := gate.endAll()
-	f.deps.Log.WithFields(logrus.Fields{"event": "drain", "open": f.openRequests.Load(), "ended": ended}).Error("drain limit reached with requests open")
-	f.waitForRequests(ctx, f.deps.Now().Add(endAnswerPeriod))
+	f.waitUntil(ctx, f.deps.Now().Add(endAnswerPeriod), func() bool { return noCallers() && gate.isEmpty() })
 }
 
-// waitForRequests waits until no request is open and reports whether that was
-// before the end.
-func (f *Frontend) waitForRequests(ctx context.Context, end time.Time) bool {
-	for f.openRequests.Load() > 0 {
+// waitUntil waits until a condition holds and reports whether it did before the
+// end.
+func (f *Frontend) waitUntil(ctx context.Context, end time.Time, done func() bool) bool {
+	for !done() {
 		if !f.deps.Now().Before(end) || !bbclock.Wait(ctx, frontendDrainPollInterval) {
 			return false
 		}
--- a/bluebellport/src/serve_stop_test.go
+++ b/bluebellport/src/serve_stop_test.go
@@ -39,6 +39,24 @@
 	return left
 }
 
+// TestStopBillsRequestsWhoseCallersLeft guards against runs without a caller that
+// end with the process and are never billed.
+func TestStopBillsRequestsWhoseCallersLeft(t *testing.T) {
+	is := is.New(t)
+	f := newTestFrontend(t, workingTarget(time.Minute))
+	caller := &http.Client{Timeout: 200 * time.Millisecond}
+	r, err := http.NewRequest("POST", f.url+"/services/desk/x", nil)
+	is.NoErr(err)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	_, err = caller.Do(r)
+	is.True(err != nil)
+	f.openRequests.Store(0) // the HTTP library does not tell that a caller of a whole answer has left
+	<-stopServing(t, f, time.Second, 100*time.Millisecond)
+	f.budgets.mu.Lock()
+	defer f.budgets.mu.Unlock()
+	is.Equal(f.budgets.openReservations, 0)
+}
+
 // workingTarget answers after a time, or never if its caller leaves before.
 func workingTarget(work time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/bluebellport/src/stop_gate.go
+++ b/bluebellport/src/stop_gate.go
@@ -106,6 +106,13 @@
 	return out
 }
 
+// isEmpty reports whether no request runs.
+func (g *stopGate) isEmpty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open) == 0
+}
+
 // endAll ends the requests that are still open, and those that begin later. It
 // returns how many there were.
 func (g *stopGate) endAll() int {
