Find the parts of prompts that crash targets, across the fleet

Callers of a route lost target after target to requests of which no two were alike, as one part of their prompts crashed each target that began to answer. A record of crashes is kept by a hash of the whole request, so no two crashes came together.

A part is now a suspect of its own kind in the same records: all parts but the last, at most eight of a request. Its crashes go to the homes of its id, a verdict on it over the whole fleet. It is refused after crashes of nine targets, or of five that are spread over the time of an answer. A whole answer to a request that was sent after a crash disproves that crash for its parts, at any instance; a part that was ever answered is judged only by crashes after which other requests were sent and answered in the time that it would need; what another part explains does not count. A verdict holds 0.8 s after it was learned, so that others can object.

--- a/bluebellport/crash/answers.go
+++ b/bluebellport/crash/answers.go
@@ -17,18 +17,24 @@
 type answer struct {
 	fingerprint uint64
 	at          time.Time
+	// duration is the longest of the answers with the fingerprint, where that is
+	// kept.
+	duration time.Duration
 }
 
 // add notes that a request with the fingerprint was answered.
 func (s *answerSet) add(fingerprint uint64, now time.Time) {
-	s.entries[bbhash.Mix(fingerprint)%answersSize].Store(&answer{fingerprint, now})
+	s.entries[bbhash.Mix(fingerprint)%answersSize].Store(&answer{fingerprint: fingerprint, at: now})
 }
 
-// lastAt returns when a request with the fingerprint was last answered, zero if
-// that is not known.
-func (s *answerSet) lastAt(fingerprint uint64) time.Time {
+// last returns the last answer with the fingerprint, zero if none is known.
+func (s *answerSet) last(fingerprint uint64) answer {
 	if a := s.entries[bbhash.Mix(fingerprint)%answersSize].Load(); a != nil && a.fingerprint == fingerprint {
-		return a.at
+		return *a
 	}
-	return time.Time{}
+	return answer{}
 }
+
+// lastAt returns when a request with the fingerprint was last answered, zero if
+// that is not known.
+func (s *answerSet) lastAt(fingerprint uint64) time.Time { return s.last(fingerprint).at }
--- a/bluebellport/crash/constants.go
+++ b/bluebellport/crash/constants.go
@@ -11,9 +11,16 @@
 	// answersSize is the number of entries in an answerSet: an hour of 18 different
 	// requests a second, so that answers are remembered about as long as crashes.
 	answersSize = 1 << 16
+	// maxPartCrashes is how many crashes the record of a part holds, the newest
+	// ones: they explain the crashes of other parts.
+	maxPartCrashes = 64
+	// maxAnsweredParts is how many parts of an answered request are remembered.
+	maxAnsweredParts = 32
 	// maxEvidenceParts is how many parts of one request's prompt are suspects of a
 	// crash.
 	maxEvidenceParts = 8
+	// maxLoggedCrashes is how many crashes the log of a verdict on a part names.
+	maxLoggedCrashes = 12
 	// maxPartBytes is the longest id of a part in logs and messages.
 	maxPartBytes = 40
 )
@@ -33,6 +40,39 @@
 	// clockTolerance is how far the times of crashes that are told by different
 	// instances may be off against each other.
 	clockTolerance = 10 * time.Millisecond
+	// partTTL is how long the record of a part is kept after its last crash.
+	partTTL = 10 * time.Minute
+	// partThreshold is how many targets have to crash under a part to refuse it, if
+	// the last crash is long enough after the first,
+	// from minLongSpan to maxLongSpan. In less time,
+	// quickPartThreshold targets have to crash, and then minPartSequence crashes to
+	// follow each other, or the last be minPartSpan after the first: as many targets
+	// crash together, one session may lose several of them.
+	partThreshold      = 5
+	minLongSpan        = 3 * time.Second
+	maxLongSpan        = 10 * time.Second
+	quickPartThreshold = 9
+	minPartSequence    = 3
+	minPartSpan        = time.Second
+	// partObjectionPeriod is how long an instance that learns that a part is to be
+	// refused waits for the objection of others that have answers.
+	partObjectionPeriod = 800 * time.Millisecond
+	// minLearnPeriod and maxLearnPeriod are the bounds of the time for which an
+	// instance that has just started does not yet decide on parts.
+	minLearnPeriod = 2500 * time.Millisecond
+	maxLearnPeriod = 8 * time.Second
+	// lateFirstAnswer is how long after the start of an instance its first answer
+	// means that targets have only begun to answer, from when that time counts.
+	lateFirstAnswer = 1500 * time.Millisecond
+	// ripeMargin is added to the time in which an answer would have come.
+	ripeMargin = 500 * time.Millisecond
+	// answerTimeStep is the step of the times of answers that are told,
+	// maxAnswerTime the longest.
+	answerTimeStep = 500 * time.Millisecond
+	maxAnswerTime  = 20 * time.Second
+	// minAnswerInterval is the least time between the sending of two answered
+	// requests with a part that are told apart.
+	minAnswerInterval = 20 * time.Millisecond
 	// backgroundPeriod is how close in time crashes of other targets count as
 	// background.
 	backgroundPeriod = 10 * time.Second
@@ -67,6 +107,11 @@
 	learnInterval = 300 * time.Millisecond
 	// maxRecordsPerMessage is how many records one message carries.
 	maxRecordsPerMessage = 64
+	// maxPartsPerMessage is how many verdicts on parts one message carries.
+	maxPartsPerMessage = 8
+	// minPartReportInterval is the least time between two reports of a part with
+	// more than partThreshold crashes.
+	minPartReportInterval = 150 * time.Millisecond
 	// freshPeriod is how long after its last crash a verdict is sent along with
 	// each comparison, without being asked for.
 	freshPeriod = 4 * time.Second
@@ -76,6 +121,8 @@
 	immediateFloods  = 2
 	minFloodInterval = 250 * time.Millisecond
 	maxFloodInterval = 4 * time.Second
+	// immediatePartFloods is the same for a part, with minFloodInterval between two.
+	immediatePartFloods = 14
 	// maxTargetBytes is the longest id of a target or instance in a message.
 	maxTargetBytes = 200
 	// maxMessageAge is the largest age that is accepted from another instance.
@@ -99,4 +146,8 @@
 	maxCopyBackoff = 5 * time.Second
 	// maxStoredRecords is how many records the copy holds, the newest ones.
 	maxStoredRecords = 64
+	// maxStoredParts is the same for parts, of which the copy holds the newest
+	// maxStoredPartCrashes crashes.
+	maxStoredParts       = 8
+	maxStoredPartCrashes = 12
 )
--- a/bluebellport/crash/keeper.go
+++ b/bluebellport/crash/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -76,7 +77,7 @@
 		t.copyEra, t.copyDigest = era, 0
 	}
 	read = !t.learner.complete && !now.Before(t.learner.readCopyAt)
-	write = t.learner.complete && t.isKeeper() && !now.Before(t.nextWrite) && t.digest != t.copyDigest
+	write = t.learner.complete && t.isKeeper() && !now.Before(t.nextWrite) && t.verdictDigest() != t.copyDigest
 	if write {
 		t.nextWrite = now.Add(minWriteInterval)
 	}
@@ -112,7 +113,7 @@
 	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, m := range msg.Verdicts {
+	for _, m := range slices.Concat(msg.Verdicts, msg.PartVerdicts) {
 		if r, ok := t.decode(m, now); ok {
 			t.merge("", r)
 		}
@@ -129,14 +130,18 @@
 	defer t.mu.Unlock()
 	records := t.verdicts()
 	records = records[:min(len(records), maxStoredRecords)]
-	msg := &bbwire.Crashes{Verdicts: encodeRecords(records, now), Digest: digestOf(records)}
+	for _, r := range t.partVerdicts(maxStoredParts) {
+		records = append(records, r.newest(maxStoredPartCrashes))
+	}
+	msg := &bbwire.Crashes{Digest: digestOf(records)}
+	setVerdicts(msg, records, now)
 	var before bbwire.Crashes
 	changed = proto.Unmarshal(old, &before) != nil || before.Digest != msg.Digest
 	value, err := proto.Marshal(msg)
 	if err != nil {
 		panic(err) // cannot happen: all strings were checked
 	}
-	return value, t.digest, changed
+	return value, t.verdictDigest(), changed
 }
 
 // digestOf returns a hash of records, 0 if there are none.
--- a/bluebellport/crash/message.go
+++ b/bluebellport/crash/message.go
@@ -14,7 +14,7 @@
 
 // encodeRecord converts a record to a message. Times become ages.
 func encodeRecord(r Record, now time.Time) *bbwire.CrashRecord {
-	out := &bbwire.CrashRecord{Print: r.Fingerprint}
+	out := &bbwire.CrashRecord{Print: r.Fingerprint, Part: r.Part, AnswerTime: micros(r.AnswerTime)}
 	for _, c := range r.Crashes {
 		out.Crashes = append(out.Crashes, &bbwire.Crash{
 			Id: uint64(c.ID), Target: string(c.Run.ID), Born: c.Run.StartedAtMillis, Instance: string(c.Instance),
@@ -33,11 +33,31 @@
 	return out
 }
 
+// splitRecords separates the records of requests from those of parts.
+func splitRecords(records []Record) (requests, parts []Record) {
+	for _, r := range records {
+		if r.isPart() {
+			parts = append(parts, r)
+		} else {
+			requests = append(requests, r)
+		}
+	}
+	return requests, parts
+}
+
+// setVerdicts sets the verdicts of a message.
+func setVerdicts(msg *bbwire.Crashes, records []Record, now time.Time) {
+	requests, parts := splitRecords(records)
+	msg.Verdicts, msg.PartVerdicts = encodeRecords(requests, now), encodeRecords(parts, now)
+}
+
 // decodeRecord converts a message to a record. Its error is an errMalformed.
 func decodeRecord(m *bbwire.CrashRecord, now time.Time) (Record, error) {
-	if m.GetPrint() == 0 || len(m.GetCrashes()) == 0 || len(m.Crashes) > maxCrashes {
+	record := Record{Fingerprint: m.GetPrint(), Part: m.GetPart()}
+	if record.Fingerprint == 0 || len(m.GetCrashes()) == 0 || len(m.Crashes) > record.maxCrashes() || len(record.Part) > maxPartBytes {
 		return Record{}, errMalformed
 	}
+	record.AnswerTime = time.Duration(min(m.AnswerTime, micros(maxAnswerTime))) * time.Microsecond
 	crashes := make([]Crash, 0, len(m.Crashes))
 	for _, c := range m.Crashes {
 		age, flight := time.Duration(c.GetAge())*time.Microsecond, time.Duration(c.GetFlight())*time.Microsecond
@@ -53,7 +73,7 @@
 			Excused: c.Excused, Disproved: c.Disproved, Counted: c.Counted, Doubted: c.Doubted,
 		})
 	}
-	return Record{Fingerprint: m.Print}.with(crashes...), nil
+	return record.with(crashes...), nil
 }
 
 // micros returns a duration in microseconds, 0 if it is negative.
--- a/bluebellport/crash/record.go
+++ b/bluebellport/crash/record.go
@@ -82,11 +82,33 @@
 	return bits
 }
 
-// Record holds the crashes during requests with one fingerprint. It is
-// immutable: all changes return a new record.
+// Record holds the crashes during requests with one fingerprint, or with one part
+// of their prompts. It is immutable: all changes return a new record.
 type Record struct {
 	Fingerprint uint64
-	Crashes     []Crash // by id
+	// Part is the id of the part, empty for the record of a request.
+	Part    string
+	Crashes []Crash // by id
+	// AnswerTime is the longest time that a whole answer to a request with the part
+	// took, 0 if none is known.
+	AnswerTime time.Duration
+}
+
+// isPart reports whether this is the record of a part.
+func (r *Record) isPart() bool { return r.Part != "" }
+
+// maxCrashes returns how many crashes the record holds.
+func (r *Record) maxCrashes() int {
+	if r.isPart() {
+		return maxPartCrashes
+	}
+	return maxCrashes
+}
+
+// replace returns the record with other crashes.
+func (r Record) replace(crashes []Crash) Record {
+	r.Crashes = crashes
+	return r
 }
 
 // with returns the record with the crashes merged in.
@@ -100,12 +122,19 @@
 			merged = slices.Insert(merged, i, c)
 		}
 	}
-	if len(merged) > maxCrashes {
-		slices.SortFunc(merged, func(a, b Crash) int { return cmp.Or(b.BrokenAt.Compare(a.BrokenAt), cmp.Compare(a.ID, b.ID)) })
-		merged = merged[:maxCrashes]
-		slices.SortFunc(merged, func(a, b Crash) int { return cmp.Compare(a.ID, b.ID) })
+	return r.replace(merged).newest(r.maxCrashes())
+}
+
+// newest returns the record with its newest crashes, at most n.
+func (r Record) newest(n int) Record {
+	if len(r.Crashes) <= n {
+		return r
 	}
-	return Record{Fingerprint: r.Fingerprint, Crashes: merged}
+	kept := slices.Clone(r.Crashes)
+	slices.SortFunc(kept, func(a, b Crash) int { return cmp.Or(b.BrokenAt.Compare(a.BrokenAt), cmp.Compare(a.ID, b.ID)) })
+	kept = kept[:n]
+	slices.SortFunc(kept, func(a, b Crash) int { return cmp.Compare(a.ID, b.ID) })
+	return r.replace(kept)
 }
 
 // change returns the record with each crash changed by fn.
@@ -114,7 +143,7 @@
 	for i := range crashes {
 		fn(&crashes[i])
 	}
-	return Record{Fingerprint: r.Fingerprint, Crashes: crashes}
+	return r.replace(crashes)
 }
 
 // disprove returns the record with the crashes disproved that match.
@@ -135,6 +164,9 @@
 		b = binary.LittleEndian.AppendUint64(b, uint64(r.Crashes[i].ID))
 		b = binary.LittleEndian.AppendUint64(b, r.Crashes[i].flags())
 	}
+	if r.isPart() {
+		b = binary.LittleEndian.AppendUint64(b, uint64(r.AnswerTime))
+	}
 	return xxhash.Sum64(b)
 }
 
@@ -152,7 +184,7 @@
 
 // where returns the record with the crashes that match.
 func (r Record) where(matches func(c *Crash) bool) Record {
-	out := Record{Fingerprint: r.Fingerprint}
+	out := r.replace(nil)
 	for i := range r.Crashes {
 		if matches(&r.Crashes[i]) {
 			out.Crashes = append(out.Crashes, r.Crashes[i])
--- a/bluebellport/crash/report.go
+++ b/bluebellport/crash/report.go
@@ -15,6 +15,7 @@
 	confirmed map[bbunit.InstanceID]uint64 // digest of the evidence that a home confirmed
 	sends     int                          // without a confirmation of all homes
 	nextAt    time.Time
+	sentAt    time.Time
 }
 
 // restart makes the changed evidence be reported at once.
@@ -67,10 +68,12 @@
 		}
 		e.report.nextAt = now.Add(min(minReportInterval<<min(e.report.sends, 8), maxReportInterval))
 		e.report.sends++
+		e.report.sentAt = now
 	}
 	var out []outgoing
 	for _, home := range homes {
-		out = append(out, outgoing{home, &bbwire.Crashes{Reports: encodeRecords(due[home], now)}})
+		requests, parts := splitRecords(due[home])
+		out = append(out, outgoing{home, &bbwire.Crashes{Reports: encodeRecords(requests, now), PartReports: encodeRecords(parts, now)}})
 	}
 	return out
 }
@@ -80,7 +83,10 @@
 func (t *Tracker) dueEntries(now time.Time) []*entry {
 	var due []*entry
 	for _, e := range t.records {
-		if !now.Before(e.report.nextAt) && !e.isRefused(t.cfg.Threshold) {
+		switch {
+		case now.Before(e.report.nextAt), !e.isPart() && e.isRefused(t.cfg.Threshold):
+		case e.isPart() && len(e.Crashes) > partThreshold && now.Sub(e.report.sentAt) < minPartReportInterval:
+		default:
 			due = append(due, e)
 		}
 	}
@@ -127,9 +133,16 @@
 		digest := r.digest()
 		t.merge(from, r)
 		e := t.records[r.Fingerprint]
+		if e == nil {
+			continue // too old
+		}
 		reply.Acks = append(reply.Acks, &bbwire.CrashAck{Print: r.Fingerprint, Digest: digest})
-		if e.wasCounted() {
+		switch {
+		case !e.wasCounted():
+		case !e.isPart():
 			reply.Verdicts = append(reply.Verdicts, encodeRecord(e.verdict(), now))
+		case len(reply.PartVerdicts) < maxPartsPerMessage:
+			reply.PartVerdicts = append(reply.PartVerdicts, encodeRecord(e.verdict(), now))
 		}
 		t.assumeReported(r.Fingerprint, from, digest, e)
 	}
--- a/bluebellport/crash/spread.go
+++ b/bluebellport/crash/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -34,6 +35,7 @@
 		t.nextPrune = now.Add(time.Second)
 	}
 	t.reviewVerdicts()
+	t.reviewParts(now)
 	out := t.flood(now)
 	out = append(out, t.dueReports(now)...)
 	out = append(out, t.compare(now)...)
@@ -70,18 +72,26 @@
 // tell others.
 func (t *Tracker) flood(now time.Time) []outgoing {
 	var records []Record
+	parts := 0
 	for _, fingerprint := range slices.Sorted(maps.Keys(t.dirty)) {
-		e := t.records[fingerprint]
-		if len(records) == maxRecordsPerMessage || !e.flood.isDue(now) {
+		e, immediate := t.records[fingerprint], immediateFloods
+		if e.isPart() {
+			immediate = immediatePartFloods
+		}
+		if len(records) == maxRecordsPerMessage || e.isPart() && parts == maxPartsPerMessage || !e.flood.isDue(now, immediate, e.isPart()) {
 			continue
 		}
+		if e.isPart() {
+			parts++
+		}
 		records = append(records, e.verdict())
 		delete(t.dirty, fingerprint)
 	}
 	if len(records) == 0 {
 		return nil
 	}
-	msg := &bbwire.Crashes{Verdicts: encodeRecords(records, now)}
+	msg := &bbwire.Crashes{}
+	setVerdicts(msg, records, now)
 	var out []outgoing
 	for _, id := range t.randomPeers(floodFanout) {
 		out = append(out, outgoing{id, msg})
@@ -96,13 +106,15 @@
 	lastAt time.Time
 }
 
-// isDue reports whether the verdict can be flooded now, and counts that.
-func (s *floodState) isDue(now time.Time) bool {
+// isDue reports whether the verdict can be flooded now, and counts that. As many
+// floods as immediate come one after the other, if spaced with minFloodInterval
+// between two after the first immediateFloods.
+func (s *floodState) isDue(now time.Time, immediate int, spaced bool) bool {
 	if now.Sub(s.lastAt) > maxFloodInterval {
 		s.number = 0
 	}
-	if s.number >= immediateFloods {
-		interval := minFloodInterval << min(s.number-immediateFloods, 8)
+	if s.number >= immediate || spaced && s.number >= immediateFloods {
+		interval := minFloodInterval << min(max(s.number-immediate, 0), 8)
 		if now.Sub(s.lastAt) < min(interval, maxFloodInterval) {
 			return false
 		}
@@ -117,17 +129,21 @@
 	if now.Before(t.nextRound) {
 		return nil
 	}
-	verdicts := t.verdicts()
-	if len(verdicts) == 0 {
+	verdicts, parts := t.verdicts(), t.partVerdicts(1)
+	if len(verdicts)+len(parts) == 0 {
 		t.nextRound = now.Add(busyRoundInterval)
 		return nil
 	}
 	msg := t.comparison(bbwire.Crashes_COMPARE, nil, now)
 	t.nextRound = now.Add(quietRoundInterval)
 	if now.Before(t.busyUntil) {
-		if newest := verdicts[0]; now.Sub(newest.lastCrashAt()) < freshPeriod {
+		isFresh := func(r Record) bool { return now.Sub(r.lastCrashAt()) < freshPeriod }
+		if len(verdicts) > 0 && isFresh(verdicts[0]) {
 			msg.Verdicts = encodeRecords(verdicts[:1], now)
 		}
+		if len(parts) > 0 && isFresh(parts[0]) {
+			msg.PartVerdicts = encodeRecords(parts, now)
+		}
 		t.nextRound = now.Add(busyRoundInterval)
 	}
 	var out []outgoing
@@ -139,13 +155,29 @@
 
 // comparison returns a message of a comparison.
 func (t *Tracker) comparison(step bbwire.Crashes_Step, records []Record, now time.Time) *bbwire.Crashes {
-	return &bbwire.Crashes{Step: step, Verdicts: encodeRecords(records, now), Digest: t.digest, Complete: t.learner.complete}
+	msg := &bbwire.Crashes{Step: step, Digest: t.digest, PartDigest: t.partDigest, Complete: t.learner.complete}
+	setVerdicts(msg, records, now)
+	return msg
+}
+
+// verdictDigest returns a digest of all verdicts.
+func (t *Tracker) verdictDigest() uint64 { return t.digest ^ bits.RotateLeft64(t.partDigest, 1) }
+
+// partVerdicts returns the verdicts on parts that are or were refused, the newest
+// first, at most n.
+func (t *Tracker) partVerdicts(n int) []Record {
+	records := t.newestFirst(func(e *entry) bool { return e.isPart() && e.wasCounted() })
+	records = records[:min(len(records), n)]
+	for i := range records {
+		records[i] = records[i].verdict()
+	}
+	return records
 }
 
 // verdicts returns the verdicts on all requests that are or were refused, the
 // newest first.
 func (t *Tracker) verdicts() []Record {
-	records := t.newestFirst(func(e *entry) bool { return e.wasCounted() })
+	records := t.newestFirst(func(e *entry) bool { return !e.isPart() && e.wasCounted() })
 	for i := range records {
 		records[i] = records[i].verdict()
 	}
@@ -168,14 +200,15 @@
 func (t *Tracker) handle(from bbunit.InstanceID, msg *bbwire.Crashes, now time.Time) *bbwire.Crashes {
 	t.updateView(now)
 	t.receiveAcks(from, msg.GetAcks())
-	for _, m := range msg.Verdicts[:min(len(msg.Verdicts), maxRecordsPerMessage)] {
+	verdicts := msg.Verdicts[:min(len(msg.Verdicts), maxRecordsPerMessage)]
+	for _, m := range slices.Concat(verdicts, msg.PartVerdicts[:min(len(msg.PartVerdicts), maxPartsPerMessage)]) {
 		if r, ok := t.decode(m, now); ok {
 			t.merge(from, r)
 		}
 	}
 	var reply *bbwire.Crashes
-	if len(msg.Reports) > 0 {
-		reply = t.receiveReports(from, msg.Reports, now)
+	if len(msg.Reports)+len(msg.PartReports) > 0 {
+		reply = t.receiveReports(from, slices.Concat(msg.Reports, msg.PartReports), now)
 	}
 	if t.urgent {
 		t.publish()
@@ -189,7 +222,8 @@
 // answerComparison replies to a step of a comparison, unless both instances now
 // have the same.
 func (t *Tracker) answerComparison(msg *bbwire.Crashes, now time.Time) *bbwire.Crashes {
-	if msg.Complete && (msg.Step != bbwire.Crashes_COMPARE || msg.Digest == t.digest) {
+	equal := msg.Digest == t.digest && msg.PartDigest == t.partDigest
+	if msg.Complete && (msg.Step != bbwire.Crashes_COMPARE || equal) {
 		t.learner.complete = true
 	}
 	step := bbwire.Crashes_ANSWER
@@ -199,8 +233,8 @@
 	case msg.Step == bbwire.Crashes_ANSWER:
 		step = bbwire.Crashes_LAST
 	}
-	if msg.Digest != t.digest {
-		return t.comparison(step, t.someVerdicts(), now)
+	if !equal {
+		return t.comparison(step, append(t.someVerdicts(), t.partVerdicts(maxPartsPerMessage)...), now)
 	}
 	if msg.Step == bbwire.Crashes_COMPARE && !msg.Complete {
 		return t.comparison(step, nil, now) // the other instance has just started
@@ -225,13 +259,21 @@
 // merge merges a record of another instance.
 func (t *Tracker) merge(from bbunit.InstanceID, r Record) {
 	before := t.record(r.Fingerprint)
-	if !t.apply(t.withoutAnswered(before.with(r.Crashes...))) {
+	if r.isPart() {
+		if t.cfg.Now().Sub(r.lastCrashAt()) > partTTL {
+			return
+		}
+		before = t.partRecord(Part{Fingerprint: r.Fingerprint, ID: r.Part})
+	}
+	merged := before.with(r.Crashes...)
+	merged.AnswerTime = max(before.AnswerTime, r.AnswerTime)
+	if !t.apply(t.withoutAnswered(merged)) {
 		return
 	}
 	after := t.record(r.Fingerprint)
-	if after.valid() > before.valid() {
+	if isNews := !r.isPart() || after.valid() <= partThreshold; isNews && after.valid() > before.valid() {
 		t.cfg.Log.WithFields(logrus.Fields{
-			"event": "crash", "fingerprint": FingerprintText(r.Fingerprint), "peer": from, "crashes": after.valid(),
+			"event": "crash", "fingerprint": FingerprintText(r.Fingerprint), "part": r.Part, "peer": from, "crashes": after.valid(),
 		}).Info("crash learned")
 	}
 }
--- a/bluebellport/crash/tracker.go
+++ b/bluebellport/crash/tracker.go
@@ -74,26 +74,34 @@
 // The methods used on the path of a request take no lock unless the request
 // itself was in flight at a crash.
 type Tracker struct {
-	cfg      Config
-	answers  answerSet
-	snapshot atomic.Pointer[snapshot]
+	cfg     Config
+	answers answerSet // by the fingerprints of requests
+	// partAnswers holds when requests with a part were last sent that were answered
+	// whole.
+	partAnswers partAnswers
+	startedAt   time.Time
+	snapshot    atomic.Pointer[snapshot]
 	trackerMetrics
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that handle a message, send, or use the store.
-	mu        sync.Mutex
-	records   map[uint64]*entry
-	crashed   map[TargetRun]time.Time // targets that crashed within backgroundPeriod
-	digest    uint64                  // of the verdicts, 0 for none
-	changed   bool                    // records differ from the snapshot
-	doubtDue  bool                    // crashed has grown since the verdicts were reviewed
-	urgent    bool                    // a request is or ceases to be refused, unlike in the snapshot
-	dirty     map[uint64]bool         // verdicts to flood
-	ranking   ranking
-	busyUntil time.Time // until when comparisons are frequent
-	nextRound time.Time
-	nextPrune time.Time
-	learner   learner
+	mu      sync.Mutex
+	records map[uint64]*entry
+	crashed map[TargetRun]time.Time // targets that crashed within backgroundPeriod
+	digest  uint64                  // of the verdicts on requests, 0 for none
+	// partDigest is the same for parts, explainedBy the part by which a crash is
+	// explained.
+	partDigest  uint64
+	explainedBy map[CrashID]uint64
+	changed     bool            // records differ from the snapshot
+	doubtDue    bool            // crashed has grown since the verdicts were reviewed
+	urgent      bool            // a request is or ceases to be refused, unlike in the snapshot
+	dirty       map[uint64]bool // verdicts to flood
+	ranking     ranking
+	busyUntil   time.Time // until when comparisons are frequent
+	nextRound   time.Time
+	nextPrune   time.Time
+	learner     learner
 	// copyDigest is the digest of what the copy in the store was last known to
 	// hold in the era copyEra, nextWrite the earliest time of the next write.
 	copyDigest uint64
@@ -106,11 +114,15 @@
 	Record
 	report reportState
 	flood  floodState
+	// standing means that a part is to be refused, since standsSince, and inForce
+	// that it is.
+	standing, inForce bool
+	standsSince       time.Time
 }
 
 type trackerMetrics struct {
 	recorded, disproved, messages, bytes, dropped metrics.Counter
-	refused, suspects                             metrics.Gauge
+	refused, suspects, refusedParts               metrics.Gauge
 }
 
 func newTrackerMetrics(r metrics.Registry) trackerMetrics {
@@ -118,6 +130,7 @@
 	return trackerMetrics{
 		recorded: counter("recorded"), disproved: counter("disproved"), messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"),
 		refused: metrics.GetOrRegisterGauge("crash.refused", r), suspects: metrics.GetOrRegisterGauge("crash.suspects", r),
+		refusedParts: metrics.GetOrRegisterGauge("crash.refused.parts", r),
 	}
 }
 
@@ -128,7 +141,7 @@
 		cfg.Rand = rand.IntN
 	}
 	t := &Tracker{
-		cfg: cfg, trackerMetrics: newTrackerMetrics(cfg.Metrics),
+		cfg: cfg, startedAt: cfg.Now(), trackerMetrics: newTrackerMetrics(cfg.Metrics),
 		records: map[uint64]*entry{}, crashed: map[TargetRun]time.Time{}, dirty: map[uint64]bool{},
 	}
 	t.snapshot.Store(&snapshot{})
@@ -181,6 +194,10 @@
 	}
 	t.recorded.Inc(1)
 	t.apply(record.with(crash))
+	for _, p := range t.evidenceParts(o.Parts) {
+		crash.Excused, crash.Disproved = false, false
+		t.apply(t.withoutPartAnswers(t.partRecord(p).with(crash)))
+	}
 	t.publish()
 	t.cfg.Log.WithFields(logrus.Fields{
 		"event": "crash", "request": o.Request, "fingerprint": FingerprintText(o.Fingerprint), "target": o.Run.ID, "born": o.Run.StartedAtMillis,
@@ -192,11 +209,12 @@
 // and that the answer is known to be whole: whatever crashed before, this request
 // was not the cause, and whatever crashed before it was sent, none of the parts
 // of its prompt.
-func (t *Tracker) RecordAnswer(fingerprint uint64, _ []Part, _ time.Time) {
+func (t *Tracker) RecordAnswer(fingerprint uint64, parts []Part, sentAt time.Time) {
+	now := t.cfg.Now()
+	t.partAnswers.add(parts, sentAt, now)
 	if fingerprint == 0 {
 		return
 	}
-	now := t.cfg.Now()
 	t.answers.add(fingerprint, now)
 	if !t.IsSuspect(fingerprint) {
 		return
@@ -244,20 +262,30 @@
 		}
 	}
 	for fingerprint, e := range t.records {
-		ttl := suspectTTL
-		if e.wasCounted() {
-			ttl = refusedTTL
-		}
-		if now.Sub(e.lastCrashAt()) > ttl {
+		if now.Sub(e.lastCrashAt()) > e.ttl() {
 			t.remove(fingerprint)
 		}
 	}
 	if len(t.records) <= maxRecords {
 		return
 	}
-	for _, e := range t.newestFirst(func(*entry) bool { return true })[maxRecords:] {
-		t.remove(e.Fingerprint)
+	for _, wantPart := range []bool{false, true} {
+		records := t.newestFirst(func(e *entry) bool { return e.isPart() == wantPart })
+		for _, r := range records[min(len(records), maxRecords):] {
+			t.remove(r.Fingerprint)
+		}
+	}
+}
+
+// ttl returns how long the record is kept after its last crash.
+func (r *Record) ttl() time.Duration {
+	switch {
+	case r.isPart():
+		return partTTL
+	case r.wasCounted():
+		return refusedTTL
 	}
+	return suspectTTL
 }
 
 // newestFirst returns the records that match: those of refused requests first,
@@ -282,7 +310,8 @@
 }
 
 func (t *Tracker) remove(fingerprint uint64) {
-	t.digest ^= t.record(fingerprint).verdictDigest()
+	r := t.record(fingerprint)
+	*t.digestOf(&r) ^= r.verdictDigest()
 	delete(t.records, fingerprint)
 	delete(t.dirty, fingerprint)
 	t.changed = true
