--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -54,6 +54,7 @@
 	stop     context.CancelFunc
 	serveErr chan error // the result of Serve
 	calls    int
+	timeout  time.Duration // of the plan's routes
 	logs     logBuffer
 	peers    PeerNetwork
 }
@@ -88,7 +89,7 @@
 // many tokens. The proxy is started by start.
 func newHarness(t *testing.T, paid int64) *harness {
 	is := is.New(t)
-	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}}
+	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -110,8 +111,8 @@
 func (h *harness) declarePlan(version int, paid int64) {
 	h.t.Helper()
 	route := func(prefix, kind, service string, more string) string {
-		return fmt.Sprintf(`{"name":"r%s","host":%q,"path-prefix":%q,"kind":%q,"service":%q,"timeout-ms":2000,"target-latency-ms":100,"target-gap-ms":100%s}`,
-			prefix, testHost, prefix, kind, service, more)
+		return fmt.Sprintf(`{"name":"r%s","host":%q,"path-prefix":%q,"kind":%q,"service":%q,"timeout-ms":%d,"target-latency-ms":100,"target-gap-ms":100%s}`,
+			prefix, testHost, prefix, kind, service, h.timeout.Milliseconds(), more)
 	}
 	routes := []string{
 		route("/read/", "idempotent", "desk", `,"max-attempts":2`),
@@ -142,9 +143,41 @@
 	return t
 }
 
+// startUnready runs the proxy and waits until it accepts connections.
+func (h *harness) startUnready() {
+	h.t.Helper()
+	h.run()
+	h.eventually("listening", func() bool {
+		conn, err := net.Dial("tcp4", h.settings.FrontendAddress)
+		if err != nil {
+			return false
+		}
+		return conn.Close() == nil
+	})
+}
+
 // start runs the proxy and waits until it reports ready.
 func (h *harness) start() {
 	h.t.Helper()
+	h.run()
+	h.eventually("ready", func() bool {
+		select {
+		case err := <-h.serveErr:
+			h.serveErr <- err
+			h.t.Fatalf("the proxy ended: %v", err)
+		default:
+		}
+		r, err := http.Get("http://" + h.settings.ReadinessAddress + bbplatform.PathReadiness)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		return r.StatusCode == http.StatusOK
+	})
+}
+
+// run runs the proxy until the test ends or h.stop is called.
+func (h *harness) run() {
 	log := logrus.New()
 	log.SetOutput(&h.logs)
 	log.SetFormatter(&logrus.JSONFormatter{})
@@ -162,20 +195,6 @@
 			h.t.Error("the proxy did not stop")
 		}
 	})
-	h.eventually("ready", func() bool {
-		select {
-		case err := <-h.serveErr:
-			h.serveErr <- err
-			h.t.Fatalf("the proxy ended: %v", err)
-		default:
-		}
-		r, err := http.Get("http://" + h.settings.ReadinessAddress + bbplatform.PathReadiness)
-		if err != nil {
-			return false
-		}
-		defer func() { _ = r.Body.Close() }()
-		return r.StatusCode == http.StatusOK
-	})
 }
 
 // eventually is await within five seconds.
