Refuse requests with a part of a prompt that crashes targets

Requests with one such part reached target after target at every instance. The fleet now knows these parts; the proxy refuses a request with one at once, without an attempt and without cost: 503 if it has not run, 502 if a target may have run it. The refusal's log line names the part and its last crashes. While a part is about to be refused, a request with it that broke off is not repeated.

--- a/bluebellport/crash/part.go
+++ b/bluebellport/crash/part.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,7 +24,11 @@
 // NewPart returns the part with an id, which must not be empty.
 func NewPart(id string) Part {
 	const partSeed = 0x70617274 // keeps parts apart from requests
-	return Part{Fingerprint: bbhash.Mix(xxhash.Sum64String(id) ^ partSeed), ID: id[:min(len(id), maxPartBytes)]}
+	name := id[:min(len(id), maxPartBytes)]
+	if !utf8.ValidString(name) { // messages hold valid text only
+		name = strings.ToValidUTF8(name, "?")
+	}
+	return Part{Fingerprint: bbhash.Mix(xxhash.Sum64String(id) ^ partSeed), ID: name}
 }
 
 // PartIDs returns the ids of parts, at most maxEvidenceParts of them, as they
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -292,6 +292,8 @@
 const (
 	// crashThreshold is the number of crashes from which a request is refused.
 	crashThreshold = 2
+	// maxNamedCrashes is how many crashes the log of a refusal names, the last ones.
+	maxNamedCrashes = 16
 	// downPeriod is how long before a target accepted no connection an attempt
 	// may have ended that was in flight at its crash.
 	downPeriod = time.Second
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -117,24 +117,6 @@
 	return x.reserve()
 }
 
-// checkCrashes returns the refusal of a request that crashes its targets, nil for
-// any other.
-func (x *exchange) checkCrashes() *Refusal {
-	if !x.proxy.crashes.IsRefused(x.fingerprint) {
-		return nil
-	}
-	const reason = "targets that ran this request have crashed"
-	refusal := refuseNotRun(reason, 0)
-	if x.mayHaveRun {
-		refusal = refuseUnknownOutcome(reason)
-	}
-	refusal.LogFields = logrus.Fields{
-		"fingerprint": bbcrash.FingerprintText(x.fingerprint),
-		"crashed":     bbcrash.CrashTexts(x.proxy.crashes.Crashes(x.fingerprint), x.proxy.now()),
-	}
-	return refusal
-}
-
 // reserve reserves the most tokens that the request can use: its prompt, and
 // its output rounded up to whole events of maxEventTokens.
 func (x *exchange) reserve() *Refusal {
@@ -294,7 +276,7 @@
 // takeRetry reports whether the route allows another attempt, and takes it from
 // the service's retry budget.
 func (x *exchange) takeRetry() bool {
-	return !x.passedOn && x.sentAttempts < x.route.MaxAttempts && time.Now().Before(x.deadline) && x.proxy.takeRetry(x.service)
+	return !x.passedOn && !x.proxy.crashes.HasProposedPart(x.parts) && x.sentAttempts < x.route.MaxAttempts && time.Now().Before(x.deadline) && x.proxy.takeRetry(x.service)
 }
 
 // chooseTarget returns the target for the next attempt, or the refusal if there
