Give the rest of a budget back when another instance becomes the home of its page

Callers were told that a budget is exhausted while part of it was unspent. As an instance joins and becomes the home of a page, the former home keeps its draw for up to 5 s: nobody asks it any more, the new home's answer "empty" didn't count what it holds, and wallets refuse by that answer.

A former home now lowers its draw at once to what it has granted, grants what the witness already knows, and records when all is spent. The home counts what former homes of its failure domain hold as still to come back, and recalls it from their grantees when a request waits. So the answer "exhausted" is only given once the page shows that nothing is left; nothing more can be granted than before, since the marks and draw limits are unchanged.

--- a/shared/bbledger/allocator.go
+++ b/shared/bbledger/allocator.go
@@ -229,21 +229,6 @@
 	al.requestStuckReports()
 }
 
-// checkHome retires the holder when the instance has not been the page's home for
-// retireDelay and the last store call succeeded.
-func (al *Allocator) checkHome() {
-	if al.viewSummary().isHome {
-		al.notHomeSince = time.Time{}
-		return
-	}
-	if al.notHomeSince.IsZero() {
-		al.notHomeSince = al.now
-	}
-	if al.onPage && al.backoff == 0 && al.now.Sub(al.notHomeSince) >= retireDelay {
-		al.retireHolder()
-	}
-}
-
 // handleRequest merges a grantee's report and queues its wants.
 func (al *Allocator) handleRequest(e GrantRequested) {
 	knownGranted := map[bbunit.BudgetID]bbunit.Tokens{}
--- a/shared/bbledger/draw.go
+++ b/shared/bbledger/draw.go
@@ -118,9 +118,10 @@
 			applyTicket(e, al.state)
 		}
 		delta, urgent := al.drawDelta(a, e)
-		if delta != 0 {
+		unrecorded := al.spentUnrecorded(a, e)
+		if delta != 0 || unrecorded {
 			changes = append(changes, drawChange{a, delta})
-			alreadyWriting = alreadyWriting || urgent
+			alreadyWriting = alreadyWriting || urgent || unrecorded
 		}
 	}
 	if !alreadyWriting {
@@ -162,8 +163,11 @@
 			least = saturate(least + max(0, w.least-(gr.markSent-gr.granted)))
 		}
 	}
-	goal := a.demand.expected(al.drawHorizon())
 	headroom := a.headroom()
+	if !al.viewSummary().isHome {
+		return al.formerHomeDelta(a, e, headroom, least)
+	}
+	goal := a.demand.expected(al.drawHorizon())
 	if headroom < least || headroom < goal-goal/8 {
 		return al.drawIncrease(e, amount+goal-headroom, least-headroom), headroom < least || headroom < goal/2
 	}
--- a/shared/bbledger/recall.go
+++ b/shared/bbledger/recall.go
@@ -30,12 +30,13 @@
 		}
 	}
 	for _, p := range al.recallableGrantees(a, first) {
-		// Grant up to the mark first, so that the grantee returns that part too.
-		a.grant(p).granted = max(a.grant(p).granted, a.grant(p).markAcked)
-		al.send(p.ID, &bbwire.GrantTell{
-			Slices:  []*bbwire.Slice{a.sliceMessage(al.holder, p)},
-			Recalls: []*bbwire.Recall{{Budget: string(a.budget), Grantee: first.String()}},
-		})
+		tell := &bbwire.GrantTell{Recalls: []*bbwire.Recall{{Budget: string(a.budget), Grantee: first.String()}}}
+		if gr := a.grants[p]; gr != nil && !gr.stuck {
+			// Grant up to the mark first, so that the grantee returns that part too.
+			gr.granted = max(gr.granted, gr.markAcked)
+			tell.Slices = []*bbwire.Slice{a.sliceMessage(al.holder, p)}
+		}
+		al.send(p.ID, tell)
 	}
 	return true
 }
@@ -49,8 +50,18 @@
 }
 
 // recallableGrantees lists the live grantees, except one, that may have tokens left.
+// While a former home of this failure domain has unspent tokens, they are all its
+// live instances: any of them may hold such tokens, or have spent them unreported.
 func (al *Allocator) recallableGrantees(a *allocation, except Peer) []Peer {
 	var out []Peer
+	if al.formerHomesHold(a) {
+		for _, m := range al.view.Members {
+			if m.Domain == al.self.Domain {
+				out = append(out, PeerOf(m))
+			}
+		}
+		return out
+	}
 	for _, p := range a.grantees() {
 		if p != except && a.grant(p).maxUnspent() > 0 && al.viewSummary().alivePeers[p] {
 			out = append(out, p)
@@ -101,7 +112,7 @@
 		left.Rest = int64(Remaining(e))
 		for _, h := range e.Holders {
 			switch {
-			case al.willBeClosed(h):
+			case al.willReturn(h):
 				left.Lent += h.Drawn - h.Spent
 			case al.policy.Borrow && !slices.Contains(domainsOf(al.view), bbunit.DomainID(h.Domain)):
 				left.Rest += h.Drawn - h.Spent // the holder's failure domain has no instance to ask
@@ -112,14 +123,15 @@
 	return tell
 }
 
-// willBeClosed reports whether a holder of the own failure domain is about to be
-// closed, so that its unspent tokens return to the page.
-func (al *Allocator) willBeClosed(h *bbwire.Holder) bool {
+// willReturn reports whether a holder of the own failure domain is about to retire,
+// since its instance is no longer the page's home, or to be closed, so that its
+// unspent tokens return to the page.
+func (al *Allocator) willReturn(h *bbwire.Holder) bool {
 	p := HolderPeer(bbunit.HolderID(h.Holder))
 	if h.Domain != string(al.self.Domain) || h.Holder == string(al.holder) {
 		return false
 	}
-	return p == al.peer || !alive(al.view, p) && alive(al.view, ParsePeer(h.Witness))
+	return p == al.peer || alive(al.view, p) || alive(al.view, ParsePeer(h.Witness))
 }
 
 // unspentDraw returns how much of the draw is not reported as spent, without what
--- a/shared/bbledger/summary.go
+++ b/shared/bbledger/summary.go
@@ -93,7 +93,7 @@
 			e = &bbwire.Entry{Budget: string(a.budget)}
 			applyTicket(e, al.state)
 		}
-		if delta, urgent := al.drawDelta(a, e); urgent && delta != 0 {
+		if delta, urgent := al.drawDelta(a, e); urgent && delta != 0 || al.spentUnrecorded(a, e) {
 			return true
 		}
 	}
