Accept grants and recalls from an instance that the last tick didn't know

A request was told "no share in time" after 400 ms instead of "exhausted" at once, in 10 of 180 runs of TestBudgetManagerSpendsThePaidAmountAndNoMore (load 10 to 20 on 8 cores). The trace shows a recall of a2 that a1 doesn't answer: the budget manager looks up the sender in the view of its last tick, up to 50 ms old and older beside load, and dropped the messages of an instance that had joined since. The next recall came 260 ms later, and its result 3 ms after the request had given up.

--- a/bluebellport/src/budget_manager_loop.go
+++ b/bluebellport/src/budget_manager_loop.go
@@ -229,7 +229,8 @@
 	case *bbwire.Envelope_Grantask:
 		bm.receiveGrantRequest(peer, body.Grantask)
 	case *bbwire.Envelope_Granttell:
-		if m, ok := bm.view.Find(from); ok {
+		// bm.view may be a tick behind and not have an instance that just joined.
+		if m, ok := bm.deps.Board.View.Load().Find(from); ok {
 			bm.sendAll(bm.wallet.HandleGrant(bm.deps.Now(), m.Domain, body.Granttell))
 		}
 	case *bbwire.Envelope_Mark:
