--- a/bluebellctl/src/cause.go
+++ b/bluebellctl/src/cause.go
@@ -37,8 +37,14 @@
 	}
 	_, isBudgetRefusal := l.Fields["account"]
 	storeLost, isStoreLost := s.findStateLine("store-lost")
-	if crashes := l.crashes(); len(crashes) > 0 {
-		return "the request crashes its targets: " + strings.Join(crashes, ", ")
+	if crashes := strings.Join(l.crashes(), ", "); crashes != "" {
+		if part := l.text("part"); part != "" {
+			return fmt.Sprintf("part %q of the prompt crashes targets: %s", part, crashes)
+		}
+		return "the request crashes its targets: " + crashes
+	}
+	if l.text("decided") != "" {
+		return explainStop(l)
 	}
 	switch status := int(l.number("status")); {
 	case isBudgetRefusal && status == http.StatusPaymentRequired:
@@ -58,6 +64,20 @@
 	return l.text("reason")
 }
 
+// explainStop explains why an instance refused a request as it stopped.
+func explainStop(l *logLine) string {
+	since := milliseconds(l.number("since"))
+	switch l.text("decided") {
+	case "ended", "over":
+		return fmt.Sprintf("%s: it stopped %s after the order to, %s after the request came", l.text("reason"), since, milliseconds(l.number("read")))
+	case "too-uncertain":
+		return fmt.Sprintf("%s: %s after the order to stop, %s before its end, nothing was known of how long requests of route %s take",
+			l.text("reason"), since, milliseconds(l.number("left")), l.text("route"))
+	}
+	return fmt.Sprintf("%s: %s after the order to stop, %s before its end, it was expected to take %s, by %.0f requests of route %s that ended and %.0f open ones",
+		l.text("reason"), since, milliseconds(l.number("left")), milliseconds(l.number("expected")), l.number("samples"), l.text("route"), l.number("open"))
+}
+
 // crashes describes the crashes that a refusal names.
 func (l *logLine) crashes() []string {
 	list, _ := l.Fields["crashed"].([]any)
--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -38,6 +38,8 @@
 	// resultWithdrawn means that no byte was sent, as the target has said since it
 	// was chosen that it wants no requests.
 	resultWithdrawn
+	// resultStopping means that no byte was sent, as the instance stops too soon.
+	resultStopping
 )
 
 // attemptResult describes how an attempt ended.
@@ -55,6 +57,9 @@
 	// targetFailed reports that the response passed to the client shows a failure
 	// of the target.
 	targetFailed bool
+	// succeeded reports that the target answered with success, endedByClose that its
+	// answer has neither a length nor chunks and ended with the connection.
+	succeeded, endedByClose bool
 }
 
 // isTargetsFault reports whether a failed attempt speaks against the target. What
@@ -71,6 +76,10 @@
 	if !time.Now().Before(x.deadline) {
 		return attemptResult{kind: resultLate}
 	}
+	if x.isAborted() {
+		x.returnPermit(target)
+		return attemptResult{kind: resultGone}
+	}
 	conn, err := target.conns.get(ctx, x.needsUnusedConn())
 	if err != nil {
 		x.returnPermit(target)
@@ -91,6 +100,11 @@
 		x.releaseConn(conn)
 		return attemptResult{kind: resultNoPermit}
 	}
+	if x.stopRefusal = x.checkStopBeforeSend(target); x.stopRefusal != nil {
+		x.releaseConn(conn)
+		x.returnPermit(target)
+		return attemptResult{kind: resultStopping}
+	}
 	target.State.Begin()
 	defer target.State.End()
 	if x.sentAttempts++; x.sentAttempts == 1 {
@@ -138,6 +152,7 @@
 	}
 	head := x.req.forwardHead(opts)
 	x.sentAt = x.proxy.now()
+	x.open.Store(&openAttempt{route: x.route.ID, sentAt: x.sentAt, size: x.expectedEvents()})
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true // until the target rules it out
 	if len(x.req.Body) <= maxInlineBody {
 		_, err := conn.Write(append(head, x.req.Body...))
@@ -163,7 +178,9 @@
 	conn.readHints(resp)
 	x.proxy.hints.record(target, resp, x.req.AttemptID, x.sentAt, x.proxy.now())
 	x.proxy.notices.record(target, resp, x.heard.origin, x.proxy.now())
-	return x.handleResponse(conn, resp)
+	result := x.handleResponse(conn, resp)
+	result.succeeded, result.endedByClose = resp.isSuccess(), resp.endsWithConn(x.req.Method)
+	return result
 }
 
 // awaitResponse reads the head of the request's own response. It skips up to
@@ -234,7 +251,7 @@
 		x.discardResponse(conn, resp)
 		return attemptResult{kind: resultNotRun, err: errors.Errorf("status %d", resp.Status)}
 	}
-	ok := resp.Status >= 200 && resp.Status < 300
+	ok := resp.isSuccess()
 	if !resp.isSigned() {
 		_ = conn.Close()
 		return attemptResult{kind: resultBroken, err: errors.Errorf("status %d without signature", resp.Status)}
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -1,6 +1,10 @@
 package bbproxy
 
-import "time"
+import (
+	"time"
+
+	"bluebellport.example/shared/bbroute"
+)
 
 // Sizes of heads and bodies.
 const (
@@ -145,19 +149,16 @@
 	maxShareBackoff = 1500 * time.Millisecond
 	// shareLogInterval is the time between two log lines with the shares held.
 	shareLogInterval = 4 * time.Second
-	// shareReturnTimeout is how long shares are still returned after the last
-	// request.
-	shareReturnTimeout = 700 * time.Millisecond
-	// lingerPeriod is how long an instance that shuts down accepts connections,
-	// while the balancer learns that it is not ready.
-	lingerPeriod = 3500 * time.Millisecond
-	// graceMargin is how long before the platform's kill an instance that shuts
-	// down stops by itself.
-	graceMargin = 1200 * time.Millisecond
 )
 
-// maxCutLogged is how many of the requests that a shutdown cuts are logged.
-const maxCutLogged = 16
+// Log lines of one planned stop.
+const (
+	// maxCutLogged is how many of the requests that a stop cuts are logged.
+	maxCutLogged = 16
+	// maxTakenLogged is how many of the requests are logged that are sent during a
+	// stop.
+	maxTakenLogged = 256
+)
 
 // servedLogSample is the sampling ratio of the log: one in servedLogSample
 // served requests is logged.
@@ -302,11 +303,22 @@
 	// downRetention is how long it is remembered that a target was down or gone,
 	// for the attempts that are in flight there until their deadline.
 	downRetention = 30 * time.Second
+	// answerLookDelay is how long after an answer that ended with its connection it is
+	// looked whether its target still listens: its connections and its listener need
+	// not end at the same moment. It is also the time between two looks at a target.
+	answerLookDelay = 200 * time.Millisecond
+	// alertPeriod is how long after any crash all such answers are looked at.
+	alertPeriod = time.Minute
 	// maxEndedAttempts is how many attempts without a response are remembered for
 	// one target.
 	maxEndedAttempts = 128
 )
 
+// answerLookPolicy limits the connections that are opened only to look whether a
+// target still listens: to a share of the answers that ended with their connection,
+// and at least to MinPerSecond.
+var answerLookPolicy = bbroute.RetryPolicy{Ratio: 0.1, MinPerSecond: 1}
+
 // refusedKey is the key in the platform's store of the copy of the requests that
 // are refused because they crash targets.
 const refusedKey = "bluebellport/refused"
