Let the check of idle sessions wait for the session, not only for its link

Beside load the test ended with a nil session (2 of 3 processes, after 3 and 23 runs, load 16 on 8 cores): a peer's link is stored a moment before its first session is added to it, and the test went on as soon as the link was there. The code means it so: a link without a session is one that has to be dialed. The test waits for both now, for the same 3 s, and checks the same after that.

--- a/bluebellport/src/session_test.go
+++ b/bluebellport/src/session_test.go
@@ -188,7 +188,10 @@
 	t.Cleanup(endStream) // the instance waits for the stream as it stops
 	inst.peers.HandleStream("long", func(bbunit.InstanceID, net.Conn) { <-release })
 	s := rawPeer(t, inst.peers.Address())
-	within(t, 3*time.Second, "a link", func() bool { return inst.peers.existingLink("raw") != nil })
+	within(t, 3*time.Second, "a link with its session", func() bool {
+		l := inst.peers.existingLink("raw")
+		return l != nil && l.preferredSession() != nil
+	})
 	l := inst.peers.existingLink("raw")
 	expire := func() { l.preferredSession().lastUsedAt.Store(time.Now().Add(-2 * sessionIdleTimeout).UnixNano()) }
 
