End a stop with a short grace period in the last sixth of it

A stop with 2 s of grace ended the answers in progress after 1.5 s, although targets were given until the kill: an eighth of the grace period is enough for the exit, and only what is still at work in the last sixth is excused. The end is now at 1.75 s, and 1 s before is 0.875 s; with 4 s and more it stays half a second before the kill.

--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -18,7 +18,7 @@
 	// written, shares are returned and the log is flushed. A grace period under
 	// exitDivisor times that leaves a smaller part of itself.
 	exitPeriod  = 500 * time.Millisecond
-	exitDivisor = 4
+	exitDivisor = 8
 	// answersDivisor divides the time from the end of the stop to the kill: the last
 	// answers to clients may take that part of it. The last logDivisor part is kept
 	// for the log.
