Take what is more likely than not to end before a stop while callers still come

In the intake period the balancer still sends callers here, so they must not become fewer. The median decides there now; after it nothing changes.

--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -42,7 +42,7 @@
 	peakPeriod  = 30 * time.Second
 	peakPeriods = 4
 	// usualQuantile is the quantile that counts as the usual time.
-	usualQuantile = 0.9
+	usualQuantile = 0.5
 	// answerTime is how long it may take to pass on an answer that has ended.
 	answerTime = 100 * time.Millisecond
 	// fewSamples is the number of requests under which a maximum says little.
