Log what an instance knew of a request that the soak of stops finds cut

The line that the instance writes as it sends a request during a stop names the samples and the expected time that decided it; so each fault that the soak reports shows its cause.

--- a/e2e/native_stop_soak_test.go
+++ b/e2e/native_stop_soak_test.go
@@ -73,7 +73,7 @@
 		r.refusals[fmt.Sprint(record.status, " ", record.path, " ", record.detail)]++
 	}
 	if r.outcomes[outcome]++; outcome.isFault() {
-		r.addFault("%s, %s, sent %d ms after its SIGTERM: %s", record.life.name, record.life.way, record.sentAt.Sub(record.life.stoppedAt).Milliseconds(), record.describe(runs))
+		r.addFault("%s, %s, sent %d ms after its SIGTERM: %s", record.life.name, record.life.way, record.sentAt.Sub(record.life.stoppedAt).Milliseconds(), record.describe(runs)+record.life.linesOf(record.attemptID))
 	}
 }
 
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -109,6 +109,18 @@
 	return strings.Join(lines[max(0, len(lines)-20):], "\n")
 }
 
+// linesOf returns the lines of the log that name a request.
+func (p *process) linesOf(attemptID string) string {
+	b, _ := os.ReadFile(p.logPath)
+	out := ""
+	for line := range strings.SplitSeq(string(b), "\n") {
+		if strings.Contains(line, fmt.Sprintf("%q", attemptID)) {
+			out += "\n" + line
+		}
+	}
+	return out
+}
+
 // runProgram runs a program until it exits, and returns its output and exit
 // code.
 func runProgram(t *testing.T, prog string, args ...string) (string, int) {
