Expect more of a route whose few known requests differ much

Cause: after the intake period a request is taken if the longest one known of its route, with a margin of a quarter, ends in time. Few samples of lengths that differ hardly ever contain the longest.

The margin is now at least the distance from the median to the longest known, and four times that where fewer than 16 are known. Where all last equally long, the distance is 0 and nothing changes, so work of 2 or 3 s is still served.

--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -51,6 +51,9 @@
 	fewSamples       = 16
 	fewSamplesMargin = 0.25
 	maxMargin        = 0.125
+	// fewSamplesSpread times the distance from the median to the maximum is what the
+	// margin is at least where few are known, once that distance for any other.
+	fewSamplesSpread = 4
 	// openFactor times its age is how long a request is expected to take that has
 	// been open for longer than any other took.
 	openFactor = 2
--- a/bluebellport/stop/decision.go
+++ b/bluebellport/stop/decision.go
@@ -125,11 +125,12 @@
 		return
 	}
 	longest := r.Durations.longestOf(now, r.Size)
-	margin := maxMargin
+	margin, spread := maxMargin, longest-medianOf(r.Durations.recentOf(r.Size))
 	if d.Samples < fewSamples {
-		margin = fewSamplesMargin
+		margin, spread = fewSamplesMargin, fewSamplesSpread*spread
 	}
-	d.Expected = longest + time.Duration(margin*float64(longest))
+	// Where lengths differ much, the next may be longer than any so far.
+	d.Expected = longest + max(time.Duration(margin*float64(longest)), spread)
 	for _, age := range ages {
 		if age > d.Expected {
 			d.Expected = openFactor * age
--- a/bluebellport/stop/decision_test.go
+++ b/bluebellport/stop/decision_test.go
@@ -16,6 +16,15 @@
 	return d
 }
 
+// mixed returns the durations of 3n short requests and n that took so long.
+func mixed(n int, long time.Duration) *Durations {
+	d := ended(3*n, 100*time.Millisecond)
+	for range n {
+		d.Record(begin, long, 0, 0)
+	}
+	return d
+}
+
 // open returns one open request of each age.
 func open(ages ...time.Duration) func() []Open {
 	return func() []Open {
@@ -47,6 +56,9 @@
 		{"young ones don't hide long ones", 2 * s, Request{Limit: long, Durations: ended(4, 6*s), Open: open(s, s, s, s, s, s, s, s, s)}, false, ReasonTooLong},
 		{"longest ends in time", 3 * s, Request{Limit: long, Durations: ended(20, 3*s)}, true, ReasonLongest},
 		{"longest does not", 3400 * time.Millisecond, Request{Limit: long, Durations: ended(20, 4*s)}, false, ReasonTooLong},
+		{"lengths differ much", 5 * s, Request{Limit: long, Durations: mixed(5, 1500*time.Millisecond)}, false, ReasonTooLong},
+		{"lengths differ much, time enough", 4 * s, Request{Limit: long, Durations: mixed(5, 1500*time.Millisecond)}, true, ReasonLongest},
+		{"few known that differ much", 4 * s, Request{Limit: long, Durations: mixed(1, 900*time.Millisecond)}, false, ReasonTooLong},
 		{"few known", 3300 * time.Millisecond, Request{Limit: long, Durations: ended(1, 3*s)}, true, ReasonLongest},
 		{"few known, narrow", 3400 * time.Millisecond, Request{Limit: long, Durations: ended(1, 3300*time.Millisecond)}, false, ReasonTooLong},
 		{"longer open than any known", 3 * s, Request{Limit: long, Durations: ended(20, s), Open: open(3 * s)}, false, ReasonTooLong},
--- a/bluebellport/stop/usual.go
+++ b/bluebellport/stop/usual.go
@@ -29,6 +29,14 @@
 	return sorted[int(math.Ceil(usualQuantile*float64(len(sorted))))-1]
 }
 
+// medianOf returns the median of sorted durations, 0 if there are none.
+func medianOf(sorted []time.Duration) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[len(sorted)/2]
+}
+
 // openAges returns the ages of the open requests of the same kind, each in
 // proportion if it is known to be larger than this one.
 func (r *Request) openAges() []time.Duration {
