Refuse the second of two parts that crash targets sooner

A part is refused after crashes of eight targets, or of five in a short time while another part that was never answered explains other crashes. Crashes that a part explains do not count against a request that was in flight at them, from when the part is proposed.

--- a/bluebellport/crash/constants.go
+++ b/bluebellport/crash/constants.go
@@ -45,13 +45,14 @@
 	// partThreshold is how many targets have to crash under a part to refuse it, if
 	// the last crash is long enough after the first,
 	// from minLongSpan to maxLongSpan. In less time,
-	// quickPartThreshold targets have to crash, and then minPartSequence crashes to
+	// quickPartThreshold targets have to crash, unless crashes are known to have
+	// another part as their cause, and then minPartSequence crashes to
 	// follow each other, or the last be minPartSpan after the first: as many targets
 	// crash together, one session may lose several of them.
 	partThreshold      = 5
 	minLongSpan        = 3 * time.Second
 	maxLongSpan        = 10 * time.Second
-	quickPartThreshold = 9
+	quickPartThreshold = 8
 	minPartSequence    = 3
 	minPartSpan        = time.Second
 	// partObjectionPeriod is how long an instance that learns that a part is to be
--- a/bluebellport/crash/judge.go
+++ b/bluebellport/crash/judge.go
@@ -59,8 +59,8 @@
 // isObjection reports whether a change of a record speaks against its refusal.
 func (t *Tracker) isObjection(old, r Record) bool {
 	if r.isPart() {
-		span, stands := t.longSpan(), func(c *Crash) bool { return c.Counted && !c.Disproved }
-		return old.wasCounted() && (!old.tooFew(span, stands) && r.tooFew(span, stands) || old.AnswerTime == 0 && r.AnswerTime > 0)
+		stands := func(c *Crash) bool { return c.Counted && !c.Disproved }
+		return old.wasCounted() && (!t.tooFew(&old, stands) && t.tooFew(&r, stands) || old.AnswerTime == 0 && r.AnswerTime > 0)
 	}
 	return old.isRefused(t.cfg.Threshold) && !r.isRefused(t.cfg.Threshold)
 }
--- a/bluebellport/crash/part.go
+++ b/bluebellport/crash/part.go
@@ -104,16 +104,19 @@
 // answers take a time.
 func answerPeriod(longest time.Duration) time.Duration { return longest*3/2 + ripeMargin }
 
-// tooFew reports whether crashes are too few, or too close in time to each
-// other, to refuse a part.
-func (r Record) tooFew(longSpan time.Duration, matches func(c *Crash) bool) bool {
+// tooFew reports whether the crashes that match are too few, or too close in time to
+// each other, to refuse a part.
+func (t *Tracker) tooFew(r *Record, matches func(c *Crash) bool) bool {
 	runs := r.targetRuns(matches)
 	if runs < partThreshold {
 		return true
 	}
 	first, last := r.span(matches)
-	if runs < quickPartThreshold {
-		return last.Sub(first) < longSpan
+	if last.Sub(first) >= t.longSpan() {
+		return false
+	}
+	if runs < quickPartThreshold && (t.culprit == 0 || t.culprit == r.Fingerprint) {
+		return true
 	}
 	return last.Sub(first) < minPartSpan && r.inSequence(matches) < minPartSequence
 }
@@ -151,7 +154,7 @@
 		return r
 	}
 	explained := t.explainedCrashes(r.Fingerprint)
-	if r.tooFew(t.longSpan(), func(c *Crash) bool { return !c.Disproved && t.isRipe(&r, c) && !explained(c.ID) }) {
+	if t.tooFew(&r, func(c *Crash) bool { return !c.Disproved && t.isRipe(&r, c) && !explained(c.ID) }) {
 		return r
 	}
 	return r.change(func(c *Crash) { c.Counted = c.Counted || !c.Disproved })
@@ -220,11 +223,11 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *entry) int { return comparePartEntries(a, b) })
-	t.explainedBy = map[CrashID]uint64{}
+	t.explainedBy, t.culprit = map[CrashID]uint64{}, 0
 	refused, proposed = map[uint64]Record{}, map[uint64]bool{}
 	for _, e := range candidates {
 		explained := t.explainedCrashes(e.Fingerprint)
-		e.standing = !e.tooFew(t.longSpan(), func(c *Crash) bool { return c.Counted && !c.Disproved && t.isRipe(&e.Record, c) && !explained(c.ID) })
+		e.standing = !t.tooFew(&e.Record, func(c *Crash) bool { return c.Counted && !c.Disproved && t.isRipe(&e.Record, c) && !explained(c.ID) })
 		if !e.standing {
 			e.standsSince, e.inForce = time.Time{}, false
 			continue
@@ -234,6 +237,9 @@
 		}
 		e.inForce = now.Sub(e.standsSince) >= partObjectionPeriod
 		proposed[e.Fingerprint] = true
+		if t.culprit == 0 && e.AnswerTime == 0 {
+			t.culprit = e.Fingerprint
+		}
 		if e.inForce {
 			refused[e.Fingerprint] = e.Record
 		}
--- a/bluebellport/crash/snapshot.go
+++ b/bluebellport/crash/snapshot.go
@@ -78,14 +78,12 @@
 }
 
 // publishRequest adds the record of a request to a snapshot. A request that was in
-// flight at crashes which a refused part explains is not refused for them.
+// flight at crashes which a part explains is not refused for them.
 func (t *Tracker) publishRequest(s *snapshot, e *entry, now time.Time) {
 	refused := e.isRefused(t.cfg.Threshold)
-	if refused && len(s.refusedParts) > 0 {
-		refused = e.where(func(c *Crash) bool {
-			_, explained := s.refusedParts[t.explainedBy[c.ID]]
-			return !explained
-		}).isRefused(t.cfg.Threshold)
+	if refused && t.culprit != 0 {
+		explained := t.explainedCrashes(e.Fingerprint)
+		refused = e.where(func(c *Crash) bool { return !explained(c.ID) }).isRefused(t.cfg.Threshold)
 	}
 	if refused && now.Before(e.objectionEnd()) {
 		refused, t.changed = false, true // looked at again in the next tick
--- a/bluebellport/crash/tracker.go
+++ b/bluebellport/crash/tracker.go
@@ -93,15 +93,18 @@
 	// explained.
 	partDigest  uint64
 	explainedBy map[CrashID]uint64
-	changed     bool            // records differ from the snapshot
-	doubtDue    bool            // crashed has grown since the verdicts were reviewed
-	urgent      bool            // a request is or ceases to be refused, unlike in the snapshot
-	dirty       map[uint64]bool // verdicts to flood
-	ranking     ranking
-	busyUntil   time.Time // until when comparisons are frequent
-	nextRound   time.Time
-	nextPrune   time.Time
-	learner     learner
+	// culprit is the part that explains most crashes, of which no answer is known, 0
+	// for none.
+	culprit   uint64
+	changed   bool            // records differ from the snapshot
+	doubtDue  bool            // crashed has grown since the verdicts were reviewed
+	urgent    bool            // a request is or ceases to be refused, unlike in the snapshot
+	dirty     map[uint64]bool // verdicts to flood
+	ranking   ranking
+	busyUntil time.Time // until when comparisons are frequent
+	nextRound time.Time
+	nextPrune time.Time
+	learner   learner
 	// copyDigest is the digest of what the copy in the store was last known to
 	// hold in the era copyEra, nextWrite the earliest time of the next write.
 	copyDigest uint64
