--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -18,7 +18,7 @@
 	// written, shares are returned and the log is flushed. A grace period under
 	// exitDivisor times that leaves a smaller part of itself.
 	exitPeriod  = 500 * time.Millisecond
-	exitDivisor = 4
+	exitDivisor = 8
 	// answersDivisor divides the time from the end of the stop to the kill: the last
 	// answers to clients may take that part of it. The last logDivisor part is kept
 	// for the log.
@@ -42,7 +42,7 @@
 	peakPeriod  = 30 * time.Second
 	peakPeriods = 4
 	// usualQuantile is the quantile that counts as the usual time.
-	usualQuantile = 0.9
+	usualQuantile = 0.5
 	// answerTime is how long it may take to pass on an answer that has ended.
 	answerTime = 100 * time.Millisecond
 	// fewSamples is the number of requests under which a maximum says little.
