Let runs without callers end by themselves while serve has time to drain

A request that had 10 s of drain time and needed 1.5 s was given up within it, with "unknown" as its outcome and its highest price on the bill, and who repeats it with the same key doesn't get its answer.

The stop now waits until neither callers nor runs are left, and ends what remains at the end of the drain time, as before.

--- a/bluebellport/src/drain.go
+++ b/bluebellport/src/drain.go
@@ -22,15 +22,15 @@
 	times := gate.stop.Times()
 	bbclock.Wait(ctx, times.AcceptUntil.Sub(f.deps.Now()))
 	f.deps.Board.Draining.Store(true)
-	noCallers := func() bool { return f.openRequests.Load() == 0 }
-	if !f.waitUntil(ctx, times.End, noCallers) {
+	ended := func() bool { return f.openRequests.Load() == 0 && gate.isEmpty() }
+	if !f.waitUntil(ctx, times.End, ended) {
 		f.deps.Log.WithField("event", "drain").WithField("open", f.openRequests.Load()).Error("drain limit reached with requests open")
 	}
 	// Also a run whose callers have left is ended, so that it is billed.
-	if ended := gate.endAll(); ended > 0 {
-		f.deps.Log.WithField("event", "drain").WithField("runs", ended).Warn("runs ended by the stop")
+	if runs := gate.endAll(); runs > 0 {
+		f.deps.Log.WithField("event", "drain").WithField("runs", runs).Warn("runs ended by the stop")
 	}
-	f.waitUntil(ctx, f.deps.Now().Add(endAnswerPeriod), func() bool { return noCallers() && gate.isEmpty() })
+	f.waitUntil(ctx, f.deps.Now().Add(endAnswerPeriod), ended)
 }
 
 // waitUntil waits until a condition holds and reports whether it did before the
