--- a/bluebellport/crash/part_simulation_test.go
+++ b/bluebellport/crash/part_simulation_test.go
@@ -46,6 +46,7 @@
 		{"calm", 300, 150, 0.3, 200, 10, []int{2}, 5 * time.Second, calm},
 	} {
 		t.Run(fmt.Sprintf("%s, %d instances, loss %g, %g a second", c.name, c.instances, c.loss, c.guilty), func(t *testing.T) {
+			t.Parallel()
 			var sum lateSends
 			var refused, requests, lost int
 			var slowest time.Duration
@@ -115,6 +116,7 @@
 	} {
 		for _, warmUp := range []time.Duration{0, 10 * time.Second} {
 			t.Run(fmt.Sprintf("%s, %d instances, answers take up to %s, %s after the start", c.name, c.instances, c.longest, warmUp), func(t *testing.T) {
+				t.Parallel()
 				var served, refused, requests int
 				for seed := range (*simSeeds + 1) / 2 {
 					l := newPartLoad(c.instances, c.targets, 0.3, seed)
