Answer a request behind a response that promised to keep the connection

A client that had sent its next request while a response was under way lost it when SIGTERM came in between: the head had gone out without 'Connection: close', but the connection was closed after the body, with the next request already in the buffer and no answer.

The promise of the head now holds: the next request is read and answered, or refused with 503 and 'Connection: close'. Idle connections are closed by the stop as before.

--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -104,7 +104,7 @@
 	stopAbort()
 	req.Body = nil
 	body.free()
-	if req.Close || !keepConn || c.proxy.board.shouldCloseConns() {
+	if req.Close || !keepConn {
 		_ = c.SetReadDeadline(time.Now())
 		<-peekDone
 		return false
