Wait in a stop for a connection that is just accepted

A connection accepted as the listener closed was counted after the drain could have found none left, so the process could exit under its request. The loop that accepts is counted itself now until it has ended. Found by reading; no run shows it.

--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -146,6 +146,8 @@
 // acceptConns accepts and serves client connections until the listener is
 // closed.
 func (p *Proxy) acceptConns(ln net.Listener) {
+	p.openConns.Add(1) // so that drain waits for a connection that is just accepted
+	defer p.openConns.Done()
 	for {
 		conn, err := ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
