Take an order to stop for one of a freeze only right after the freeze

A freeze that had ended up to 0.25 s before SIGTERM counted as part of the grace period: an instance frozen for 5 s and told to stop 0.2 s later closed its listener at once and cut requests at half of its time. A signal that came during a freeze is delivered within milliseconds of its end; 50 ms are allowed now.

--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -33,6 +33,10 @@
 // Less may be load.
 const frozenAfter = time.Second
 
+// thawWindow is how long after a freeze an order to stop may take effect that was
+// given during it.
+const thawWindow = 50 * time.Millisecond
+
 // What is known of the length of requests.
 const (
 	// recentSamples is how many of the newest requests a quantile covers.
--- a/bluebellport/stop/pulse.go
+++ b/bluebellport/stop/pulse.go
@@ -31,7 +31,7 @@
 	p.Beat(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.thawedAt.IsZero() || now.Sub(p.thawedAt) > PulseInterval {
+	if p.thawedAt.IsZero() || now.Sub(p.thawedAt) > thawWindow {
 		return now
 	}
 	if earliest := now.Add(-grace / 2); p.frozenAt.Before(earliest) {
--- a/bluebellport/stop/pulse_test.go
+++ b/bluebellport/stop/pulse_test.go
@@ -21,6 +21,7 @@
 		{"ordered while frozen", 2 * time.Second, 0, 2 * time.Second},
 		{"the pulse came first", 2 * time.Second, 5 * time.Millisecond, 2005 * time.Millisecond},
 		{"ordered later", 2 * time.Second, time.Second, 0},
+		{"ordered soon after", 5 * time.Second, 200 * time.Millisecond, 0},
 		{"frozen for long", 20 * time.Second, 0, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
