Let a part far behind in a long prompt come under suspicion, too

Only eight parts of one request were suspects of a crash, the first ones of the list.

Up to 32 parts are suspects now, those first that are already, and of a longer list the others by random choice, so that no place is left out for ever.

--- a/bluebellport/crash/constants.go
+++ b/bluebellport/crash/constants.go
@@ -18,7 +18,9 @@
 	maxAnsweredParts = 32
 	// maxEvidenceParts is how many parts of one request's prompt are suspects of a
 	// crash.
-	maxEvidenceParts = 8
+	maxEvidenceParts = 32
+	// maxLoggedParts is how many parts of a request the log names.
+	maxLoggedParts = 8
 	// maxLoggedCrashes is how many crashes the log of a verdict on a part names.
 	maxLoggedCrashes = 12
 	// maxPartBytes is the longest id of a part in logs and messages.
--- a/bluebellport/crash/part.go
+++ b/bluebellport/crash/part.go
@@ -31,10 +31,10 @@
 	return Part{Fingerprint: bbhash.Mix(xxhash.Sum64String(id) ^ partSeed), ID: name}
 }
 
-// PartIDs returns the ids of parts, at most maxEvidenceParts of them, as they
+// PartIDs returns the ids of parts, at most maxLoggedParts of them, as they
 // appear in logs.
 func PartIDs(parts []Part) []string {
-	out := make([]string, min(len(parts), maxEvidenceParts))
+	out := make([]string, min(len(parts), maxLoggedParts))
 	for i := range out {
 		out[i] = parts[i].ID
 	}
@@ -64,16 +64,30 @@
 }
 
 // evidenceParts returns the parts that are suspects of a crash, each once: at most
-// maxEvidenceParts, those first that are suspects already.
+// maxEvidenceParts, those first that are suspects already. Of a longer list the
+// others are chosen at random, so that no place in it is always left out.
 func (t *Tracker) evidenceParts(parts []Part) []Part {
 	s := t.snapshot.Load()
-	var out []Part
-	for _, wanted := range []bool{true, false} {
-		for _, p := range parts {
-			_, known := s.partSuspects[p.Fingerprint]
-			if known == wanted && len(out) < maxEvidenceParts && !slices.Contains(out, p) {
-				out = append(out, p)
-			}
+	var out, others []Part
+	for _, p := range parts {
+		_, known := s.partSuspects[p.Fingerprint]
+		switch {
+		case !known:
+			others = append(others, p)
+		case len(out) < maxEvidenceParts && !slices.Contains(out, p):
+			out = append(out, p)
+		}
+	}
+	for i := range others {
+		if len(out) == maxEvidenceParts {
+			break
+		}
+		if len(others) > maxEvidenceParts {
+			j := i + t.cfg.Rand(len(others)-i)
+			others[i], others[j] = others[j], others[i]
+		}
+		if !slices.Contains(out, others[i]) {
+			out = append(out, others[i])
 		}
 	}
 	return out
