--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -292,6 +292,8 @@
 const (
 	// crashThreshold is the number of crashes from which a request is refused.
 	crashThreshold = 2
+	// maxNamedCrashes is how many crashes the log of a refusal names, the last ones.
+	maxNamedCrashes = 16
 	// downPeriod is how long before a target accepted no connection an attempt
 	// may have ended that was in flight at its crash.
 	downPeriod = time.Second
@@ -317,7 +319,7 @@
 // answerLookPolicy limits the connections that are opened only to look whether a
 // target still listens: to a share of the answers that ended with their connection,
 // and at least to MinPerSecond.
-var answerLookPolicy = bbroute.RetryPolicy{Ratio: 0.1, MinPerSecond: 1}
+var answerLookPolicy = bbroute.RetryPolicy{Ratio: 0.1, MinPerSecond: 0.25}
 
 // refusedKey is the key in the platform's store of the copy of the requests that
 // are refused because they crash targets.
