--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -49,15 +49,16 @@
 	usualQuantile = 0.5
 	// answerTime is how long it may take to pass on an answer that has ended.
 	answerTime = 100 * time.Millisecond
-	// fewSamples is the number of requests under which a maximum says little.
+	// minSamples is the number of requests under which nothing is known, fewSamples
+	// that under which a maximum says something only if the lengths are alike: the
+	// distance from their median to it is at most alikeSpread of it.
 	// fewSamplesMargin is the margin on it then, maxMargin the margin on any other,
 	// as parts of the maximum.
+	minSamples       = 3
 	fewSamples       = 16
+	alikeSpread      = 0.125
 	fewSamplesMargin = 0.25
 	maxMargin        = 0.125
-	// fewSamplesSpread times the distance from the median to the maximum is what the
-	// margin is at least where few are known, once that distance for any other.
-	fewSamplesSpread = 4
 	// openFactor times its age is how long a request is expected to take that has
 	// been open for longer than any other took.
 	openFactor = 2
--- a/bluebellport/stop/decision.go
+++ b/bluebellport/stop/decision.go
@@ -120,14 +120,17 @@
 // decideLongest takes a request only if it ends in time even if it takes as long as
 // any that is known.
 func (d *Decision) decideLongest(now time.Time, r *Request, ages []time.Duration) {
-	if d.Samples == 0 {
-		d.Reason = ReasonTooUncertain
+	d.Reason = ReasonTooUncertain
+	if d.Samples < minSamples {
 		return
 	}
 	longest := r.Durations.longestOf(now, r.Size)
 	margin, spread := maxMargin, longest-medianOf(r.Durations.recentOf(r.Size))
 	if d.Samples < fewSamples {
-		margin, spread = fewSamplesMargin, fewSamplesSpread*spread
+		if float64(spread) > alikeSpread*float64(longest) {
+			return
+		}
+		margin = fewSamplesMargin
 	}
 	// Where lengths differ much, the next may be longer than any so far.
 	d.Expected = longest + max(time.Duration(margin*float64(longest)), spread)
