--- a/bluebellport/crash/tracker.go
+++ b/bluebellport/crash/tracker.go
@@ -15,21 +15,12 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbclock"
-	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
-	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
 
-// Network sends messages to the other instances. Send must not block; messages
-// may be lost.
-type Network interface {
-	Send(to bbunit.InstanceID, e *bbwire.Envelope) error
-	Handle(sample *bbwire.Envelope, fn func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope)
-	View() *bbmember.View
-}
-
 // Store is the part of the key-value service that a Tracker uses.
 type Store interface {
 	Get(ctx context.Context, key string) (bbstore.Entry, error)
@@ -41,7 +32,7 @@
 type Config struct {
 	// Threshold is the number of crashes from which a request is refused.
 	Threshold int
-	Network   Network
+	Network   bbnews.Network
 	Store     Store
 	// StoreKey is the key of the copy in the store.
 	StoreKey string
