--- a/bluebellport/crash/constants.go
+++ b/bluebellport/crash/constants.go
@@ -45,12 +45,12 @@
 	// partTTL is how long the record of a part is kept after its last crash.
 	partTTL = 10 * time.Minute
 	// partThreshold is how many targets have to crash under a part to refuse it, if
-	// the last crash is long enough after the first,
-	// from minLongSpan to maxLongSpan. In less time,
-	// quickPartThreshold targets have to crash, unless crashes are known to have
-	// another part as their cause, and then minPartSequence crashes to
-	// follow each other, or the last be minPartSpan after the first: as many targets
-	// crash together, one session may lose several of them.
+	// the time from the first crash to the last is that of an answer, from
+	// minLongSpan to maxLongSpan. In less time quickPartThreshold targets have to
+	// crash, or partThreshold of them while another part is known to cause crashes;
+	// then minPartSequence crashes have to follow each other, or the last to be
+	// minPartSpan after the first. As many targets crash together, one session may
+	// lose several of them.
 	partThreshold      = 5
 	minLongSpan        = 3 * time.Second
 	maxLongSpan        = 10 * time.Second
