--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -94,7 +94,9 @@
 func (f *follower) readPlan(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
+	begin := f.now()
 	entry, err := f.store.Get(ctx, bbplatform.KeyPlan)
+	f.log.WithFields(logrus.Fields{"event": "plan-read", "revision": entry.Rev, "bytes": len(entry.Value), "ms": f.now().Sub(begin).Milliseconds()}).WithError(err).Info("plan read from the store as no peer sent it")
 	if err == nil {
 		f.applyPlan(entry)
 	}
@@ -136,6 +138,7 @@
 	if len(e.Value) == 0 || e.Rev <= f.planSeen {
 		return false
 	}
+	begin := f.now()
 	plan, rejected, err := bbplatform.ParsePlan(e.Value)
 	if err != nil {
 		f.log.WithError(err).WithField("revision", e.Rev).Warn("plan unreadable; the last good one stays in force")
@@ -157,7 +160,7 @@
 		f.log.WithError(err).Warn("plan not compressed; peers have to read it from the store")
 	}
 	f.board.Plan.Store(plan)
-	f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts)}).Info("plan in force")
+	f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts), "bytes": len(e.Value), "ms": f.now().Sub(begin).Milliseconds()}).Info("plan in force")
 	return true
 }
 
--- a/bluebellport/proxy/relay.go
+++ b/bluebellport/proxy/relay.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbstore"
@@ -209,10 +211,15 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	ask := &bbwire.NewsAsk{Revision: int64(r.follower.planSeenRevision()), Targets: targets}
+	begin := r.follower.now()
 	reply, err := r.peers.Call(ctx, peer, &bbwire.Envelope{Body: &bbwire.Envelope_Newsask{Newsask: ask}})
 	if err != nil || reply.GetNewstell() == nil {
+		r.follower.log.WithFields(logrus.Fields{"event": "news-ask", "peer": peer, "targets": targets, "ms": r.follower.now().Sub(begin).Milliseconds()}).WithError(err).Info("peer did not send its plan or targets")
 		return
 	}
+	if plan := reply.GetNewstell().Plan; len(plan) > 0 {
+		r.follower.log.WithFields(logrus.Fields{"event": "plan-fetched", "peer": peer, "revision": reply.GetNewstell().Revision, "bytes": len(plan), "ms": r.follower.now().Sub(begin).Milliseconds()}).Info("plan received from a peer")
+	}
 	r.follower.applyNews(reply.GetNewstell(), wayPeer)
 }
 
