--- a/bluebellport/proxy/leaving_test.go
+++ b/bluebellport/proxy/leaving_test.go
@@ -104,7 +104,7 @@
 	is.Equal(h.call("GET", "/read/1", "").status, http.StatusOK)
 	wait := h.callAtOnce(4)
 	msg := &bbwire.Leavings{Entries: []*bbwire.Leaving{{Target: string(entry.ID), Born: entry.StartedAtMillis}}}
-	_, err = network.newPeer("i2", "orebro").deliver("i1", &bbwire.Envelope{Body: &bbwire.Envelope_Leavings{Leavings: msg}})
+	_, err = network.newPeer("i2", "orebro").deliver(t.Context(), "i1", &bbwire.Envelope{Body: &bbwire.Envelope_Leavings{Leavings: msg}})
 	is.NoErr(err)
 	known := time.Now()
 	wait()
--- a/bluebellport/proxy/relay_test.go
+++ b/bluebellport/proxy/relay_test.go
@@ -31,6 +31,7 @@
 type fakePeer struct {
 	network  *fakeNetwork
 	self     bbmember.Member
+	link     *instanceLink
 	handlers map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope
 }
 
@@ -39,14 +40,14 @@
 }
 
 func (n *fakeNetwork) newPeer(id bbunit.InstanceID, domain bbunit.DomainID) *fakePeer {
-	peer := &fakePeer{network: n, self: bbmember.Member{ID: id, Domain: domain}, handlers: map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope{}}
+	peer := &fakePeer{network: n, self: bbmember.Member{ID: id, Domain: domain}, link: newInstanceLink(0), handlers: map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope{}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers[id] = peer
 	return peer
 }
 
-func (p *fakePeer) deliver(to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+func (p *fakePeer) deliver(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
 	p.network.mu.Lock()
 	peer := p.network.peers[to]
 	silent := p.network.silent[to] || p.network.silent[p.self.ID] || rand.Float64() < p.network.loss
@@ -58,16 +59,21 @@
 	if silent || fn == nil {
 		return nil, io.EOF
 	}
-	return fn(p.self.ID, e), nil
+	carry(ctx, p.link, peer.link, e)
+	reply := fn(p.self.ID, e)
+	if reply != nil {
+		carry(ctx, peer.link, p.link, reply)
+	}
+	return reply, ctx.Err()
 }
 
 func (p *fakePeer) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
-	go func() { _, _ = p.deliver(to, e) }()
+	go func() { _, _ = p.deliver(context.Background(), to, e) }()
 	return nil
 }
 
-func (p *fakePeer) Call(_ context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
-	return p.deliver(to, e)
+func (p *fakePeer) Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+	return p.deliver(ctx, to, e)
 }
 
 func (p *fakePeer) Handle(sample *bbwire.Envelope, fn func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
