--- /dev/null
+++ b/bluebellport/proxy/version_test.go
@@ -0,0 +1,130 @@
+package bbproxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+)
+
+const (
+	// versionStreams is how many streams are begun.
+	versionStreams = 40
+	// maxMixedStreams is how many streams may hold events of two software versions.
+	maxMixedStreams = 2
+	// versionEvents is how many events a stream has.
+	versionEvents = 12
+)
+
+// versionPlay is a service with two targets each of two software versions.
+type versionPlay struct {
+	*harness
+	targets  map[string]*bbplatformstand.Target
+	versions map[string]string // by target
+}
+
+func newVersionPlay(t *testing.T) *versionPlay {
+	p := &versionPlay{harness: newHarness(t, 1000000), targets: map[string]*bbplatformstand.Target{}, versions: map[string]string{"a1": "v1", "a2": "v1", "b1": "v1.1", "b2": "v1.1"}}
+	for id, version := range p.versions {
+		p.targets[id] = p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Engine: true, EventCount: versionEvents, Pause: 2 * time.Millisecond, Version: version})
+	}
+	p.start()
+	return p
+}
+
+// versionsOf returns the versions of the targets that ran one of some attempts.
+func (p *versionPlay) versionsOf(attempts ...string) []string {
+	var versions []string
+	for id, target := range p.targets {
+		for _, e := range target.Executions() {
+			if slices.Contains(attempts, e.AttemptID) && !slices.Contains(versions, p.versions[id]) {
+				versions = append(versions, p.versions[id])
+			}
+		}
+	}
+	return versions
+}
+
+// beginStream sends a request with a stream for an answer, reads some of its events
+// and leaves. It returns the attempt's id and the last event read.
+func (p *versionPlay) beginStream(number, events int) (attempt string, last int) {
+	is := is.New(p.t)
+	attempt = fmt.Sprintf("begun-%d", number)
+	r, err := http.NewRequest("POST", "http://"+p.settings.FrontendAddress+"/draft/1", strings.NewReader("prompt"))
+	is.NoErr(err)
+	r.Host = testHost
+	r.Header.Set(bbplatform.HeaderAttemptID, attempt)
+	r.Header.Set(bbplatform.HeaderAPIKey, testKey)
+	r.Header.Set(bbplatform.HeaderTokenUsage, "100,120")
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(r)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	var text strings.Builder
+	for strings.Count(text.String(), eventEnd) < events {
+		buf := make([]byte, 256)
+		n, err := resp.Body.Read(buf)
+		text.Write(buf[:n])
+		if err == io.EOF {
+			break
+		}
+		is.NoErr(err)
+	}
+	ids := strings.Fields(eventIDs(text.String()[:strings.LastIndex(text.String(), eventEnd)+len(eventEnd)]))
+	last, err = strconv.Atoi(ids[len(ids)-1])
+	is.NoErr(err)
+	return attempt, last
+}
+
+// TestStreamGoesOnOnlyAtTheVersionThatBeganIt guards against streams whose events two
+// software versions have written, and against streams that could go on and do not.
+func TestStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	t.Run("in one answer", func(t *testing.T) {
+		is := is.New(t)
+		p := newVersionPlay(t)
+		for _, target := range p.targets {
+			target.SetFault(bbplatformstand.FaultBegunTruncated, -1)
+		}
+		mixed, wentOn := 0, 0
+		for range versionStreams {
+			r := p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120")
+			if r.err == nil && r.status == http.StatusOK {
+				wentOn++
+			}
+			if len(p.versionsOf(fmt.Sprintf("attempt-%d", p.calls))) > 1 {
+				mixed++
+			}
+		}
+		t.Logf("%d streams broken, %d went on, %d with events of two versions", versionStreams, wentOn, mixed)
+		is.True(mixed <= maxMixedStreams)
+		is.True(10*wentOn >= 9*versionStreams)
+	})
+	t.Run("over the client's tries", func(t *testing.T) {
+		is := is.New(t)
+		p := newVersionPlay(t)
+		mixed, wentOn := 0, 0
+		for i := range versionStreams {
+			begun, last := p.beginStream(i, 3)
+			r := p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120", bbplatform.HeaderLastEventID, strconv.Itoa(last), "Resumes", begun)
+			if r.err == nil && r.status == http.StatusOK {
+				wentOn++
+			}
+			if len(p.versionsOf(begun, fmt.Sprintf("attempt-%d", p.calls))) > 1 {
+				mixed++
+			}
+		}
+		t.Logf("%d streams taken up, %d went on, %d with events of two versions", versionStreams, wentOn, mixed)
+		is.True(mixed <= maxMixedStreams)
+		is.True(10*wentOn >= 9*versionStreams)
+	})
+}
