--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -14,6 +14,7 @@
 
 	"bluebellport.example/bluebellport/leave"
 	"bluebellport.example/bluebellport/limit"
+	"bluebellport.example/bluebellport/spread"
 	"bluebellport.example/platform"
 	"bluebellport.example/platform/stand"
 )
@@ -30,6 +31,7 @@
 	limits := bblimit.New(bblimit.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	newHintReader(limits, nil, c.registry)
 	newNoticeReader(bbleave.New(bbleave.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry}), nil, c.registry)
+	bbspread.New(bbspread.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	registered := map[string]bool{}
 	c.registry.Each(func(name string, _ any) {
 		name = strings.Replace(name, "refused.404", "refused.STATUS", 1)
