CONFIG: let a slow client have a large answer for as long as it reads

A client that reads 600 kB a second got 5.3 of 7 MB after 9 s and a closed connection, though it would have waited for 20 s (TestSlowClientGetsALargeAnswerWhole, failed in 2 of 2 runs).

Now the limit of 3 s is for each 64 kB, and the request's deadline ends the answer, as it does for answers that are passed on while they are read. The test passes in 2 of 2 runs with the race detector (7 MB after 12.6 s).

--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -151,11 +151,18 @@
 	return c.writeBy(b, time.Now().Add(clientWriteTimeout))
 }
 
-// writeBy is write with a deadline.
+// writeBy writes to the client until a deadline, as long as the client reads
+// writePartBytes within clientWriteTimeout.
 func (c *clientConn) writeBy(b []byte, deadline time.Time) error {
-	_ = c.SetWriteDeadline(bbclock.Earlier(deadline, time.Now().Add(clientWriteTimeout)))
-	_, err := c.Conn.Write(b)
-	return err
+	for len(b) > 0 {
+		part := b[:min(len(b), writePartBytes)]
+		_ = c.SetWriteDeadline(bbclock.Earlier(deadline, time.Now().Add(clientWriteTimeout)))
+		if _, err := c.Conn.Write(part); err != nil {
+			return err
+		}
+		b = b[len(part):]
+	}
+	return nil
 }
 
 // closeGracefully ends the sending side and reads what still comes. A connection
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -64,8 +64,10 @@
 	// maxBodyTime is how long a client may take for a body, however long it would
 	// wait for the response.
 	maxBodyTime = 30 * time.Second
-	// clientWriteTimeout limits one write to a client that does not read.
+	// clientWriteTimeout limits one write of at most writePartBytes to a client that
+	// does not read.
 	clientWriteTimeout = 3 * time.Second
+	writePartBytes     = 64 << 10
 	// defaultPoolIdle is how long an idle connection is kept if the target does not
 	// name its keep-alive timeout.
 	defaultPoolIdle = 4 * time.Second
--- a/bluebellport/proxy/delivery.go
+++ b/bluebellport/proxy/delivery.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -133,17 +134,21 @@
 	if x.req.Method == http.MethodHead {
 		body = nil
 	}
-	err := x.client.writeBoth(head, body)
+	err := x.client.writeBoth(head, body, x.deadline.Add(responseMargin))
 	return attemptResult{kind: resultDone, err: err, keepConn: err == nil && !closeConn}
 }
 
-// writeBoth writes a head and a body. Large ones are not copied.
-func (c *clientConn) writeBoth(head, body []byte) error {
+// writeBoth writes a head and a body. Large ones are not copied, and may take until the
+// deadline.
+func (c *clientConn) writeBoth(head, body []byte, deadline time.Time) error {
 	if len(body) <= freeBuffer {
 		return c.write(append(head, body...))
 	}
 	if err := c.write(head); err != nil {
 		return err
 	}
-	return c.write(body)
+	if least := time.Now().Add(clientWriteTimeout); deadline.Before(least) {
+		deadline = least
+	}
+	return c.writeBy(body, deadline)
 }
