CONFIG: end a transfer of a plan whose pieces contradict each other

No two peers of one version send such pieces; one of another version or with a fault could. Such a transfer now ends and its peer is left alone for 250 ms.

--- a/bluebellport/spread/constants.go
+++ b/bluebellport/spread/constants.go
@@ -42,6 +42,8 @@
 	slowPiece = 200 * time.Millisecond
 	// holderPause is how long a peer is not asked that did not answer.
 	holderPause = time.Second
+	// malformedPause is how long a peer is not asked that sent what it should not.
+	malformedPause = 250 * time.Millisecond
 	// minBusyPause and maxBusyPause limit how long a peer is not asked that has no
 	// capacity.
 	minBusyPause = 20 * time.Millisecond
--- a/bluebellport/spread/fetch.go
+++ b/bluebellport/spread/fetch.go
@@ -236,7 +236,7 @@
 	next, err := s.readOffer(tell, now)
 	if err != nil {
 		s.malformed.Inc(1)
-		f.pauseHolder(from, now, holderPause)
+		f.pauseHolder(from, now, malformedPause)
 		s.cfg.Log.WithError(err).WithField("peer", from).Warn("piece of a plan dropped")
 		return false
 	}
@@ -244,9 +244,14 @@
 	switch {
 	case f.applying, next.base != Digest{} && next.base != s.digest:
 		return false // the version in force is another one since it was asked for
+	case current != nil && current.id == next.id && (next.size != current.size || next.digest != current.digest || next.base != current.base):
+		s.malformed.Inc(1) // what was said of it before, or is now, is wrong
+		f.transfer = nil
+		f.pauseHolder(from, now, malformedPause)
+		return false
 	case current != nil && current.id == next.id:
-		if int(tell.GetOffset()) != len(current.packed) || len(current.packed)+len(tell.GetPiece()) > current.size {
-			return false
+		if int(tell.GetOffset()) != len(current.packed) {
+			return false // it has come twice
 		}
 	case tell.GetOffset() != 0:
 		return false
@@ -277,7 +282,7 @@
 	base, ok1 := readDigest(tell.GetBase())
 	digest, ok2 := readDigest(tell.GetDigest())
 	id, ok3 := readDigest(tell.GetPacked())
-	if !ok1 || !ok2 || !ok3 || id == (Digest{}) || tell.GetSize() > maxValueBytes || len(tell.GetPiece()) > pieceBytes || len(tell.GetPiece()) == 0 && tell.GetSize() > 0 {
+	if !ok1 || !ok2 || !ok3 || id == (Digest{}) || tell.GetSize() > maxValueBytes || int(tell.GetOffset())+len(tell.GetPiece()) > int(tell.GetSize()) || len(tell.GetPiece()) > pieceBytes || len(tell.GetPiece()) == 0 && tell.GetSize() > 0 {
 		return nil, ErrMalformed
 	}
 	return &transfer{item: item{rev: bbstore.Revision(tell.GetRevision()), base: base, digest: digest, id: id}, size: int(tell.GetSize()), begin: now}, nil
@@ -293,7 +298,7 @@
 		s.cfg.Log.WithError(err).WithField("peer", t.from).Warn("plan from a peer unreadable; ignored")
 		s.mu.Lock()
 		s.fetch.applying = false
-		s.fetch.pauseHolder(t.from, now, holderPause)
+		s.fetch.pauseHolder(t.from, now, malformedPause)
 		s.mu.Unlock()
 		return
 	}
--- a/bluebellport/spread/simulation_test.go
+++ b/bluebellport/spread/simulation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"bluebellport.example/bluebellport/emulate"
 	"bluebellport.example/shared/bbstore"
@@ -51,6 +52,34 @@
 	number    *rand.Rand
 	slowest   time.Duration // of all versions
 	reads     int
+	spoil     bool // messages are doubled or changed
+}
+
+// spoiling is a network that doubles some messages with pieces and changes others.
+type spoiling struct {
+	*bbemulate.Node
+	s *simulation
+}
+
+// Send sends a message, or another one, or twice.
+func (n spoiling) Send(to bbunit.InstanceID, e *bbwire.Envelope) error {
+	if msg := e.GetSpread(); n.s.spoil && msg.GetKind() == bbwire.Spread_TELL && len(msg.GetPiece()) > 0 {
+		other := proto.CloneOf(msg)
+		switch n.s.number.IntN(200) {
+		case 0:
+			other.Piece[n.s.number.IntN(len(other.Piece))]++
+		case 1:
+			other.Offset += pieceBytes
+		case 2:
+			other.Digest = other.Packed
+		case 3:
+			other.Size--
+		case 4:
+			_ = n.Node.Send(to, e)
+		}
+		e = &bbwire.Envelope{Body: &bbwire.Envelope_Spread{Spread: other}}
+	}
+	return n.Node.Send(to, e)
 }
 
 // simNode is what one run of an instance has.
@@ -84,7 +113,7 @@
 		return s.Now()
 	}
 	node.spreader = New(Config{
-		Network: n, Now: now, Rand: func(k int) int { return s.number.IntN(k) }, Log: s.log, Metrics: metrics.NewRegistry(), LinkRate: simRate,
+		Network: spoiling{n, s}, Now: now, Rand: func(k int) int { return s.number.IntN(k) }, Log: s.log, Metrics: metrics.NewRegistry(), LinkRate: simRate,
 		Go:    func(fn func()) { s.After(time.Millisecond, fn) },
 		Apply: func(v Version) { s.apply(n, node, v) },
 		Seen:  func() bbstore.Revision { return node.seen },
@@ -138,7 +167,7 @@
 
 // apply checks a version that has arrived and puts it in force once it is parsed.
 func (s *simulation) apply(n *bbemulate.Node, node *simNode, v Version) {
-	if !bytes.Equal(v.Text, s.versions[v.Rev-1].Text) {
+	if int(v.Rev) > len(s.versions) || !bytes.Equal(v.Text, s.versions[v.Rev-1].Text) {
 		s.t.Fatalf("seed %d: %s got another text of revision %d", s.seed, n.Member.ID, v.Rev)
 	}
 	if v.Rev <= node.seen {
@@ -272,6 +301,28 @@
 			})
 			s.check(simBound + time.Second)
 		}},
+		{"watchers are silent while they send", 4200, 0, func(s *simulation) {
+			s.addRoutes(1400)
+			s.write()
+			s.After(1300*time.Millisecond, func() {
+				for _, n := range s.Nodes[:4] {
+					n.Cut, n.CalmSince = true, s.Now()
+				}
+			})
+			s.After(4*time.Second, func() {
+				for _, n := range s.Nodes[:4] {
+					n.Cut, n.CalmSince = false, s.Now()
+				}
+			})
+			s.check(simBound + 6*time.Second)
+		}},
+		{"messages are spoiled", 4200, 0, func(s *simulation) {
+			s.spoil = true
+			growth(s)
+			s.routes[1] = s.routes[2]
+			s.write()
+			s.check(simBound + time.Second)
+		}},
 		{"three in ten are killed", 4200, 0, func(s *simulation) {
 			s.addRoutes(1400)
 			s.write()
