--- a/bluebellport/spread/serve.go
+++ b/bluebellport/spread/serve.go
@@ -11,7 +11,6 @@
 
 // answer returns the reply to an ASK: the next piece, when to ask again, or only
 // the newest revision if the peer has it.
-
 func (s *Spreader) answer(from bbunit.InstanceID, ask *bbwire.Spread, now time.Time) []outgoing {
 	tell := &bbwire.Spread{Kind: bbwire.Spread_TELL, Revision: int64(s.newest)}
 	have, ok := readDigest(ask.GetBase())
