CONFIG: reject an empty packed form of a plan

What a peer sent as nothing was unpacked to an empty text without an error; only the check of its digest stopped it. TestPack failed and passes.

--- a/bluebellport/spread/pack.go
+++ b/bluebellport/spread/pack.go
@@ -51,9 +51,12 @@
 	return w.EncodeAll(text, nil), nil
 }
 
-// unpack reverses pack. It returns ErrMalformed if the bytes are unreadable or hold
-// more than maxValueBytes.
+// unpack reverses pack. It returns ErrMalformed if there are no bytes, or if they are
+// unreadable or hold more than maxValueBytes.
 func unpack(packed, base []byte) ([]byte, error) {
+	if len(packed) == 0 {
+		return nil, ErrMalformed
+	}
 	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxValueBytes), zstd.WithDecoderMaxWindow(windowBytes)}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithDecoderDictRaw(dictionaryID, base))
