CONFIG: tie a plan to the revision that it was packed for

A message whose revision was changed on its way made an instance take a text under a revision that was not its own; the real text of that revision would have been passed over as known. The digest of a packed form now covers revision, base and digest of the text as well.

--- a/bluebellport/spread/fetch.go
+++ b/bluebellport/spread/fetch.go
@@ -244,7 +244,7 @@
 	switch {
 	case f.applying, next.base != Digest{} && next.base != s.digest:
 		return false // the version in force is another one since it was asked for
-	case current != nil && current.id == next.id && (next.size != current.size || next.digest != current.digest || next.base != current.base):
+	case current != nil && current.id == next.id && (next.size != current.size || next.rev != current.rev || next.digest != current.digest || next.base != current.base):
 		s.malformed.Inc(1) // what was said of it before, or is now, is wrong
 		f.transfer = nil
 		f.pauseHolder(from, now, malformedPause)
@@ -330,11 +330,11 @@
 	if t.base != (Digest{}) && t.base != baseDigest {
 		return nil, ErrMalformed // another version has come from the store meanwhile
 	}
+	if t.identity() != t.id {
+		return nil, ErrMalformed
+	}
 	text := base
 	if t.size > 0 {
-		if digestOf(t.packed) != t.id {
-			return nil, ErrMalformed
-		}
 		if t.base == (Digest{}) {
 			base = nil
 		}
--- a/bluebellport/spread/shelf.go
+++ b/bluebellport/spread/shelf.go
@@ -1,6 +1,7 @@
 package bbspread
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -13,12 +14,23 @@
 	base    Digest // of the text from which it differs, zero for the whole
 	digest  Digest // of the text
 	packed  []byte
-	id      Digest // of packed
+	id      Digest // of all of the above
 	askedAt time.Time
 }
 
 func newItem(rev bbstore.Revision, base, digest Digest, packed []byte, now time.Time) *item {
-	return &item{rev: rev, base: base, digest: digest, packed: packed, id: digestOf(packed), askedAt: now}
+	it := &item{rev: rev, base: base, digest: digest, packed: packed, askedAt: now}
+	it.id = it.identity()
+	return it
+}
+
+// identity returns the digest of a packed form and of what it is, so that neither can
+// be taken for that of another version.
+func (it *item) identity() Digest {
+	b := make([]byte, 0, len(it.packed)+2*len(it.base)+8)
+	b = binary.BigEndian.AppendUint64(b, uint64(it.rev))
+	b = append(append(b, it.base[:]...), it.digest[:]...)
+	return digestOf(append(b, it.packed...))
 }
 
 // shelf holds the packed forms that peers can get: differences between versions,
