--- a/bluebellport/proxy/version_test.go
+++ b/bluebellport/proxy/version_test.go
@@ -41,6 +41,15 @@
 	return p
 }
 
+// restart ends the only instance and starts it again: what it remembered is lost.
+func (p *versionPlay) restart() {
+	p.t.Helper()
+	p.stop()
+	is.New(p.t).NoErr(<-p.serveErr)
+	p.serveErr <- nil // for the clean-up
+	p.start()
+}
+
 // versionsOf returns the versions of the targets that ran one of some attempts.
 func (p *versionPlay) versionsOf(attempts ...string) []string {
 	var versions []string
@@ -127,4 +136,28 @@
 		is.True(mixed <= maxMixedStreams)
 		is.True(10*wentOn >= 9*versionStreams)
 	})
+	t.Run("over the client's tries, all instances killed between them", func(t *testing.T) {
+		is := is.New(t)
+		p := newVersionPlay(t)
+		var begun []string
+		var last []int
+		for i := range versionStreams {
+			attempt, event := p.beginStream(i, 3)
+			begun, last = append(begun, attempt), append(last, event)
+		}
+		p.restart()
+		mixed, wentOn := 0, 0
+		for i, attempt := range begun {
+			r := p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120", bbplatform.HeaderLastEventID, strconv.Itoa(last[i]), "Resumes", attempt)
+			if r.err == nil && r.status == http.StatusOK {
+				wentOn++
+			}
+			if len(p.versionsOf(attempt, fmt.Sprintf("attempt-%d", p.calls))) > 1 {
+				mixed++
+			}
+		}
+		t.Logf("%d streams taken up, %d went on, %d with events of two versions", versionStreams, wentOn, mixed)
+		is.True(mixed <= maxMixedStreams)
+		is.True(10*wentOn >= 9*versionStreams)
+	})
 }
