--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -105,6 +105,7 @@
 		x.returnPermit(target)
 		return attemptResult{kind: resultStopping}
 	}
+	x.origin.begin(x.proxy.versions, x.service)
 	target.State.Begin()
 	defer target.State.End()
 	if x.sentAttempts++; x.sentAttempts == 1 {
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -317,6 +317,17 @@
 // and at least to MinPerSecond.
 var answerLookPolicy = bbroute.RetryPolicy{Ratio: 0.1, MinPerSecond: 0.25}
 
+// maxVersionsWait is how long after its start an instance that cannot begin streams
+// is not ready for that reason.
+const maxVersionsWait = 5 * time.Second
+
+// splitKey is the key in the platform's store of how streams are split among the
+// software versions of targets.
+const splitKey = "bluebellport/versions"
+
+// maxAttemptIDBytes is the longest id of an attempt that a client may take up.
+const maxAttemptIDBytes = 200
+
 // refusedKey is the key in the platform's store of the copy of the requests that
 // are refused because they crash targets.
 const refusedKey = "bluebellport/refused"
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -58,6 +58,7 @@
 	// passedOn reports that a part of a response's body was passed on before the
 	// rest had come, so that no other attempt can follow.
 	passedOn bool
+	origin   streamOrigin
 	chunk    []byte // reused for the chunks of a stream
 	stream   streamState
 	heard    heardResponse // of the latest attempt
@@ -77,6 +78,7 @@
 		return x.refuse(x.atStopEnd(refusal))
 	}
 	defer x.settle()
+	defer x.origin.end(x.proxy.versions)
 	return x.attemptUntilResponse()
 }
 
@@ -102,7 +104,7 @@
 		x.deadline = bbclock.Earlier(x.deadline, x.req.ReceivedAt.Add(timeout))
 	}
 	x.deadline = x.deadline.Add(-responseMargin)
-	x.service = x.route.PickService(rand.Float64())
+	x.service = x.route.PickService(x.serviceFraction())
 	x.fingerprint = x.req.Fingerprint(x.accountID())
 	x.parts = x.req.SharedParts()
 	if service := x.plan.Services[x.service]; service != nil && service.Engine != nil {
@@ -114,6 +116,9 @@
 	if refusal := x.checkCrashes(); refusal != nil {
 		return refusal
 	}
+	if refusal := x.pinVersion(); refusal != nil {
+		return refusal
+	}
 	return x.reserve()
 }
 
@@ -286,7 +291,7 @@
 	if service == nil {
 		return nil, refuseNotRun("no target of the service is known", defaultRetryAfter)
 	}
-	request := bbplace.Request{Domain: x.proxy.domain, Excluded: x.tried, Random: rand.Uint64(), Leaves: x.proxy.leavesFunc()}
+	request := bbplace.Request{Domain: x.proxy.domain, Excluded: x.tried, Random: rand.Uint64(), Leaves: x.proxy.leavesFunc(), Version: x.origin.pinned()}
 	if x.maxEventTokens > 0 {
 		request.PromptHash, request.SharedTokens = x.req.SharedPrefix()
 		request.PromptTokens = x.req.PromptTokens
@@ -320,6 +325,9 @@
 	if x.limitedAtSend {
 		fields["limit"] = x.limitAtSend
 	}
+	if x.origin.isPinned {
+		fields["version"] = x.origin.version
+	}
 	if result.err != nil {
 		fields["error"] = result.err.Error()
 	}
--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -376,7 +376,7 @@
 	}
 	changed := f.targets.Put(target)
 	if changed {
-		f.log.WithFields(logrus.Fields{"event": "target", "target": target.ID, "address": target.Address, "domain": target.Domain, "leaving": target.Leaving, "revision": e.Rev, "way": way.String()}).Info("target changed")
+		f.log.WithFields(logrus.Fields{"event": "target", "target": target.ID, "address": target.Address, "domain": target.Domain, "version": target.Version, "leaving": target.Leaving, "revision": e.Rev, "way": way.String()}).Info("target changed")
 	}
 	return changed
 }
--- a/bluebellport/proxy/forward.go
+++ b/bluebellport/proxy/forward.go
@@ -14,7 +14,7 @@
 // field.
 var endToEndFields = map[string]bool{
 	"attempt-id": true, "model": true, "token-usage": true, "prompt-prefix": true, "host": true, "last-event-id": true,
-	"length-hint": true,
+	"length-hint": true, "resumes": true,
 }
 
 // canonicalName returns the form in which field names are compared: lower case,
--- a/bluebellport/proxy/notice.go
+++ b/bluebellport/proxy/notice.go
@@ -99,7 +99,7 @@
 func (x *exchange) refuseUnusable(service *ServiceTargets, request *bbplace.Request) *Refusal {
 	first, now := time.Duration(0), x.proxy.now()
 	for _, target := range service.Candidates {
-		if request.IsLeaving(target) {
+		if request.IsLeaving(target) || !request.HasVersion(target) {
 			continue
 		}
 		left := target.State.PauseLeft(now)
@@ -110,6 +110,12 @@
 			first = left
 		}
 	}
+	if first == 0 && x.origin.isTakenUp {
+		return x.refuseTakeUp("no target serves the software version that began the stream any more", 0)
+	}
+	if first == 0 && x.origin.isPinned {
+		return refuseNotRun("no target of the software version that the stream would begin at", defaultRetryAfter)
+	}
 	if first == 0 {
 		return refuseNotRun("all targets of the service leave", defaultRetryAfter)
 	}
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"bluebellport.example/bluebellport/limit"
 	"bluebellport.example/bluebellport/spread"
 	"bluebellport.example/bluebellport/stop"
+	"bluebellport.example/bluebellport/version"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
@@ -48,6 +49,7 @@
 
 	limits       *bblimit.Keeper
 	leaving      *bbleave.Keeper
+	versions     *bbversion.Keeper
 	crashes      *bbcrash.Tracker
 	crashWatch   *crashWatch
 	retryBudgets sync.Map // bbunit.ServiceID -> *bbroute.RetryBudget
@@ -59,13 +61,15 @@
 	metrics   *proxyMetrics
 	startedAt time.Time
 	closing   atomic.Bool // set once idle client connections are to be closed
-	stop      bbstop.Stop
-	pulse     bbstop.Pulse
-	stopLines lineBudget
-	durations sync.Map   // bbplan.RouteID -> *bbstop.Durations
-	mu        sync.Mutex // guards conns
-	conns     map[*clientConn]bool
-	openConns sync.WaitGroup
+	// versionsKnown is set once this instance can begin streams of all services.
+	versionsKnown atomic.Bool
+	stop          bbstop.Stop
+	pulse         bbstop.Pulse
+	stopLines     lineBudget
+	durations     sync.Map   // bbplan.RouteID -> *bbstop.Durations
+	mu            sync.Mutex // guards conns
+	conns         map[*clientConn]bool
+	openConns     sync.WaitGroup
 }
 
 // Serve runs a proxy until ctx ends, then drains it: requests in flight have
@@ -126,6 +130,9 @@
 		Network: peers, Now: p.now, Apply: f.applyVersion, Seen: f.seenRevision, Read: func() { _, _ = f.readPlan(ctx) }, LinkRate: p.settings.LinkRate(), Log: p.log, Metrics: p.metrics.registry,
 	})
 	r := newRelay(peers, f, spreader) // takes messages from here on
+	p.versions = bbversion.New(bbversion.Config{
+		Network: peers, Store: store, StoreKey: splitKey, Now: p.now, Slots: p.slotsByVersion, IsWatcher: r.isWatcher, Log: p.log, Metrics: p.metrics.registry,
+	})
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
@@ -136,6 +143,7 @@
 	wg.Go(func() { p.crashes.Run(ctx) })
 	wg.Go(func() { p.limits.Run(ctx) })
 	wg.Go(func() { p.leaving.Run(ctx) })
+	wg.Go(func() { p.versions.Run(ctx) })
 	wg.Go(func() { instances.keepRegistered(ctx) })
 	wg.Go(func() { instances.watchInstances(ctx) })
 	wg.Go(func() {
--- a/bluebellport/proxy/ready.go
+++ b/bluebellport/proxy/ready.go
@@ -17,7 +17,7 @@
 func (p *Proxy) serveReady(ln net.Listener) {
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	app.Get(bbplatform.PathReadiness, func(c *fiber.Ctx) error {
-		if p.board.Ready() {
+		if p.board.Ready() && p.beginsStreams() {
 			return c.SendStatus(http.StatusOK)
 		}
 		return c.SendStatus(http.StatusServiceUnavailable)
@@ -28,6 +28,27 @@
 	}
 }
 
+// beginsStreams reports whether this instance has known since its start at which
+// software version streams begin, or has waited maxVersionsWait for that: other
+// requests need no version.
+func (p *Proxy) beginsStreams() bool {
+	if p.versionsKnown.Load() {
+		return true
+	}
+	known := p.now().Sub(p.startedAt) > maxVersionsWait
+	if !known {
+		known = true
+		for service := range p.slotsByVersion() {
+			_, ok := p.versions.Version(service, 0)
+			known = known && ok
+		}
+	}
+	if known {
+		p.versionsKnown.Store(true)
+	}
+	return known
+}
+
 // newIncarnation returns a random id that tells this run of the process from
 // earlier ones of the same instance.
 func newIncarnation() string {
--- a/bluebellport/proxy/request.go
+++ b/bluebellport/proxy/request.go
@@ -36,7 +36,9 @@
 	// response may have. Both are 0 unless HasUsage.
 	PromptTokens, OutputTokens bbunit.Tokens
 	HasUsage                   bool
-	LastEventID                string
+	// LastEventID is the last event that the client has of the stream that the
+	// attempt Resumes began.
+	LastEventID, Resumes string
 }
 
 // Path returns the URI without its query.
@@ -86,6 +88,7 @@
 var singletonFields = []string{
 	bbplatform.HeaderAttemptID, bbplatform.HeaderDeadline, bbplatform.HeaderAPIKey,
 	bbplatform.HeaderTokenUsage, bbplatform.HeaderPromptParts, "Model", bbplatform.HeaderLastEventID,
+	bbplatform.HeaderResumes,
 }
 
 // readFields parses the fields that the proxy uses.
@@ -103,6 +106,10 @@
 	r.AttemptID = r.Fields.Value(bbplatform.HeaderAttemptID)
 	r.APIKey = r.Fields.Value(bbplatform.HeaderAPIKey)
 	r.LastEventID = r.Fields.Value(bbplatform.HeaderLastEventID)
+	r.Resumes = r.Fields.Value(bbplatform.HeaderResumes)
+	if len(r.Resumes) > maxAttemptIDBytes || r.Resumes != "" && r.Resumes == r.AttemptID {
+		return errors.Annotatef(ErrMalformed, "resumed attempt %.40q", r.Resumes)
+	}
 	r.Timeout = defaultDeadline
 	if text, n := r.Fields.Get(bbplatform.HeaderDeadline); n == 1 {
 		timeout, ok := bbplatform.ParseDeadline(text)
--- /dev/null
+++ b/bluebellport/version/fleet_test.go
@@ -0,0 +1,357 @@
+package bbversion
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/bluebellport/emulate"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+var simSeeds = flag.Uint64("version-seeds", 1, "seeds of each simulated fleet")
+
+const (
+	simService = bbunit.ServiceID("llm")
+	// simBegins is the time between two streams, simLife how long a stream lasts.
+	simBegins = 10 * time.Millisecond
+	simLife   = 600 * time.Millisecond
+	// simReturn is after how long a client takes a broken stream up, simPatience how
+	// long it tries.
+	simReturn   = 100 * time.Millisecond
+	simPatience = 5 * time.Second
+	// simMaxMixed is how many streams may hold events of two versions.
+	simMaxMixed = 2
+	simSlots    = 16
+	simPlay     = 50 * time.Second
+)
+
+// simNode is one instance as its keeper sees the others.
+type simNode struct {
+	*bbemulate.Node
+	sim    *simulation
+	keeper *Keeper
+	lag    time.Duration // of what it knows of the targets
+	asks   func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope
+}
+
+func (n *simNode) Handle(sample *bbwire.Envelope, fn func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
+	if _, ok := sample.Body.(*bbwire.Envelope_Begunask); ok {
+		n.asks = fn
+		return
+	}
+	n.Node.Handle(sample, fn)
+}
+
+// Call asks another instance at once.
+func (n *simNode) Call(_ context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error) {
+	n.sim.calls.RLock()
+	defer n.sim.calls.RUnlock()
+	other := n.sim.byID[to]
+	if !other.Up || other.Cut != n.Cut {
+		return nil, errors.New("no answer")
+	}
+	return other.asks(n.Member.ID, e), nil
+}
+
+// Get, CAS and Era are the store, which a cut instance does not reach.
+func (n *simNode) Get(ctx context.Context, key string) (bbstore.Entry, error) {
+	if n.Cut {
+		return bbstore.Entry{}, bbstore.ErrDown
+	}
+	n.sim.reads++
+	return n.sim.store.Get(ctx, key)
+}
+
+func (n *simNode) CAS(ctx context.Context, key string, value []byte, prev bbstore.Revision, lease bbstore.LeaseID) (bbstore.Revision, error) {
+	if n.Cut {
+		return 0, bbstore.ErrDown
+	}
+	n.sim.writes++
+	return n.sim.store.CAS(ctx, key, value, prev, lease)
+}
+
+func (n *simNode) Era() bbstore.Era { return n.sim.store.Era() }
+
+// targetsAt are the targets of each version from a time on.
+type targetsAt struct {
+	at      time.Duration
+	targets map[string]int
+}
+
+// simulation is a fleet of keepers beside clients whose streams break.
+type simulation struct {
+	*bbemulate.Fleet
+	// calls is held while the fleet may change, which is whenever no instance waits
+	// for answers.
+	calls         sync.RWMutex
+	store         *bbstore.Mem
+	byID          map[bbunit.InstanceID]*simNode
+	targets       []targetsAt
+	began         time.Time
+	streamCount   int
+	reads, writes int
+	log           *logrus.Logger
+
+	begun, notBegun, mixed   int
+	takenUp, wentOn, refused int // while two targets of the version serve
+	killedAll                map[*simStream]bool
+	live                     map[*simStream]bool
+	lostUp, lostOn           int // the same of streams that a kill of all broke
+}
+
+// simStream is a stream of a client.
+type simStream struct {
+	key     StreamKey
+	version string
+	node    *simNode
+	inc     bbunit.Incarnation
+	breaks  int // how often it breaks yet
+}
+
+func newSimulation(instances int, loss float64, seed uint64, targets []targetsAt) *simulation {
+	s := &simulation{
+		store: bbstore.NewMem(), byID: map[bbunit.InstanceID]*simNode{}, targets: targets, log: logrus.New(),
+		killedAll: map[*simStream]bool{}, live: map[*simStream]bool{},
+	}
+	s.log.SetOutput(io.Discard)
+	var started []*bbemulate.Node
+	s.Fleet = bbemulate.NewFleet(instances, loss, seed, func(n *bbemulate.Node) {
+		if s.Fleet == nil {
+			started = append(started, n)
+			return
+		}
+		s.startKeeper(n)
+	})
+	s.calls.Lock()
+	s.began = s.Now()
+	for _, n := range started {
+		s.startKeeper(n)
+	}
+	return s
+}
+
+func (s *simulation) startKeeper(n *bbemulate.Node) {
+	node := &simNode{Node: n, sim: s, lag: time.Duration(50+s.Rand.IntN(550)) * time.Millisecond}
+	s.byID[n.Member.ID] = node
+	node.keeper = New(Config{
+		Network: node, Store: node, StoreKey: "versions", Now: s.Now, Rand: s.Rand.IntN, Log: s.log, Metrics: metrics.NewRegistry(),
+		Slots: func() map[bbunit.ServiceID]map[string]int {
+			slots := map[string]int{}
+			for version, n := range s.targetsBefore(node.lag) {
+				slots[version] = n * simSlots
+			}
+			return map[bbunit.ServiceID]map[string]int{simService: slots}
+		},
+		IsWatcher: func() bool { return node.View().Members[0].ID == n.Member.ID || n.Member.ID == bbunit.InstanceID("i1") },
+	})
+	n.Every(tickInterval, func() { node.keeper.Tick(context.Background()) })
+}
+
+// targetsBefore returns the targets that served a time ago.
+func (s *simulation) targetsBefore(lag time.Duration) map[string]int {
+	targets := s.targets[0].targets
+	for _, t := range s.targets {
+		if s.Now().Sub(s.began)-lag >= t.at {
+			targets = t.targets
+		}
+	}
+	return targets
+}
+
+// serve begins a stream each simBegins.
+func (s *simulation) serve() {
+	s.begin()
+	s.After(simBegins, s.serve)
+}
+
+func (s *simulation) begin() {
+	up := s.RandomNode()
+	if up == nil {
+		return
+	}
+	s.streamCount++
+	node := s.byID[up.Member.ID]
+	key := NewStreamKey(simService, "a", fmt.Sprint("attempt-", s.streamCount))
+	version, known := node.keeper.Version(simService, key)
+	if !known || s.targetsBefore(0)[version] == 0 {
+		s.notBegun++
+		return
+	}
+	s.begun++
+	stream := &simStream{key: key, version: version, breaks: s.Rand.IntN(3)}
+	s.pass(stream, node)
+}
+
+// pass lets an instance pass a stream on until it breaks or ends.
+func (s *simulation) pass(stream *simStream, node *simNode) {
+	stream.node, stream.inc = node, node.Member.Inc
+	s.live[stream] = true
+	node.keeper.Begin(simService, stream.key, stream.version)
+	lasts := simLife
+	if stream.breaks > 0 {
+		lasts = time.Duration(40+s.Rand.IntN(400)) * time.Millisecond
+	}
+	s.After(lasts, func() { s.endPass(stream, node) })
+}
+
+// endPass ends what pass began, also if the instance was killed meanwhile.
+func (s *simulation) endPass(stream *simStream, node *simNode) {
+	delete(s.live, stream)
+	killed := !node.Up || node.Member.Inc != stream.inc
+	if !killed {
+		node.keeper.End(stream.key)
+	}
+	if killed || stream.breaks > 0 {
+		stream.breaks--
+		s.takeUp(stream, s.Now().Add(simPatience))
+	}
+}
+
+// takeUp lets the client come back to any instance that lives.
+func (s *simulation) takeUp(stream *simStream, until time.Time) {
+	s.After(simReturn, func() {
+		up := s.RandomNode()
+		if up == nil {
+			if s.Now().Before(until) {
+				s.takeUp(stream, until)
+			}
+			return
+		}
+		node := s.byID[up.Member.ID]
+		s.calls.Unlock()
+		version, known := node.keeper.Find(context.Background(), simService, stream.key)
+		s.calls.Lock()
+		targets := s.targetsBefore(0)
+		switch {
+		case known && version != stream.version && targets[version] > 0:
+			s.mixed++
+		case known && version == stream.version && targets[version] > 0:
+			s.count(stream, targets, true)
+			s.pass(stream, node)
+		default:
+			s.count(stream, targets, false)
+		}
+	})
+}
+
+// count counts a stream that was taken up while two targets of its version serve.
+func (s *simulation) count(stream *simStream, targets map[string]int, wentOn bool) {
+	if targets[stream.version] < 2 {
+		return
+	}
+	up, on := &s.takenUp, &s.wentOn
+	if s.killedAll[stream] {
+		up, on = &s.lostUp, &s.lostOn
+	}
+	*up++
+	if wentOn {
+		*on++
+	}
+}
+
+// killAll kills all instances at once.
+func (s *simulation) killAll(down time.Duration) {
+	for stream := range s.live {
+		s.killedAll[stream] = true
+	}
+	s.KillShare(1, down)
+}
+
+// rollOut replaces the targets of one version by those of another, one by one.
+func rollOut(at, gap time.Duration, from, to string, before map[string]int, count int) []targetsAt {
+	var out []targetsAt
+	for i := range count {
+		after := map[string]int{}
+		for version, n := range before {
+			after[version] = n
+		}
+		after[to] += i + 1
+		if after[from] -= i + 1; after[from] <= 0 {
+			delete(after, from)
+		}
+		out = append(out, targetsAt{at + time.Duration(i)*gap, after})
+	}
+	return out
+}
+
+// TestStreamsAreTakenUpAtTheVersionThatBeganThem guards against streams that go on
+// at another version, and against streams that could go on and do not, whatever
+// becomes of the instances.
+func TestStreamsAreTakenUpAtTheVersionThatBeganThem(t *testing.T) {
+	t.Parallel()
+	both := []targetsAt{{0, map[string]int{"v1": 6, "v1.1": 6}}}
+	one := map[string]int{"v1": 10}
+	rolls := append([]targetsAt{{0, one}}, rollOut(6*time.Second, 400*time.Millisecond, "v1", "v1.1", one, 10)...)
+	rolls = append(rolls, rollOut(20*time.Second, 0, "v1.1", "v1.2", map[string]int{"v1.1": 10}, 10)...)
+	rolls = append(rolls, rollOut(32*time.Second, 400*time.Millisecond, "v1.2", "v1.3", map[string]int{"v1.2": 10}, 5)...)
+	kills := func(s *simulation) {
+		for _, at := range []time.Duration{8300, 23000, 41000} {
+			s.After(at*time.Millisecond, func() { s.KillShare(0.375, time.Second) })
+		}
+	}
+	killsOfAll := func(s *simulation) {
+		for _, at := range []time.Duration{8300, 8900, 23000, 41000} {
+			s.After(at*time.Millisecond, func() { s.killAll(500 * time.Millisecond) })
+		}
+	}
+	cut := func(s *simulation) {
+		s.After(5*time.Second, func() { s.CutDomain("d1", 9*time.Second) })
+		s.After(30*time.Second, func() { s.CutDomain("d2", 8*time.Second) })
+	}
+	for _, n := range []int{8, 30, 84, 295} {
+		for _, c := range []struct {
+			name    string
+			targets []targetsAt
+			loss    float64
+			trouble func(s *simulation)
+			// notTold reports that a kill of all amid a roll-out leaves nothing that
+			// tells the version of the streams that it moves.
+			notTold bool
+		}{
+			{"two versions", both, 0.01, func(*simulation) {}, false},
+			{"two versions, all killed", both, 0.01, killsOfAll, false},
+			{"roll-outs", rolls, 0.01, func(*simulation) {}, false},
+			{"roll-outs, three in eight killed", rolls, 0.01, kills, false},
+			{"roll-outs, all killed", rolls, 0.01, killsOfAll, true},
+			{"roll-outs, a domain cut off", rolls, 0.01, cut, false},
+			{"roll-outs, three in ten messages lost", rolls, 0.3, func(*simulation) {}, false},
+		} {
+			t.Run(fmt.Sprintf("%d instances, %s", n, c.name), func(t *testing.T) {
+				t.Parallel()
+				for seed := range *simSeeds {
+					s := newSimulation(n, c.loss, seed, c.targets)
+					s.After(3*time.Second, s.serve)
+					c.trouble(s)
+					s.Run(simPlay)
+					s.calls.Unlock()
+					t.Logf("seed %d: %d begun, %d not, %d mixed; taken up %d, went on %d; after kills of all %d, %d; %d reads, %d writes, %.1f messages a second for each instance",
+						seed, s.begun, s.notBegun, s.mixed, s.takenUp, s.wentOn, s.lostUp, s.lostOn, s.reads, s.writes, float64(s.Messages)/simPlay.Seconds()/float64(n))
+					if s.mixed > simMaxMixed {
+						t.Errorf("seed %d: %d streams hold events of two versions", seed, s.mixed)
+					}
+					up, on := s.takenUp, s.wentOn
+					if !c.notTold {
+						up, on = up+s.lostUp, on+s.lostOn
+					}
+					if 10*on < 9*up {
+						t.Errorf("seed %d: of %d streams taken up while two targets of their version serve %d went on", seed, up, on)
+					}
+					if 20*s.notBegun > s.begun {
+						t.Errorf("seed %d: %d streams did not begin, %d did", seed, s.notBegun, s.begun)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/bluebellport/version/news.go
@@ -0,0 +1,261 @@
+package bbversion
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"bluebellport.example/shared/bbmember"
+	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
+)
+
+// outgoing is a message to be sent once the lock is released.
+type outgoing struct {
+	to  bbunit.InstanceID
+	msg *bbwire.Versions
+}
+
+// news returns the messages about the split that are due.
+func (k *Keeper) news(now time.Time) []outgoing {
+	var out []outgoing
+	if k.dirty {
+		k.dirty = false
+		out = k.toRandom(floodFanout, k.withSplit(bbwire.Limits_NONE))
+	}
+	if k.rounds.CompareDue(now) {
+		out = append(out, k.toRandom(1, k.comparison(bbwire.Limits_COMPARE))...)
+	}
+	if k.rounds.QuestionDue(now) {
+		out = append(out, k.toRandom(learnFanout, k.comparison(bbwire.Limits_COMPARE))...)
+	}
+	return out
+}
+
+// comparison returns a message of a comparison, without the split.
+func (k *Keeper) comparison(step bbwire.Limits_Step) *bbwire.Versions {
+	current := k.state.Load()
+	return &bbwire.Versions{Step: step, Number: current.split.Number, Complete: current.complete}
+}
+
+// withSplit returns a message with the split.
+func (k *Keeper) withSplit(step bbwire.Limits_Step) *bbwire.Versions {
+	msg := k.comparison(step)
+	msg.Split = k.state.Load().split.encode()
+	return msg
+}
+
+// toRandom addresses a message to a few random instances.
+func (k *Keeper) toRandom(n int, msg *bbwire.Versions) []outgoing {
+	var out []outgoing
+	for _, id := range k.rounds.View().RandomOthers(n, k.cfg.Rand) {
+		out = append(out, outgoing{id, msg})
+	}
+	return out
+}
+
+// send sends messages. One about the split that is lost is repeated by what comes
+// later.
+func (k *Keeper) send(out []outgoing) {
+	for _, o := range out {
+		k.messages.Inc(1)
+		k.bytes.Inc(int64(proto.Size(o.msg)))
+		_ = k.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Versions{Versions: o.msg}})
+	}
+}
+
+// receive handles a message of another instance.
+func (k *Keeper) receive(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+	msg := e.GetVersions()
+	k.keepRecords(msg.GetStreams())
+	isNew := k.hear(from, msg.GetSplit(), msg.GetComplete())
+	if msg.GetComplete() {
+		k.learnComplete(msg.GetNumber())
+	}
+	k.mu.Lock()
+	k.rounds.Follow(k.cfg.Network.View(), k.cfg.Now())
+	own := k.state.Load().split.Number
+	step, withSplit := k.rounds.Answer(msg.GetStep(), msg.GetComplete(), msg.GetNumber(), own)
+	var out []outgoing
+	if isNew {
+		out = k.news(k.cfg.Now())
+	}
+	k.mu.Unlock()
+	switch {
+	case step == bbwire.Limits_NONE:
+	case withSplit && own > msg.GetNumber():
+		out = append(out, outgoing{from, k.withSplit(step)})
+	default:
+		out = append(out, outgoing{from, k.comparison(step)})
+	}
+	k.send(out)
+	return nil
+}
+
+// hear takes the split of another instance, empty for none, and reports whether it
+// is new.
+func (k *Keeper) hear(from bbunit.InstanceID, text []byte, complete bool) bool {
+	if len(text) == 0 {
+		return false
+	}
+	split, err := decodeSplit(text)
+	if err != nil {
+		k.dropped.Inc(1)
+		k.cfg.Log.WithError(err).WithField("peer", from).Warn("split of the versions of a peer dropped")
+		return false
+	}
+	return k.adopt(split, complete)
+}
+
+// keepRecords keeps the records of streams for another instance.
+func (k *Keeper) keepRecords(streams []*bbwire.Begun) {
+	now := k.cfg.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range streams[:min(len(streams), maxStreamsPerMessage)] {
+		if len(s.GetVersion()) <= maxVersionBytes {
+			k.streams.keep(StreamKey(s.GetStream()), s.GetVersion(), now)
+		}
+	}
+}
+
+// homes returns the instances that keep the record of a stream, but for this one.
+func homes(view *bbmember.View, key StreamKey) []bbmember.Member {
+	rank := view.Rank(strconv.FormatUint(uint64(key), 16), "", homeCount+1)
+	rank = slices.DeleteFunc(rank, func(m bbmember.Member) bool { return m.ID == view.Self.ID })
+	return rank[:min(len(rank), homeCount)]
+}
+
+// witnesses returns whom to ask about a stream: its homes, and an instance of
+// another failure domain if they are all of this one.
+func (k *Keeper) witnesses(view *bbmember.View, key StreamKey) []bbmember.Member {
+	out := homes(view, key)
+	isRemote := func(m bbmember.Member) bool { return m.Domain != view.Self.Domain }
+	if slices.ContainsFunc(out, isRemote) {
+		return out
+	}
+	var remote []bbmember.Member
+	for _, m := range view.Members {
+		if isRemote(m) {
+			remote = append(remote, m)
+		}
+	}
+	if len(remote) > 0 {
+		out = append(out, remote[k.cfg.Rand(len(remote))])
+	}
+	return out
+}
+
+// sendRecords tells the homes of streams which version began them.
+func (k *Keeper) sendRecords(versions map[StreamKey]string) {
+	view := k.cfg.Network.View()
+	byHome := map[bbunit.InstanceID][]*bbwire.Begun{}
+	for key, version := range versions {
+		for _, home := range homes(view, key) {
+			byHome[home.ID] = append(byHome[home.ID], &bbwire.Begun{Stream: uint64(key), Version: version})
+		}
+	}
+	var out []outgoing
+	for home, streams := range byHome {
+		for part := range slices.Chunk(streams, maxStreamsPerMessage) {
+			out = append(out, outgoing{home, &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part}})
+		}
+	}
+	k.records.Inc(int64(len(versions)))
+	k.send(out)
+}
+
+// answer tells another instance which version began a stream.
+func (k *Keeper) answer(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+	ask, current := e.GetBegunask(), k.state.Load()
+	tell := &bbwire.BegunTell{Complete: current.complete}
+	k.mu.Lock()
+	tell.Version, tell.Known = k.streams.find(StreamKey(ask.GetStream()))
+	k.mu.Unlock()
+	if current.split.Number > ask.GetNumber() {
+		tell.Split = current.split.encode()
+	}
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Beguntell{Beguntell: tell}}
+}
+
+// Find returns the version that began a stream which a client takes up again. It
+// is false if nothing tells it. It asks the homes of the stream and blocks for
+// askTimeout at most, or until ctx ends.
+func (k *Keeper) Find(ctx context.Context, service bbunit.ServiceID, key StreamKey) (version string, known bool) {
+	k.mu.Lock()
+	version, known = k.streams.find(key)
+	k.mu.Unlock()
+	source := "own"
+	if !known {
+		var inTouch bool
+		version, known, inTouch = k.ask(ctx, key)
+		source = "home"
+		if !known {
+			version, known = k.fromSplit(service, key, inTouch)
+			source = "split"
+		}
+	}
+	if !known {
+		k.unknown.Inc(1)
+		return "", false
+	}
+	k.found.Inc(1)
+	k.cfg.Log.WithFields(logrus.Fields{"event": "stream-found", "service": service, "version": version, "source": source}).Debug("version of a stream found")
+	return version, true
+}
+
+// fromSplit returns the version of a stream on which all epochs agree. An instance
+// that may have missed a newer split does not rely on its own: it has to be in touch
+// with other failure domains, or with the store.
+func (k *Keeper) fromSplit(service bbunit.ServiceID, key StreamKey, inTouch bool) (version string, known bool) {
+	k.mu.Lock()
+	confirmed := k.cfg.Now().Sub(k.confirmedAt) < confirmPeriod
+	k.mu.Unlock()
+	current := k.state.Load()
+	if !current.complete || !inTouch && !confirmed {
+		return "", false
+	}
+	return versionIn(current.split.Services[service], key)
+}
+
+// reply is what an instance knows of a stream; tell is nil if it did not answer.
+type reply struct {
+	from bbmember.Member
+	tell *bbwire.BegunTell
+}
+
+// ask asks the witnesses of a stream which version began it, and takes newer splits
+// from their answers. It reports whether an instance of another failure domain has
+// answered, or there is none.
+func (k *Keeper) ask(ctx context.Context, key StreamKey) (version string, known, inTouch bool) {
+	view := k.cfg.Network.View()
+	witnesses := k.witnesses(view, key)
+	inTouch = !slices.ContainsFunc(witnesses, func(m bbmember.Member) bool { return m.Domain != view.Self.Domain })
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	k.questions.Inc(int64(len(witnesses)))
+	question := &bbwire.BegunAsk{Stream: uint64(key), Number: k.state.Load().split.Number}
+	replies := make(chan reply, len(witnesses))
+	for _, m := range witnesses {
+		go func() {
+			e, err := k.cfg.Network.Call(ctx, m.ID, &bbwire.Envelope{Body: &bbwire.Envelope_Begunask{Begunask: question}})
+			if err != nil {
+				e = nil
+			}
+			replies <- reply{m, e.GetBeguntell()}
+		}()
+	}
+	for range witnesses {
+		r := <-replies
+		k.hear(r.from.ID, r.tell.GetSplit(), r.tell.GetComplete())
+		if r.tell.GetKnown() {
+			return r.tell.GetVersion(), true, true
+		}
+		inTouch = inTouch || r.tell.GetComplete() && r.from.Domain != view.Self.Domain
+	}
+	return "", false, inTouch
+}
--- a/shared/bbplace/place.go
+++ b/shared/bbplace/place.go
@@ -171,6 +171,15 @@
 	return (own + others) / float64(slots)
 }
 
+// SlotsOf returns how many requests the target says that it runs at once, or what is
+// assumed if it says nothing.
+func SlotsOf(t *Target) int {
+	if t.Slots <= 0 {
+		return defaultSlots
+	}
+	return t.Slots
+}
+
 // Request holds the properties of a request that matter for the choice.
 type Request struct {
 	Domain bbunit.DomainID
@@ -188,6 +197,8 @@
 	// Leaves reports whether a target has said otherwise than in its entry that it
 	// leaves; nil if none has.
 	Leaves func(t *Target) bool
+	// Version is the software version that a target must have; nil for any.
+	Version *string
 }
 
 // Access tells whether a request may use a target that may have a limit of its
@@ -270,6 +281,10 @@
 	return t.Leaving || r.Leaves != nil && r.Leaves(t)
 }
 
+// HasVersion reports whether a target has a software version that the request may
+// use.
+func (r *Request) HasVersion(t *Target) bool { return r.Version == nil || t.Version == *r.Version }
+
 // UncachedTokens returns how many tokens of the prompt a target must process, given
 // whether it has the shared prefix cached.
 func (r *Request) UncachedTokens(cached bool) bbunit.Tokens {
@@ -305,7 +320,7 @@
 
 // isOpen reports whether a target takes requests at all.
 func (t *Target) isOpen(req *Request, now time.Time) bool {
-	return !req.IsLeaving(t) && t.State.PauseLeft(now) == 0 && t.State.Circuit.Usable(now)
+	return !req.IsLeaving(t) && req.HasVersion(t) && t.State.PauseLeft(now) == 0 && t.State.Circuit.Usable(now)
 }
 
 // usable reports whether a target may get the request, apart from its load.
--- a/shared/bbplan/target.go
+++ b/shared/bbplan/target.go
@@ -19,6 +19,8 @@
 	// epoch, 0 if unknown. It tells a restarted target from its predecessor of the
 	// same id.
 	StartedAtMillis int64
+	// Version is that of the target's software, empty if unknown.
+	Version string
 }
 
 // TargetRun identifies one run of a target, from its start to its end.
