--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -325,6 +325,10 @@
 // software versions of targets.
 const splitKey = "bluebellport/versions"
 
+// streamLogPrefix is the key prefix in the platform's store of the logs of streams
+// whose version the split does not tell.
+const streamLogPrefix = "bluebellport/begun/"
+
 // maxAttemptIDBytes is the longest id of an attempt that a client may take up.
 const maxAttemptIDBytes = 200
 
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -131,7 +131,7 @@
 	})
 	r := newRelay(peers, f, spreader) // takes messages from here on
 	p.versions = bbversion.New(bbversion.Config{
-		Network: peers, Store: store, StoreKey: splitKey, Now: p.now, Slots: p.slotsByVersion, IsWatcher: r.isWatcher, Log: p.log, Metrics: p.metrics.registry,
+		Network: peers, Store: store, StoreKey: splitKey, LogPrefix: streamLogPrefix, Now: p.now, Slots: p.slotsByVersion, IsWatcher: r.isWatcher, Log: p.log, Metrics: p.metrics.registry,
 	})
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
 	wg.Go(func() { f.followPlan(ctx) })
--- a/bluebellport/proxy/version_test.go
+++ b/bluebellport/proxy/version_test.go
@@ -161,3 +161,87 @@
 		is.True(10*wentOn >= 9*versionStreams)
 	})
 }
+
+// takeUp takes a stream up after an event, with more header fields in turn.
+func (p *versionPlay) takeUp(last int, fields ...string) clientResult {
+	return p.call("POST", "/draft/1", "prompt", append([]string{bbplatform.HeaderTokenUsage, "100,120", bbplatform.HeaderLastEventID, strconv.Itoa(last)}, fields...)...)
+}
+
+// TestTakeUpThatNothingTellsIsRefused guards against streams that go on although
+// it is not known who began them, and against answers that leave the client unsure.
+func TestTakeUpThatNothingTellsIsRefused(t *testing.T) {
+	is := is.New(t)
+	p := newVersionPlay(t)
+	own := func() string { return fmt.Sprintf("attempt-%d", p.calls+1) }
+	is.Equal(p.takeUp(3, bbplatform.HeaderResumes, own()).status, http.StatusBadRequest)
+	is.Equal(p.takeUp(3, bbplatform.HeaderResumes, strings.Repeat("x", maxAttemptIDBytes+1)).status, http.StatusBadRequest)
+	is.Equal(p.sendRaw("POST /draft/1 HTTP/1.1\r\nHost: "+testHost+"\r\nAttempt-Id: two\r\nCredential: "+testKey+"\r\nToken-Usage: 100,120\r\nLast-Event-Id: 3\r\nResumes: a\r\nResumes: b\r\nContent-Length: 0\r\n\r\n"), "HTTP/1.1 400 Bad Request")
+	unnamed := p.takeUp(3)
+	is.Equal(unnamed.status, http.StatusServiceUnavailable)
+	is.Equal(unnamed.outcome, "not-run")
+	is.Equal(p.takeUp(0, bbplatform.HeaderResumes, "a").status, http.StatusOK) // the client has no event yet
+	ran := 0
+	for _, target := range p.targets {
+		ran += len(target.Executions())
+	}
+	is.Equal(ran, 1)
+}
+
+// TestStreamEndsWithItsVersion guards against streams that go on although no target
+// of their version serves any more, and against clients that are held for that.
+func TestStreamEndsWithItsVersion(t *testing.T) {
+	is := is.New(t)
+	p := newVersionPlay(t)
+	begun, last := p.beginStream(0, 3)
+	version := p.versionsOf(begun)[0]
+	for id, target := range p.targets {
+		if p.versions[id] == version {
+			is.NoErr(target.Register(t.Context(), p.mem, "draining"))
+		}
+	}
+	p.eventually("it is known that the version leaves", func() bool {
+		return strings.Count(p.logs.String(), `"leaving":true`) == 2
+	})
+	asked := time.Now()
+	r := p.takeUp(last, bbplatform.HeaderResumes, begun)
+	is.True(time.Since(asked) < 200*time.Millisecond)
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.Equal(r.outcome, "not-run")
+	is.Equal(r.header.Get("Retry-After"), "") // coming back can't help
+	p.eventually("streams begin at the other version", func() bool {
+		return p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120").status == http.StatusOK
+	})
+}
+
+// TestTakeUpOfATakeUpStaysAtItsVersion guards against streams that change their
+// version as they are taken up more than once.
+func TestTakeUpOfATakeUpStaysAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	p := newVersionPlay(t)
+	for i := range 10 {
+		begun, last := p.beginStream(i, 2)
+		attempts := []string{begun}
+		for range 3 {
+			r := p.takeUp(last, bbplatform.HeaderResumes, begun)
+			is.Equal(r.status, http.StatusOK)
+			attempts = append(attempts, fmt.Sprintf("attempt-%d", p.calls))
+			last++
+		}
+		is.Equal(len(p.versionsOf(attempts...)), 1)
+	}
+}
+
+// TestTargetsWithoutVersionTakeNothingUp guards against streams that go on where the
+// software version is not known, and against targets that are not used for that.
+func TestTargetsWithoutVersionTakeNothingUp(t *testing.T) {
+	is := is.New(t)
+	p := &versionPlay{harness: newHarness(t, 1000000), targets: map[string]*bbplatformstand.Target{}, versions: map[string]string{"a1": "", "a2": ""}}
+	for id := range p.versions {
+		p.targets[id] = p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Engine: true, EventCount: versionEvents, Pause: 2 * time.Millisecond})
+	}
+	p.start()
+	begun, last := p.beginStream(0, 3)
+	r := p.takeUp(last, bbplatform.HeaderResumes, begun)
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.Equal(r.outcome, "not-run")
+}
--- a/bluebellport/version/constants.go
+++ b/bluebellport/version/constants.go
@@ -52,6 +52,18 @@
 	confirmPeriod = 2 * time.Second
 )
 
+// Times and sizes of the logs of streams.
+const (
+	// logInterval is the time between two writes of a failure domain's log.
+	logInterval = 250 * time.Millisecond
+	// logRetention is how long a stream stays in a log.
+	logRetention = 15 * time.Second
+	// maxLogStreams is how many streams a log holds. The oldest are dropped.
+	maxLogStreams = 8192
+	// lookupInterval is the time between two reads of the logs.
+	lookupInterval = 500 * time.Millisecond
+)
+
 // Sizes of a split and of messages.
 const (
 	maxEpochs            = 32
--- a/bluebellport/version/fleet_test.go
+++ b/bluebellport/version/fleet_test.go
@@ -30,6 +30,10 @@
 	// long it tries.
 	simReturn   = 100 * time.Millisecond
 	simPatience = 5 * time.Second
+	// simTries is how often a client comes back after a refusal, simRetry how much
+	// later each time.
+	simTries = 3
+	simRetry = 300 * time.Millisecond
 	// simMaxMixed is how many streams may hold events of two versions.
 	simMaxMixed = 2
 	simSlots    = 16
@@ -64,7 +68,7 @@
 	return other.asks(n.Member.ID, e), nil
 }
 
-// Get, CAS and Era are the store, which a cut instance does not reach.
+// Get, List, CAS and Era are the store, which a cut instance does not reach.
 func (n *simNode) Get(ctx context.Context, key string) (bbstore.Entry, error) {
 	if n.Cut {
 		return bbstore.Entry{}, bbstore.ErrDown
@@ -73,6 +77,14 @@
 	return n.sim.store.Get(ctx, key)
 }
 
+func (n *simNode) List(ctx context.Context, prefix string) ([]bbstore.Entry, bbstore.Revision, error) {
+	if n.Cut {
+		return nil, 0, bbstore.ErrDown
+	}
+	n.sim.reads++
+	return n.sim.store.List(ctx, prefix)
+}
+
 func (n *simNode) CAS(ctx context.Context, key string, value []byte, prev bbstore.Revision, lease bbstore.LeaseID) (bbstore.Revision, error) {
 	if n.Cut {
 		return 0, bbstore.ErrDown
@@ -117,6 +129,7 @@
 	node    *simNode
 	inc     bbunit.Incarnation
 	breaks  int // how often it breaks yet
+	tries   int // how often it was refused
 }
 
 func newSimulation(instances int, loss float64, seed uint64, targets []targetsAt) *simulation {
@@ -145,7 +158,7 @@
 	node := &simNode{Node: n, sim: s, lag: time.Duration(50+s.Rand.IntN(550)) * time.Millisecond}
 	s.byID[n.Member.ID] = node
 	node.keeper = New(Config{
-		Network: node, Store: node, StoreKey: "versions", Now: s.Now, Rand: s.Rand.IntN, Log: s.log, Metrics: metrics.NewRegistry(),
+		Network: node, Store: node, StoreKey: "versions", LogPrefix: "begun/", Now: s.Now, Rand: s.Rand.IntN, Log: s.log, Metrics: metrics.NewRegistry(),
 		Slots: func() map[bbunit.ServiceID]map[string]int {
 			slots := map[string]int{}
 			for version, n := range s.targetsBefore(node.lag) {
@@ -220,7 +233,7 @@
 
 // takeUp lets the client come back to any instance that lives.
 func (s *simulation) takeUp(stream *simStream, until time.Time) {
-	s.After(simReturn, func() {
+	s.After(simReturn+time.Duration(stream.tries)*simRetry, func() {
 		up := s.RandomNode()
 		if up == nil {
 			if s.Now().Before(until) {
@@ -239,6 +252,9 @@
 		case known && version == stream.version && targets[version] > 0:
 			s.count(stream, targets, true)
 			s.pass(stream, node)
+		case stream.tries < simTries && targets[stream.version] >= 2:
+			stream.tries++
+			s.takeUp(stream, s.Now().Add(simPatience))
 		default:
 			s.count(stream, targets, false)
 		}
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -36,6 +36,7 @@
 // Store is the part of the platform's store that a Keeper uses.
 type Store interface {
 	Get(ctx context.Context, key string) (bbstore.Entry, error)
+	List(ctx context.Context, prefix string) ([]bbstore.Entry, bbstore.Revision, error)
 	CAS(ctx context.Context, key string, value []byte, prev bbstore.Revision, lease bbstore.LeaseID) (bbstore.Revision, error)
 	// Era returns the newest known era of the store.
 	Era() bbstore.Era
@@ -45,8 +46,9 @@
 type Config struct {
 	Network Network
 	Store   Store
-	// StoreKey is where the split is kept.
-	StoreKey string
+	// StoreKey is where the split is kept, LogPrefix the prefix of the logs of streams
+	// of each failure domain.
+	StoreKey, LogPrefix string
 	// Now is a steady clock.
 	Now func() time.Time
 	// Rand returns a random number below n.
@@ -75,18 +77,21 @@
 	// slots holds what Config.Slots returned last.
 	slots atomic.Pointer[map[bbunit.ServiceID]map[string]int]
 
-	messages, bytes, dropped, writes, reads metrics.Counter
-	records, questions, found, unknown      metrics.Counter
+	messages, bytes, dropped, writes, reads                 metrics.Counter
+	records, questions, found, unknown, logWrites, logReads metrics.Counter
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that send or receive a message or call the store.
 	mu      sync.Mutex
 	streams streams
+	log     streamLog
 	rounds  *bbnews.Rounds
 	dirty   bool // the split is to be flooded
 	// confirmedAt is when the store last showed that the split is the newest.
 	confirmedAt time.Time
 
+	lookup lookup // has a lock of its own
+
 	// The fields below are used by Tick only.
 
 	startedAt, nextRead, nextWrite time.Time
@@ -122,6 +127,7 @@
 	}
 	k := &Keeper{
 		cfg: cfg, messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"), writes: counter("writes"), reads: counter("reads"),
+		logWrites: counter("logwrites"), logReads: counter("logreads"),
 		records: counter("records"), questions: counter("questions"), found: counter("found"), unknown: counter("unknown"),
 		streams: streams{byKey: map[StreamKey]*stream{}}, rounds: bbnews.NewRounds(&times, cfg.Now()), startedAt: cfg.Now(),
 	}
@@ -149,8 +155,9 @@
 	k.rounds.Follow(k.cfg.Network.View(), now)
 	out := k.news(now)
 	k.mu.Unlock()
-	k.send(out)
+	k.send(append(out, k.sendLog()...))
 	k.followStore(ctx)
+	k.writeLog(ctx)
 }
 
 // Version returns the version at which a new stream begins. It is false if that is
--- a/bluebellport/version/news.go
+++ b/bluebellport/version/news.go
@@ -71,7 +71,7 @@
 // receive handles a message of another instance.
 func (k *Keeper) receive(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
 	msg := e.GetVersions()
-	k.keepRecords(msg.GetStreams())
+	k.keepRecords(msg.GetStreams(), msg.GetLog())
 	isNew := k.hear(from, msg.GetSplit(), msg.GetComplete())
 	if msg.GetComplete() {
 		k.learnComplete(msg.GetNumber())
@@ -111,13 +111,19 @@
 	return k.adopt(split, complete)
 }
 
-// keepRecords keeps the records of streams for another instance.
-func (k *Keeper) keepRecords(streams []*bbwire.Begun) {
+// keepRecords keeps the records of streams for another instance, or takes them for
+// the log of the failure domain.
+func (k *Keeper) keepRecords(streams []*bbwire.Begun, log bool) {
 	now := k.cfg.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, s := range streams[:min(len(streams), maxStreamsPerMessage)] {
-		if len(s.GetVersion()) <= maxVersionBytes {
+		switch {
+		case len(s.GetVersion()) > maxVersionBytes:
+			k.dropped.Inc(1)
+		case log:
+			k.log.add(StreamKey(s.GetStream()), s.GetVersion(), now)
+		default:
 			k.streams.keep(StreamKey(s.GetStream()), s.GetVersion(), now)
 		}
 	}
@@ -167,6 +173,11 @@
 	}
 	k.records.Inc(int64(len(versions)))
 	k.send(out)
+	k.mu.Lock()
+	for key, version := range versions {
+		k.log.pending = append(k.log.pending, &bbwire.Begun{Stream: uint64(key), Version: version})
+	}
+	k.mu.Unlock()
 }
 
 // answer tells another instance which version began a stream.
@@ -198,6 +209,10 @@
 			version, known = k.fromSplit(service, key, inTouch)
 			source = "split"
 		}
+		if !known {
+			version, known = k.fromLogs(ctx, key)
+			source = "log"
+		}
 	}
 	if !known {
 		k.unknown.Inc(1)
