--- a/bluebellport/proxy/streamorigin.go
+++ b/bluebellport/proxy/streamorigin.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/bluebellport/version"
 	"bluebellport.example/shared/bbplace"
@@ -34,6 +33,12 @@
 	return &o.version
 }
 
+// endsHere reports whether a stream that has started cannot go on at another target,
+// as its software version has no name.
+func (o *streamOrigin) endsHere(started bool) bool {
+	return started && o.isPinned && o.version == ""
+}
+
 // begin notes that the stream may begin now.
 func (o *streamOrigin) begin(versions *bbversion.Keeper, service bbunit.ServiceID) {
 	if o.isPinned && !o.begun {
@@ -96,7 +101,7 @@
 		ctx, cancel := x.withDeadline()
 		defer cancel()
 		if x.origin.version, known = x.proxy.versions.Find(ctx, x.service, x.origin.key); !known {
-			return x.refuseTakeUp("which software version began the stream is not known", defaultRetryAfter)
+			return x.refuseUnknownOrigin()
 		}
 	}
 	if earlier && x.origin.version == "" {
@@ -106,10 +111,21 @@
 	return nil
 }
 
+// refuseUnknownOrigin refuses to go on with a stream of which nothing tells the
+// version. Coming back helps only if this instance has just started.
+func (x *exchange) refuseUnknownOrigin() *Refusal {
+	after := time.Duration(0)
+	if !x.proxy.versions.Complete() {
+		after = defaultRetryAfter
+	}
+	return x.refuseTakeUp("which software version began the stream is not known", after)
+}
+
 // refuseTakeUp refuses to go on with a stream that an earlier attempt began.
 func (x *exchange) refuseTakeUp(reason string, retryAfter time.Duration) *Refusal {
 	refusal := refuseNotRun(reason, retryAfter)
-	refusal.LogFields = logrus.Fields{"resumes": x.req.Resumes, "last": x.req.LastEventID, "service": x.service}
+	refusal.LogFields = x.proxy.versions.Beliefs(x.service)
+	refusal.LogFields["resumes"], refusal.LogFields["last"], refusal.LogFields["service"] = x.req.Resumes, x.req.LastEventID, x.service
 	if x.origin.isPinned {
 		refusal.LogFields["version"] = x.origin.version
 	}
--- a/bluebellport/proxy/version_test.go
+++ b/bluebellport/proxy/version_test.go
@@ -237,11 +237,17 @@
 	is := is.New(t)
 	p := &versionPlay{harness: newHarness(t, 1000000), targets: map[string]*bbplatformstand.Target{}, versions: map[string]string{"a1": "", "a2": ""}}
 	for id := range p.versions {
-		p.targets[id] = p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Engine: true, EventCount: versionEvents, Pause: 2 * time.Millisecond})
+		p.targets[id] = p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Engine: true, EventCount: versionEvents, Pause: 2 * time.Millisecond, Versionless: true})
 	}
 	p.start()
 	begun, last := p.beginStream(0, 3)
 	r := p.takeUp(last, bbplatform.HeaderResumes, begun)
 	is.Equal(r.status, http.StatusServiceUnavailable)
 	is.Equal(r.outcome, "not-run")
+	for _, target := range p.targets {
+		target.SetFault(bbplatformstand.FaultBegunTruncated, -1)
+	}
+	r = p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120")
+	is.True(r.err != nil) // broken off, and not joined
+	is.Equal(len(p.targets["a1"].Executions())+len(p.targets["a2"].Executions()), 2)
 }
--- a/bluebellport/version/constants.go
+++ b/bluebellport/version/constants.go
@@ -13,7 +13,7 @@
 	activationDelay = time.Second
 	// epochRetention is how long after it was superseded an epoch is kept: streams
 	// that began by it may still be taken up.
-	epochRetention = 30 * time.Second
+	epochRetention = 20 * time.Second
 	// minChangeInterval is the time between two changes of a service's split.
 	minChangeInterval = time.Second
 	// writerTakeover is how much longer each instance waits than the one before it
@@ -55,7 +55,7 @@
 // Times and sizes of the logs of streams.
 const (
 	// logInterval is the time between two writes of a failure domain's log.
-	logInterval = 250 * time.Millisecond
+	logInterval = 100 * time.Millisecond
 	// logRetention is how long a stream stays in a log.
 	logRetention = 15 * time.Second
 	// maxLogStreams is how many streams a log holds. The oldest are dropped.
@@ -75,7 +75,7 @@
 
 // Times and sizes of the news.
 const (
-	tickInterval = 100 * time.Millisecond
+	tickInterval = 50 * time.Millisecond
 	// floodFanout is how many instances each instance tells of a new split,
 	// learnFanout how many are asked by one that has just started.
 	floodFanout = 4
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -192,6 +192,10 @@
 	return version, slots[version] > 0
 }
 
+// Complete reports whether this instance knows what the store, or an instance that
+// knew its split, had when it started.
+func (k *Keeper) Complete() bool { return k.state.Load().complete }
+
 // active returns the epoch by which streams begin, nil if there is none.
 func (s *state) active(service bbunit.ServiceID, now time.Time) *Epoch {
 	epochs := s.split.Services[service]
--- a/bluebellport/version/log.go
+++ b/bluebellport/version/log.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"bluebellport.example/shared/bbmember"
@@ -183,6 +184,18 @@
 	readAt  time.Time
 }
 
+// Beliefs returns what an answer about a stream of a service rests on, for the log.
+func (k *Keeper) Beliefs(service bbunit.ServiceID) logrus.Fields {
+	current := k.state.Load()
+	k.lookup.mu.Lock()
+	defer k.lookup.mu.Unlock()
+	fields := logrus.Fields{"split": current.split.Number, "epochs": len(current.split.Services[service]), "complete": current.complete, "logged": len(k.lookup.streams)}
+	if !k.lookup.readAt.IsZero() {
+		fields["age"] = k.cfg.Now().Sub(k.lookup.readAt).Milliseconds()
+	}
+	return fields
+}
+
 // fromLogs returns the version of a stream that is in the log of a failure domain.
 // It reads the logs if it has not done so of late, and blocks for that.
 func (k *Keeper) fromLogs(ctx context.Context, key StreamKey) (version string, known bool) {
