GONE: look whether the client has left right before a request is sent

Cause: an instance that falls behind reads a request long after it was sent, and counts its time from then; that the client has closed its connection meanwhile is learned by a second goroutine, which may run later than the send.

Change: the client's socket is looked at, without blocking, before each send.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -90,6 +90,12 @@
 		x.returnPermit(target)
 		return attemptResult{kind: resultGone}
 	}
+	if x.client.hasLeft() {
+		x.gone.set()
+		x.releaseConn(conn)
+		x.returnPermit(target)
+		return attemptResult{kind: resultGone}
+	}
 	if !x.mayUse(target) {
 		x.releaseConn(conn)
 		x.returnPermit(target)
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -19,9 +19,12 @@
 // request a second one detects when the client closes the connection.
 type clientConn struct {
 	net.Conn
-	br    *bufio.Reader
-	proxy *Proxy
-	phase connPhase
+	socket net.Conn // below Conn, which counts its bytes
+	br     *bufio.Reader
+	proxy  *Proxy
+	phase  connPhase
+	// hasNext is set while bytes of the next request have been read.
+	hasNext atomic.Bool
 	// current is the request in flight, nil if there is none.
 	current atomic.Pointer[exchange]
 }
@@ -89,12 +92,15 @@
 // reports whether the connection can be reused.
 func (c *clientConn) handle(req *Request, body *buffer) bool {
 	gone, peekDone := newSignal(), make(chan struct{})
+	c.hasNext.Store(c.br.Buffered() > 0)
 	c.readBy(time.Time{})
 	go func() {
 		defer close(peekDone)
 		if _, err := c.br.Peek(1); err != nil {
 			gone.set()
+			return
 		}
+		c.hasNext.Store(true)
 	}()
 	x := &exchange{proxy: c.proxy, client: c, req: req, gone: gone}
 	stopAbort := x.abortOnceGone()
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -171,8 +171,8 @@
 			time.Sleep(minStoreBackoff)
 			continue
 		}
-		conn = p.traffic.count(conn)
-		client := &clientConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), proxy: p}
+		counted := p.traffic.count(conn)
+		client := &clientConn{Conn: counted, socket: conn, br: bufio.NewReaderSize(counted, bufferSize), proxy: p}
 		p.mu.Lock()
 		p.conns[client] = true
 		p.mu.Unlock()
