--- a/bluebellport/version/constants.go
+++ b/bluebellport/version/constants.go
@@ -26,8 +26,8 @@
 	refreshInterval = 2 * time.Second
 	// storeTimeout bounds a call of the store.
 	storeTimeout = 2 * time.Second
-	// startWait is how long an instance that does not watch the store waits at its
-	// start for a peer to tell it the split.
+	// startWait is the longest that an instance waits at its start for a peer to tell
+	// it the split, and between two reads that fail.
 	startWait = 500 * time.Millisecond
 	// maxChangedShare is by how much the share of a version may differ from that of
 	// its targets, maxChangedRatio the same as a part of the share.
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -94,7 +94,7 @@
 
 	// The fields below are used by Tick only.
 
-	startedAt, nextRead, nextWrite time.Time
+	nextRead, nextWrite time.Time
 	// revision is the store's revision of the split that was read or written last,
 	// readEra the store's era at the last read. behind reports that the store had an
 	// older split than this instance.
@@ -129,7 +129,7 @@
 		cfg: cfg, messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"), writes: counter("writes"), reads: counter("reads"),
 		logWrites: counter("logwrites"), logReads: counter("logreads"),
 		records: counter("records"), questions: counter("questions"), found: counter("found"), unknown: counter("unknown"),
-		streams: streams{byKey: map[StreamKey]*stream{}}, rounds: bbnews.NewRounds(&times, cfg.Now()), startedAt: cfg.Now(),
+		streams: streams{byKey: map[StreamKey]*stream{}}, rounds: bbnews.NewRounds(&times, cfg.Now()),
 	}
 	k.state.Store(&state{split: &Split{}})
 	k.slots.Store(&map[bbunit.ServiceID]map[string]int{})
--- a/bluebellport/version/writer.go
+++ b/bluebellport/version/writer.go
@@ -51,15 +51,19 @@
 	return rank, rank >= 0
 }
 
-// readDue reports whether the split has to be read from the store: an instance that
-// has just started waits for its peers first, and one that watches the store for
-// others looks again and again while a split may change.
+// readDue reports whether the split has to be read from the store. Of instances that
+// start together few read it, after random times, and the others learn it from them.
+// One that watches the store for others looks again and again while a split may
+// change.
 func (k *Keeper) readDue(current *state, now time.Time) bool {
+	if !current.complete && k.nextRead.IsZero() && len(k.cfg.Network.View().Members) > 1 {
+		k.nextRead = now.Add(time.Duration(k.cfg.Rand(int(startWait))))
+	}
 	if now.Before(k.nextRead) {
 		return false
 	}
 	if !current.complete {
-		return k.cfg.IsWatcher() || len(k.cfg.Network.View().Members) <= 1 || now.Sub(k.startedAt) > startWait
+		return true
 	}
 	return k.cfg.IsWatcher() && (k.cfg.Store.Era() != k.readEra || current.split.isMoving() || k.hasSeveralVersions())
 }
