--- a/bluebellport/proxy/version_test.go
+++ b/bluebellport/proxy/version_test.go
@@ -30,6 +30,9 @@
 	*harness
 	targets  map[string]*bbplatformstand.Target
 	versions map[string]string // by target
+	// takenUp counts the streams that were taken up, wentOn and mixed those that went
+	// on and those with events of two versions.
+	takenUp, wentOn, mixed int
 }
 
 func newVersionPlay(t *testing.T) *versionPlay {
@@ -95,6 +98,27 @@
 	return attempt, last
 }
 
+// follow takes a stream up and counts what became of it.
+func (p *versionPlay) follow(attempt string, last int) {
+	p.takenUp++
+	if r := p.takeUp(last, bbplatform.HeaderResumes, attempt); r.err == nil && r.status == http.StatusOK {
+		p.wentOn++
+	}
+	if len(p.versionsOf(attempt, fmt.Sprintf("attempt-%d", p.calls))) > 1 {
+		p.mixed++
+	}
+}
+
+// checkTakenUp checks that nearly all streams went on, and at the version that began
+// them.
+func (p *versionPlay) checkTakenUp() {
+	is := is.New(p.t)
+	p.t.Logf("%d streams taken up, %d went on, %d with events of two versions", p.takenUp, p.wentOn, p.mixed)
+	is.Equal(p.takenUp, versionStreams)
+	is.True(p.mixed <= maxMixedStreams)
+	is.True(10*p.wentOn >= 9*p.takenUp)
+}
+
 // TestStreamGoesOnOnlyAtTheVersionThatBeganIt guards against streams whose events two
 // software versions have written, and against streams that could go on and do not.
 func TestStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
@@ -119,46 +143,25 @@
 		is.True(10*wentOn >= 9*versionStreams)
 	})
 	t.Run("over the client's tries", func(t *testing.T) {
-		is := is.New(t)
 		p := newVersionPlay(t)
-		mixed, wentOn := 0, 0
 		for i := range versionStreams {
-			begun, last := p.beginStream(i, 3)
-			r := p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120", bbplatform.HeaderLastEventID, strconv.Itoa(last), "Resumes", begun)
-			if r.err == nil && r.status == http.StatusOK {
-				wentOn++
-			}
-			if len(p.versionsOf(begun, fmt.Sprintf("attempt-%d", p.calls))) > 1 {
-				mixed++
-			}
+			p.follow(p.beginStream(i, 3))
 		}
-		t.Logf("%d streams taken up, %d went on, %d with events of two versions", versionStreams, wentOn, mixed)
-		is.True(mixed <= maxMixedStreams)
-		is.True(10*wentOn >= 9*versionStreams)
+		p.checkTakenUp()
 	})
 	t.Run("over the client's tries, all instances killed between them", func(t *testing.T) {
-		is := is.New(t)
 		p := newVersionPlay(t)
-		var begun []string
+		var attempts []string
 		var last []int
 		for i := range versionStreams {
 			attempt, event := p.beginStream(i, 3)
-			begun, last = append(begun, attempt), append(last, event)
+			attempts, last = append(attempts, attempt), append(last, event)
 		}
 		p.restart()
-		mixed, wentOn := 0, 0
-		for i, attempt := range begun {
-			r := p.call("POST", "/draft/1", "prompt", bbplatform.HeaderTokenUsage, "100,120", bbplatform.HeaderLastEventID, strconv.Itoa(last[i]), "Resumes", attempt)
-			if r.err == nil && r.status == http.StatusOK {
-				wentOn++
-			}
-			if len(p.versionsOf(attempt, fmt.Sprintf("attempt-%d", p.calls))) > 1 {
-				mixed++
-			}
+		for i, attempt := range attempts {
+			p.follow(attempt, last[i])
 		}
-		t.Logf("%d streams taken up, %d went on, %d with events of two versions", versionStreams, wentOn, mixed)
-		is.True(mixed <= maxMixedStreams)
-		is.True(10*wentOn >= 9*versionStreams)
+		p.checkTakenUp()
 	})
 }
 
