ORDER: tell homes again of streams that go on, and keep one log for a small fleet

Cause: a home's record of a stream expired a minute after the last word, also if the stream still went on; where the split has moved it meanwhile, its take-up went on at a wrong version: 55 of 100 in the new test, now 0. Found by reading.

Change: instances tell homes and logs of open streams each 10 s. Streams go to the log's writer at once. A fleet of up to 16 instances has one log, written at most each 50 ms.

--- a/bluebellport/version/constants.go
+++ b/bluebellport/version/constants.go
@@ -41,6 +41,8 @@
 	// where it began, recordRetention how long a home keeps its record.
 	streamRetention = 30 * time.Second
 	recordRetention = time.Minute
+	// recordRefresh is the time between two tellings of a stream that goes on.
+	recordRefresh = 10 * time.Second
 	// maxStreams is how many streams an instance knows. Records that do not fit are
 	// dropped; their streams are not taken up.
 	maxStreams = 1 << 16
@@ -54,8 +56,11 @@
 
 // Times and sizes of the logs of streams.
 const (
-	// logInterval is the time between two writes of a failure domain's log.
-	logInterval = 100 * time.Millisecond
+	// logInterval is the time between two writes of a failure domain's log,
+	// fleetLogInterval the same of the log of a fleet of up to maxOneLog instances.
+	logInterval      = 100 * time.Millisecond
+	fleetLogInterval = 50 * time.Millisecond
+	maxOneLog        = 16
 	// logRetention is how long a stream stays in a log.
 	logRetention = 15 * time.Second
 	// maxLogStreams is how many streams a log holds. The oldest are dropped.
--- a/bluebellport/version/fleet_test.go
+++ b/bluebellport/version/fleet_test.go
@@ -379,3 +379,44 @@
 		}
 	}
 }
+
+// TestLongStreamIsTakenUpAtItsVersion guards against records that expire before
+// their stream has ended, so that a later split tells a wrong version.
+func TestLongStreamIsTakenUpAtItsVersion(t *testing.T) {
+	t.Parallel()
+	one := map[string]int{"v1": 10}
+	targets := append([]targetsAt{{0, one}}, rollOut(6*time.Second, 400*time.Millisecond, "v1", "v1.1", one, 5)...)
+	s := newSimulation(8, 0.01, 1, targets)
+	s.Run(4 * time.Second)
+	node := s.byID["i0"]
+	var keys []StreamKey
+	for i := range 100 {
+		key := NewStreamKey(simService, "a", fmt.Sprint("long-", i))
+		version, known := node.keeper.Version(simService, key)
+		if !known || version != "v1" {
+			t.Fatalf("begins at %q, %v", version, known)
+		}
+		node.keeper.Begin(simService, key, version)
+		keys = append(keys, key)
+	}
+	s.serve() // beside others, for which room is made
+	s.Run(2 * recordRetention)
+	s.Kill(node.Node)
+	s.Run(time.Second)
+	wrong, found := 0, 0
+	for _, key := range keys {
+		s.calls.Unlock()
+		version, known := s.byID["i1"].keeper.Find(context.Background(), simService, key)
+		s.calls.Lock()
+		if known && version == "v1" {
+			found++
+		} else if known {
+			wrong++
+		}
+	}
+	s.calls.Unlock()
+	t.Logf("%d of %d found, %d at a wrong version", found, len(keys), wrong)
+	if wrong > 0 || found < len(keys)*9/10 {
+		t.Errorf("%d of %d streams found, %d at a wrong version", found, len(keys), wrong)
+	}
+}
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -94,7 +94,7 @@
 
 	// The fields below are used by Tick only.
 
-	nextRead, nextWrite time.Time
+	nextRead, nextWrite, nextRefresh time.Time
 	// revision is the store's revision of the split that was read or written last,
 	// readEra the store's era at the last read. behind reports that the store had an
 	// older split than this instance.
@@ -155,7 +155,11 @@
 	k.rounds.Follow(k.cfg.Network.View(), now)
 	out := k.news(now)
 	k.mu.Unlock()
-	k.send(append(out, k.sendLog()...))
+	k.send(out)
+	if !now.Before(k.nextRefresh) {
+		k.nextRefresh = now.Add(recordRefresh)
+		k.refreshRecords()
+	}
 	k.followStore(ctx)
 	k.writeLog(ctx)
 }
@@ -296,6 +300,20 @@
 	return unclear
 }
 
+// refreshRecords tells the homes again of streams that this instance still passes on,
+// so that no record expires before its stream has ended.
+func (k *Keeper) refreshRecords() {
+	k.mu.Lock()
+	unclear := k.unclearStreams(k.state.Load().split)
+	for key := range unclear {
+		if k.streams.byKey[key].open == 0 {
+			delete(unclear, key)
+		}
+	}
+	k.mu.Unlock()
+	k.sendRecords(unclear)
+}
+
 // logSplit logs the newest epoch of each service.
 func (k *Keeper) logSplit(split *Split) {
 	for _, service := range split.services() {
--- a/bluebellport/version/log.go
+++ b/bluebellport/version/log.go
@@ -18,17 +18,19 @@
 	"bluebellport.example/shared/bbwire"
 )
 
-// logKey is the rendezvous hash key that ranks a failure domain's instances as
-// writers of its log.
-const logKey = "begun"
+// logKey is the rendezvous hash key that ranks instances as writers of their log,
+// fleetLog the name of the log of a small fleet.
+const (
+	logKey   = "begun"
+	fleetLog = "*"
+)
 
-// streamLog holds the streams that go into the log of the failure domain. The
+// streamLog holds the streams that go into the log of the failure domain, or of a
+// small fleet. The
 // homes' records do not outlive a kill of all instances; the log does, but for the
 // streams of its last interval. All instances of a domain send theirs to one of
 // them, so that the store gets one write for many streams. The caller locks.
 type streamLog struct {
-	// pending are streams of this instance to be sent to the log's writer.
-	pending []*bbwire.Begun
 	// entries are the streams that this instance writes, changed reports that some
 	// are not written yet.
 	entries map[StreamKey]logEntry
@@ -37,6 +39,7 @@
 	// The fields below are used by Tick only.
 
 	nextWrite time.Time
+	key       string // of the last write
 	revision  bbstore.Revision
 }
 
@@ -46,15 +49,15 @@
 	at      time.Time // when it was added
 }
 
-// add adds a stream.
+// add adds a stream, or keeps it for longer.
 func (l *streamLog) add(key StreamKey, version string, now time.Time) {
 	if l.entries == nil {
 		l.entries = map[StreamKey]logEntry{}
 	}
 	if _, known := l.entries[key]; !known {
-		l.entries[key] = logEntry{version, now}
 		l.changed = true
 	}
+	l.entries[key] = logEntry{version, now}
 }
 
 // prune drops the streams that nobody takes up any more, and the oldest of too
@@ -89,35 +92,43 @@
 	return text
 }
 
-// sendLog returns the messages that take the streams of this instance to the writer
-// of its domain's log. If that is this instance itself, it takes them.
-func (k *Keeper) sendLog() []outgoing {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	pending := k.log.pending
-	if len(pending) == 0 {
-		return nil
-	}
-	k.log.pending = nil
-	view, now := k.cfg.Network.View(), k.cfg.Now()
-	writer, found := logWriter(view)
-	if !found || writer == view.Self.ID {
-		for _, s := range pending {
+// toLog returns the messages that take streams of this instance to the writer of its
+// domain's log. If that is this instance itself, it takes them.
+func (k *Keeper) toLog(view *bbmember.View, streams []*bbwire.Begun) []outgoing {
+	writer := logPlace(view).writer
+	if writer == "" || writer == view.Self.ID {
+		now := k.cfg.Now()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, s := range streams {
 			k.log.add(StreamKey(s.Stream), s.Version, now)
 		}
 		return nil
 	}
 	var out []outgoing
-	for part := range slices.Chunk(pending, maxStreamsPerMessage) {
+	for part := range slices.Chunk(streams, maxStreamsPerMessage) {
 		out = append(out, outgoing{writer, &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part, Log: true}})
 	}
 	return out
 }
 
-// logWriter returns the instance that writes the log of this failure domain.
-func logWriter(view *bbmember.View) (bbunit.InstanceID, bool) {
-	m, found := view.Home(logKey, view.Self.Domain)
-	return m.ID, found
+// place is where an instance's streams are logged.
+type place struct {
+	writer bbunit.InstanceID // empty if there is none
+	// name is that of the log, interval the time between two writes.
+	name     string
+	interval time.Duration
+}
+
+// logPlace returns the log of this instance: that of its failure domain, or of the
+// whole fleet if that is small. One writer can then write more often.
+func logPlace(view *bbmember.View) place {
+	if len(view.Members) <= maxOneLog {
+		m, _ := view.Home(logKey, "")
+		return place{m.ID, fleetLog, fleetLogInterval}
+	}
+	m, _ := view.Home(logKey, view.Self.Domain)
+	return place{m.ID, string(view.Self.Domain), logInterval}
 }
 
 // writeLog writes the domain's log to the store, if it has changed.
@@ -137,11 +148,15 @@
 	if !due {
 		return
 	}
-	k.log.nextWrite = now.Add(logInterval)
+	to := logPlace(k.cfg.Network.View())
+	k.log.nextWrite = now.Add(to.interval)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	k.logWrites.Inc(1)
-	key := k.cfg.LogPrefix + string(k.cfg.Network.View().Self.Domain)
+	key := k.cfg.LogPrefix + to.name
+	if key != k.log.key {
+		k.log.key, k.log.revision = key, 0
+	}
 	rev, err := k.cfg.Store.CAS(ctx, key, text, k.log.revision, 0)
 	if err == nil {
 		k.log.revision = rev
--- a/bluebellport/version/news.go
+++ b/bluebellport/version/news.go
@@ -156,13 +156,17 @@
 	return out
 }
 
-// sendRecords tells the homes of streams which version began them.
+// sendRecords tells the homes of streams, and the writer of the domain's log, which
+// version began them.
 func (k *Keeper) sendRecords(versions map[StreamKey]string) {
 	view := k.cfg.Network.View()
 	byHome := map[bbunit.InstanceID][]*bbwire.Begun{}
+	var all []*bbwire.Begun
 	for key, version := range versions {
+		begun := &bbwire.Begun{Stream: uint64(key), Version: version}
+		all = append(all, begun)
 		for _, home := range homes(view, key) {
-			byHome[home.ID] = append(byHome[home.ID], &bbwire.Begun{Stream: uint64(key), Version: version})
+			byHome[home.ID] = append(byHome[home.ID], begun)
 		}
 	}
 	var out []outgoing
@@ -172,12 +176,7 @@
 		}
 	}
 	k.records.Inc(int64(len(versions)))
-	k.send(out)
-	k.mu.Lock()
-	for key, version := range versions {
-		k.log.pending = append(k.log.pending, &bbwire.Begun{Stream: uint64(key), Version: version})
-	}
-	k.mu.Unlock()
+	k.send(append(out, k.toLog(view, all)...))
 }
 
 // answer tells another instance which version began a stream.
