--- a/bluebellport/version/log.go
+++ b/bluebellport/version/log.go
@@ -26,10 +26,9 @@
 )
 
 // streamLog holds the streams that go into the log of the failure domain, or of a
-// small fleet. The
-// homes' records do not outlive a kill of all instances; the log does, but for the
-// streams of its last interval. All instances of a domain send theirs to one of
-// them, so that the store gets one write for many streams. The caller locks.
+// small fleet. The homes' records do not outlive a kill of all instances; the log
+// does, but for the streams of its last interval. All instances send theirs to one
+// of them, so that the store gets one write for many streams. The caller locks.
 type streamLog struct {
 	// entries are the streams that this instance writes, changed reports that some
 	// are not written yet.
@@ -93,7 +92,7 @@
 }
 
 // toLog returns the messages that take streams of this instance to the writer of its
-// domain's log. If that is this instance itself, it takes them.
+// log. If that is this instance itself, it takes them.
 func (k *Keeper) toLog(view *bbmember.View, streams []*bbwire.Begun) []outgoing {
 	writer := logPlace(view).writer
 	if writer == "" || writer == view.Self.ID {
