--- a/e2e/native_version_test.go
+++ b/e2e/native_version_test.go
@@ -87,9 +87,9 @@
 }
 
 func (p *versionPlay) addTarget(id, version, domain string) {
-	target := p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Domain: domain, Engine: true, EventCount: versionEvents, Pause: versionPause, Version: version})
-	p.mu.Lock()
+	p.mu.Lock() // also for the fleet's list of targets
 	defer p.mu.Unlock()
+	target := p.startTarget(bbplatformstand.TargetOptions{ID: id, Service: "llm", Domain: domain, Engine: true, EventCount: versionEvents, Pause: versionPause, Version: version})
 	p.versions[target] = version
 }
 
@@ -98,8 +98,8 @@
 func (p *versionPlay) rollOut(ctx context.Context) {
 	for i := range 6 {
 		p.addTarget(fmt.Sprint("new-", i), "v1.1", fmt.Sprint("domain-", i%3))
-		old := p.targets[i]
 		p.mu.Lock()
+		old := p.targets[i]
 		p.gone[old] = true
 		p.mu.Unlock()
 		_ = old.Register(ctx, p.memStore, "draining")
