--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,8 +11,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -81,9 +83,13 @@
 		broken, err := cases[os.Args[1]](p)
 		done <- result{broken, err}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	var res result
 	select {
 	case res = <-done:
+	case sig := <-stopped:
+		res.err = fmt.Errorf("%s", sig)
 	case <-time.After(maxRun):
 		res.err = fmt.Errorf("not over after %s", maxRun)
 	}
