--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 export REVIEW_ROOT=$PWD/../..
 [ -x ../bin/stand ] && [ -x ../../target/bluebellport ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec ../bin/stand whole-budget "$PWD"
+exec ../bin/stand late-stream "$PWD"
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 	Events int // of a stream, that have come whole
 	Whole  bool
 	Err    string
+	Kept   bool // it went over a channel that had been used before
 	// RetryAfter is that of a refusal, 0 for none.
 	RetryAfter time.Duration
 }
@@ -26,9 +28,16 @@
 // call sends one attempt on a new channel to an instance's frontend, as the platform's
 // entry does, and reads the answer. It does not retry.
 func call(address, host, path, key string, prompt, out int, deadline time.Duration) (id string, a answer) {
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return callOver(transport, address, host, path, key, prompt, out, deadline)
+}
+
+// callOver is call over the channels of a transport.
+func callOver(transport *http.Transport, address, host, path, key string, prompt, out int, deadline time.Duration) (id string, a answer) {
 	id = fmt.Sprintf("%016x", rand.Uint64())
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.Kept = info.Reused }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("survey of the day"))
 	if err != nil {
 		return id, answer{Err: err.Error()}
@@ -40,10 +49,10 @@
 	req.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:%d", id[:8], prompt))
 	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Credential", key)
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return id, answer{Err: err.Error()}
+		a.Err = err.Error()
+		return id, a
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.Status = resp.StatusCode
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -50,7 +50,7 @@
 }
 
 // cases are the scripts by name. Each returns whether the rule was broken.
-var cases = map[string]func(*play) (bool, error){"late-return": lateReturn, "whole-budget": wholeBudget}
+var cases = map[string]func(*play) (bool, error){"late-return": lateReturn, "whole-budget": wholeBudget, "late-stream": lateStream}
 
 func main() { os.Exit(run()) }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -15,6 +15,9 @@
 // stride is how many tokens an event of a stream holds.
 const stride = 9
 
+// eventPause is the time between two events of a paced answer.
+const eventPause = 50 * time.Millisecond
+
 // Server is a stand-in for a sound model server: it runs each request that names it and
 // answers with a whole stream of as many tokens as the request allows.
 type Server struct {
@@ -24,6 +27,8 @@
 
 	mu   sync.Mutex
 	runs map[string]int // by Attempt-Id
+	// broken tells of the requests whose channel was closed while the server was at work.
+	broken []string
 }
 
 // NewServer starts a server on loopback and registers it in the store.
@@ -56,6 +61,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.say("server %s ran %d requests:", s.ID, len(s.runs))
+	for _, text := range s.broken {
+		r.say("server %s was at work on %s", s.ID, text)
+	}
 	for id, n := range s.runs {
 		r.say("server %s ran %s %d times", s.ID, id, n)
 	}
@@ -79,11 +87,21 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, text, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
 	out, _ := strconv.Atoi(text)
-	for i := 1; i <= (out+stride-1)/stride; i++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("t", stride))
-		if i%20 == 0 {
+	events, each, pause := (out+stride-1)/stride, 20, 5*time.Millisecond
+	if _, paced, ok := strings.Cut(r.URL.Path, "/paced-"); ok { // an answer may be shorter than the request allows
+		n, _ := strconv.Atoi(paced)
+		events, each, pause = min(events, n), 1, eventPause
+	}
+	for i := 1; i <= events; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("t", stride)); err != nil || r.Context().Err() != nil {
+			s.mu.Lock()
+			s.broken = append(s.broken, fmt.Sprintf("%s: the channel was closed after %d of %d events", attempt, i-1, events))
+			s.mu.Unlock()
+			return
+		}
+		if i%each == 0 {
 			w.(http.Flusher).Flush()
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(pause)
 		}
 	}
 }
