stop: take late only what its own time limit ends before the stop

Cause: decideLongest took a request that could outlast the stop as those before it were shorter. No history shows that the next is not longer.

Now a request received later than 2.5 s after the order (UncertainUntil; 3 s less half a second in which the order may go unnoticed) is taken only if its own limit ends before the stop, else refused at once: 503 not run. A freeze counts from half a second on, for the same half second. serve decides likewise from the end of its intake period, as nothing excuses it.

--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -31,7 +31,7 @@
 	p.shares.drain()
 	p.log.WithFields(logrus.Fields{
 		"event": "leaving", "frozen": p.sinceStop(), "grace": p.settings.GracePeriod.Milliseconds(), "requests": len(p.openRequests()), "intake": times.IntakeEnd.Sub(times.Begin).Milliseconds(),
-		"accept": times.AcceptUntil.Sub(times.Begin).Milliseconds(), "end": times.End.Sub(times.Begin).Milliseconds(),
+		"uncertain": times.UncertainUntil.Sub(times.Begin).Milliseconds(), "accept": times.AcceptUntil.Sub(times.Begin).Milliseconds(), "end": times.End.Sub(times.Begin).Milliseconds(),
 	}).Info("leaving")
 	time.Sleep(time.Until(times.AcceptUntil))
 	p.closing.Store(true)
--- a/bluebellport/proxy/stopping.go
+++ b/bluebellport/proxy/stopping.go
@@ -81,7 +81,7 @@
 // instance stops.
 func (x *exchange) decideInStop(times *bbstop.Times) bbstop.Decision {
 	return times.Decide(x.proxy.now(), &bbstop.Request{
-		Limit: x.deadline, Size: x.expectedEvents(), Durations: x.proxy.durationsOf(x.route.ID),
+		ReceivedAt: x.req.ReceivedAt, Limit: x.deadline, Size: x.expectedEvents(), Durations: x.proxy.durationsOf(x.route.ID),
 		Open: func() []bbstop.Open { return x.proxy.openOf(x.route.ID, x) },
 	})
 }
--- a/bluebellport/src/stop_gate.go
+++ b/bluebellport/src/stop_gate.go
@@ -21,6 +21,7 @@
 	if times.IntakeEnd.After(times.AcceptUntil) {
 		times.IntakeEnd = times.AcceptUntil
 	}
+	times.UncertainUntil = times.IntakeEnd
 	return times
 }
 
@@ -83,8 +84,12 @@
 	if times == nil {
 		return nil
 	}
+	receivedAt := now
+	if run != nil {
+		receivedAt = run.startedAt
+	}
 	decision := times.Decide(now, &bbstop.Request{
-		Limit: deadline, Durations: g.durationsOf(service),
+		ReceivedAt: receivedAt, Limit: deadline, Durations: g.durationsOf(service),
 		Open: func() []bbstop.Open { return g.openOf(service, now, run) },
 	})
 	if decision.Take {
--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -9,6 +9,10 @@
 	// result takes effect. maxAcceptPeriod is how long new connections are accepted.
 	maxIntakePeriod = 2500 * time.Millisecond
 	maxAcceptPeriod = 3500 * time.Millisecond
+	// maxUncertainPeriod is how long requests are taken that may outlast the stop: 3 s
+	// from when the order was given, which may be noticed uncertainMargin later.
+	maxUncertainPeriod = 3*time.Second - uncertainMargin
+	uncertainMargin    = 500 * time.Millisecond
 	// intakeDivisor and closedDivisor divide the time from the order to the end of the
 	// stop: at most that part of it is the intake period, and at least that part is
 	// left once nothing more is accepted.
@@ -29,9 +33,10 @@
 // PulseInterval is the time between two calls of Pulse.Beat.
 const PulseInterval = 250 * time.Millisecond
 
-// frozenAfter is the time between two beats from which the process counts as frozen.
-// Less may be load.
-const frozenAfter = time.Second
+// frozenAfter is the time between two beats from which the process counts as frozen,
+// so that an order to stop is never noticed later than uncertainMargin. Less may be
+// load.
+const frozenAfter = uncertainMargin
 
 // thawWindow is how long after a freeze an order to stop may take effect that was
 // given during it.
--- a/bluebellport/stop/decision.go
+++ b/bluebellport/stop/decision.go
@@ -24,15 +24,19 @@
 	// ReasonLongest means that also the longest request known ends before the stop.
 	ReasonLongest
 	// ReasonTooLong means that the request may not end before the stop,
-	// ReasonTooUncertain that nothing is known that says so, ReasonOver that the stop
-	// has ended. These refuse it.
+	// ReasonTooUncertain that nothing is known that says so, ReasonTooLate that it
+	// came so late that only its own time limit counts, which does not end before the
+	// stop, ReasonOver that the stop has ended. These refuse it.
 	ReasonTooLong
 	ReasonTooUncertain
+	ReasonTooLate
 	ReasonOver
 )
 
 // Request is what is known of a request that may be sent to a target.
 type Request struct {
+	// ReceivedAt is when the instance had read it.
+	ReceivedAt time.Time
 	// Limit is when the request is given up in any case.
 	Limit time.Time
 	// Size is the expected size of its answer in the unit of Durations.Record, 0 if
@@ -73,7 +77,10 @@
 }
 
 // Decide tells whether a request may be sent to a target. Without a stop (t is
-// nil) it always may.
+// nil) it always may. In the intake period a request may be sent that usually ends
+// in time, later one that ends in time even if it takes as long as the longest
+// known. One that was received after UncertainUntil may be sent only if its own time
+// limit ends before the stop.
 func (t *Times) Decide(now time.Time, r *Request) Decision {
 	if t == nil {
 		return Decision{Take: true, Reason: ReasonRunning}
@@ -86,6 +93,10 @@
 	case d.Limit <= d.Left:
 		d.Take, d.Reason = true, ReasonLimit
 		return d
+	case !r.ReceivedAt.Before(t.UncertainUntil):
+		// However short those before it were, this one may last as long as its limit.
+		d.Reason = ReasonTooLate
+		return d
 	}
 	if r.Durations != nil {
 		d.Samples = r.Durations.Count()
--- a/bluebellport/stop/decision_test.go
+++ b/bluebellport/stop/decision_test.go
@@ -65,6 +65,9 @@
 		{"longer open than any known", 3 * s, Request{Limit: long, Durations: ended(20, s), Open: open(3 * s)}, false, ReasonTooLong},
 		{"unknown, after the intake period", 3 * s, Request{Limit: long, Durations: &Durations{}}, false, ReasonTooUncertain},
 		{"no durations, after the intake period", 3 * s, Request{Limit: long}, false, ReasonTooUncertain},
+		{"late, all before it shorter", 3 * s, Request{ReceivedAt: begin.Add(2600 * time.Millisecond), Limit: long, Durations: ended(64, s/10)}, false, ReasonTooLate},
+		{"late, all before it shorter, size known", 3 * s, Request{ReceivedAt: begin.Add(2600 * time.Millisecond), Limit: long, Size: 2, Durations: ended(64, s/10)}, false, ReasonTooLate},
+		{"late, its own limit ends first", 3 * s, Request{ReceivedAt: begin.Add(3 * s), Limit: begin.Add(7400 * time.Millisecond), Durations: ended(64, 6*s)}, true, ReasonLimit},
 		{"over", 7500 * time.Millisecond, Request{Limit: begin, Durations: ended(20, 0)}, false, ReasonOver},
 	}
 	for _, c := range cases {
--- a/bluebellport/stop/pulse_test.go
+++ b/bluebellport/stop/pulse_test.go
@@ -18,6 +18,7 @@
 	}{
 		{"running", 0, 0, 0},
 		{"late by a little", 400 * time.Millisecond, 0, 0},
+		{"late by more", 600 * time.Millisecond, 0, 600 * time.Millisecond},
 		{"ordered while frozen", 2 * time.Second, 0, 2 * time.Second},
 		{"the pulse came first", 2 * time.Second, 5 * time.Millisecond, 2005 * time.Millisecond},
 		{"ordered later", 2 * time.Second, time.Second, 0},
--- a/bluebellport/stop/reason_enumer.go
+++ b/bluebellport/stop/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "runninglimitusualunknownlongesttoo-longtoo-uncertainover"
+const _ReasonName = "runninglimitusualunknownlongesttoo-longtoo-uncertaintoo-lateover"
 
-var _ReasonIndex = [...]uint8{0, 7, 12, 17, 24, 31, 39, 52, 56}
+var _ReasonIndex = [...]uint8{0, 7, 12, 17, 24, 31, 39, 52, 60, 64}
 
-const _ReasonLowerName = "runninglimitusualunknownlongesttoo-longtoo-uncertainover"
+const _ReasonLowerName = "runninglimitusualunknownlongesttoo-longtoo-uncertaintoo-lateover"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -31,10 +31,11 @@
 	_ = x[ReasonLongest-(4)]
 	_ = x[ReasonTooLong-(5)]
 	_ = x[ReasonTooUncertain-(6)]
-	_ = x[ReasonOver-(7)]
+	_ = x[ReasonTooLate-(7)]
+	_ = x[ReasonOver-(8)]
 }
 
-var _ReasonValues = []Reason{ReasonRunning, ReasonLimit, ReasonUsual, ReasonUnknown, ReasonLongest, ReasonTooLong, ReasonTooUncertain, ReasonOver}
+var _ReasonValues = []Reason{ReasonRunning, ReasonLimit, ReasonUsual, ReasonUnknown, ReasonLongest, ReasonTooLong, ReasonTooUncertain, ReasonTooLate, ReasonOver}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:7]:   ReasonRunning,
@@ -44,7 +45,8 @@
 	_ReasonName[24:31]: ReasonLongest,
 	_ReasonName[31:39]: ReasonTooLong,
 	_ReasonName[39:52]: ReasonTooUncertain,
-	_ReasonName[52:56]: ReasonOver,
+	_ReasonName[52:60]: ReasonTooLate,
+	_ReasonName[60:64]: ReasonOver,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -55,7 +57,8 @@
 	_ReasonLowerName[24:31]: ReasonLongest,
 	_ReasonLowerName[31:39]: ReasonTooLong,
 	_ReasonLowerName[39:52]: ReasonTooUncertain,
-	_ReasonLowerName[52:56]: ReasonOver,
+	_ReasonLowerName[52:60]: ReasonTooLate,
+	_ReasonLowerName[60:64]: ReasonOver,
 }
 
 var _ReasonNames = []string{
@@ -66,7 +69,8 @@
 	_ReasonName[24:31],
 	_ReasonName[31:39],
 	_ReasonName[39:52],
-	_ReasonName[52:56],
+	_ReasonName[52:60],
+	_ReasonName[60:64],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/bluebellport/stop/stop.go
+++ b/bluebellport/stop/stop.go
@@ -29,8 +29,11 @@
 	Begin time.Time
 	// IntakeEnd is until when the load balancer may not know of the stop. Until then
 	// requests are taken that usually end in time, afterwards only those that do so
-	// surely.
+	// as far as is known.
 	IntakeEnd time.Time
+	// UncertainUntil is until when requests are taken that may outlast the stop. Of
+	// those received later only the ones are taken whose own time limits end before.
+	UncertainUntil time.Time
 	// AcceptUntil is when the listener and idle connections are closed.
 	AcceptUntil time.Time
 	// End is when requests that are still open are ended.
@@ -44,11 +47,12 @@
 func NewTimes(begin time.Time, grace time.Duration) *Times {
 	toEnd := grace - min(exitPeriod, grace/exitDivisor)
 	return &Times{
-		Begin:       begin,
-		IntakeEnd:   begin.Add(min(maxIntakePeriod, toEnd/intakeDivisor)),
-		AcceptUntil: begin.Add(min(maxAcceptPeriod, toEnd-toEnd/closedDivisor)),
-		End:         begin.Add(toEnd),
-		ExitBy:      begin.Add(grace),
+		Begin:          begin,
+		IntakeEnd:      begin.Add(min(maxIntakePeriod, toEnd/intakeDivisor)),
+		UncertainUntil: begin.Add(min(maxUncertainPeriod, toEnd-toEnd/closedDivisor)),
+		AcceptUntil:    begin.Add(min(maxAcceptPeriod, toEnd-toEnd/closedDivisor)),
+		End:            begin.Add(toEnd),
+		ExitBy:         begin.Add(grace),
 	}
 }
 
