--- /dev/null
+++ b/shared/bbshare/draw.go
@@ -0,0 +1,113 @@
+package bbshare
+
+import (
+	"time"
+
+	"bluebellport.example/shared/bbunit"
+)
+
+// Policy sets how much of each account an instance reserves for itself.
+type Policy struct {
+	// Horizon is how long a share should last at the measured demand.
+	Horizon time.Duration
+	// RefillBelow is the fraction of the desired share below which the instance
+	// requests a larger grant.
+	RefillBelow float64
+	// MinShare is the share of an account without demand, as a fraction of what
+	// the account has paid. It lets a request succeed while the store is
+	// unreachable.
+	MinShare float64
+	// MaxHeld bounds the shares of all holders together, as a fraction of the free
+	// tokens. Each holder's part of it is proportional to what it has spent.
+	MaxHeld float64
+	// LossLimit and MinScale lower MaxHeld by the tokens lost with killed instances,
+	// so that instances that keep crashing get small shares: linearly down to 0 at a
+	// loss of LossLimit, a fraction of what the account has paid, but not below
+	// MinScale times MaxHeld.
+	LossLimit, MinScale float64
+	// PriorSpent is the spending that all holders together are assumed to have
+	// before any is recorded, as a fraction of what the account has paid.
+	PriorSpent float64
+	// MaxRowsPerWrite is the largest number of accounts in one write.
+	MaxRowsPerWrite int
+}
+
+// HomeHorizon is the Policy.Horizon in a large fleet, where homes serve the other
+// instances of their failure domain. It is shorter than the default because the
+// borrowing instances hold shares of their own.
+const HomeHorizon = 8 * time.Second
+
+// SetHorizon changes how long shares should last.
+func (a *Allocator) SetHorizon(d time.Duration) { a.policy.Horizon = d }
+
+// DefaultPolicy returns the policy of a small fleet, where no account has a home
+// and each instance gets its grants from the store.
+func DefaultPolicy() Policy {
+	return Policy{Horizon: 15 * time.Second, RefillBelow: 0.7, MinShare: 0.005, MaxHeld: 0.25, LossLimit: 0.1, MinScale: 0.2, PriorSpent: 0.016, MaxRowsPerWrite: 32}
+}
+
+// unmetPrefetchFactor is the least desired share as a multiple of the unmet demand.
+// It matters while the measured demand lags behind the real one.
+const unmetPrefetchFactor = 3
+
+// desiredGrant returns what the grant of a share should become, and whether the
+// change is worth a write.
+func (a *Allocator) desiredGrant(s *AccountShare, unmet int64, holders int) (bbunit.Tokens, bool) {
+	if s.fenced || s.remoteHome || s.paid <= 0 && s.granted == 0 {
+		return 0, false
+	}
+	free := max(s.Remaining(), 0)
+	if !s.rowLoaded {
+		free = 0 // the write at revision 0 either creates the row or returns it with a conflict
+	}
+	desired := s.demand * a.policy.Horizon.Seconds()
+	desired = max(desired, float64(a.largestRequest), float64(s.paid)*a.policy.MinShare, unmetPrefetchFactor*float64(unmet))
+	available := s.Balance.available.Load()
+	desired = min(desired, a.maxHeldFraction(s)*float64(free+bbunit.Tokens(max(available, 0)))*a.spendingWeight(s, holders))
+	if a.draining || s.homeUnreachable {
+		desired = 0
+	}
+	goal := int64(desired) + unmet
+	newGrant := min(s.granted+bbunit.Tokens(goal-available), s.granted+free)
+	if a.eras.settling {
+		newGrant = min(newGrant, s.granted)
+	}
+	switch {
+	case unmet > 0:
+		return newGrant, !s.rowLoaded || newGrant > s.granted
+	case newGrant > s.granted:
+		return newGrant, float64(available) < a.policy.RefillBelow*desired
+	case newGrant < s.granted && s.homeUnreachable:
+		return newGrant, false
+	case newGrant < s.granted:
+		return newGrant, a.draining || available > 3*goal+int64(s.largestRequest)
+	}
+	return newGrant, false
+}
+
+// maxHeldFraction returns the fraction of the free tokens that all holders
+// together may hold. It falls with the tokens already lost with killed instances.
+func (a *Allocator) maxHeldFraction(s *AccountShare) float64 {
+	if s.paid <= 0 {
+		return a.policy.MaxHeld
+	}
+	lossRatio := float64(s.row.Lost) / (a.policy.LossLimit * float64(s.paid))
+	return a.policy.MaxHeld * max(1-lossRatio, a.policy.MinScale)
+}
+
+// spendingWeight returns this instance's fraction of what all current holders have
+// spent, including the assumed prior spending.
+func (a *Allocator) spendingWeight(s *AccountShare, holders int) float64 {
+	others := a.policy.PriorSpent * float64(s.paid)
+	prior := others / float64(max(holders, 1))
+	for id, g := range s.row.Holders {
+		if id != a.Holder {
+			others += float64(g.Spent)
+		}
+	}
+	ownSpent := float64(s.Balance.spent.Load())
+	if others+ownSpent <= 0 {
+		return 1 / float64(max(holders, 1))
+	}
+	return (ownSpent + prior) / (others + ownSpent)
+}
--- /dev/null
+++ b/shared/bbshare/write.go
@@ -0,0 +1,122 @@
+package bbshare
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// RowWrite is a compare-and-swap write of one or several rows. Its outcome must be
+// passed to Allocator.FinishWrite.
+type RowWrite struct {
+	Rows    []bbstore.Entry
+	changes []grantChange
+}
+
+// grantChange is the state of one share once its RowWrite succeeds.
+type grantChange struct {
+	share   *AccountShare
+	row     Row
+	granted bbunit.Tokens
+}
+
+// NextWrite returns the next write, or nil if none is needed. Holders is the number
+// of instances that hold shares of the accounts. Without prefetch, there is a
+// write only if a request could not be reserved; that write then changes the grants
+// of other accounts as well. Tokens that the write gives back are removed from the
+// balance at once, so that they cannot be spent while the write is pending.
+func (a *Allocator) NextWrite(holders int, prefetch bool) *RowWrite {
+	type candidate struct {
+		s        *AccountShare
+		newGrant bbunit.Tokens
+		unmet    int64
+	}
+	var candidates []candidate
+	for _, s := range a.shares {
+		if a.mustReassert(s) {
+			candidates = append(candidates, candidate{s, s.granted, 0})
+			prefetch = true
+			continue
+		}
+		if s.remoteHome {
+			continue
+		}
+		unmet := s.Balance.unmet.Swap(0)
+		if newGrant, ok := a.desiredGrant(s, unmet, holders); ok {
+			candidates = append(candidates, candidate{s, newGrant, unmet})
+			prefetch = prefetch || unmet > 0
+		}
+	}
+	if len(candidates) == 0 || !prefetch {
+		return nil
+	}
+	slices.SortFunc(candidates, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(y.unmet, x.unmet), cmp.Compare(x.s.ID, y.s.ID))
+	})
+	write := &RowWrite{}
+	for _, c := range candidates[:min(len(candidates), a.policy.MaxRowsPerWrite)] {
+		if surplus := c.s.granted - c.newGrant; surplus > 0 {
+			c.s.granted -= bbunit.Tokens(c.s.Balance.takeUpTo(int64(surplus)))
+			c.newGrant = c.s.granted
+		}
+		write.add(a, c.s, c.s.row.withGrant(a.Holder, Grant{Granted: c.newGrant, Spent: bbunit.Tokens(c.s.Balance.spent.Load()), Era: a.eras.era}), c.newGrant)
+	}
+	return write
+}
+
+func (w *RowWrite) add(a *Allocator, s *AccountShare, row Row, granted bbunit.Tokens) {
+	row = a.stamp(row, s.rev)
+	w.Rows = append(w.Rows, bbstore.Entry{Key: a.keyPrefix + string(s.ID), Value: row.Encode(), Rev: s.rev})
+	w.changes = append(w.changes, grantChange{share: s, row: row, granted: granted})
+}
+
+// FinishWrite applies the outcome of a write: the new revision on success, or the
+// error. Current holds the rows that the store returned with ErrConflict; rowErrs
+// has an error for each of them that is malformed. After any other error the
+// write may or may not have taken effect, so the shares stay as they are until
+// the rows are read again.
+func (a *Allocator) FinishWrite(w *RowWrite, rev bbstore.Revision, current []bbstore.Entry, err error) (rowErrs []error) {
+	switch {
+	case err == nil:
+		a.SetEra(rev.Era())
+		for _, c := range w.changes {
+			c.share.reassert = false
+			c.share.row, c.share.rev, c.share.rowLoaded = c.row, rev, true
+			c.share.setGranted(c.granted)
+		}
+	case errors.Is(err, bbstore.ErrConflict):
+		rowErrs = a.ApplyRows(current)
+	default:
+		for _, c := range w.changes {
+			c.share.writeUncertain = true
+		}
+	}
+	return rowErrs
+}
+
+// Drain makes the following writes give back unused tokens and request only what
+// unmet requests need.
+func (a *Allocator) Drain() { a.draining = true }
+
+// Close returns the write that removes this holder from all rows and gives back
+// what it has not spent, or nil if no row needs a change. Nothing may be reserved
+// after Close.
+func (a *Allocator) Close() *RowWrite {
+	w := &RowWrite{}
+	for _, s := range a.shares {
+		_, hasGrant := s.row.Holders[a.Holder]
+		if s.fenced || !hasGrant && !s.reassert && s.Balance.Available() == 0 {
+			continue
+		}
+		s.granted -= bbunit.Tokens(s.Balance.takeUpTo(1 << 62))
+		w.add(a, s, s.row.withClosed(a.Holder, s.granted), 0)
+	}
+	if len(w.Rows) == 0 {
+		return nil
+	}
+	return w
+}
