bbshare: a write without an answer stays uncertain until its row moves on

Cause: applyRow took any row that it read for the outcome of an unanswered write. A row at the revision that this write expects says nothing: a later write of several rows fails because of another one, returns this row as it was, the holder takes what it gave back for its own again, and then the first write is executed.

Now a share keeps the least that any unanswered write over the row's present revision grants, and relies on no more until the row is past that revision. The same for two writes over one revision, for Close, whose retry could also give back too much, and for rows of a new era.

--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -56,8 +56,8 @@
 	// lent is the sum of the loans made by this incarnation.
 	lent bbunit.Tokens
 
-	fenced         bool    // a later incarnation or Close has closed this holder
-	writeUncertain bool    // the outcome of the last write is unknown
+	fenced         bool // a later incarnation or Close has closed this holder
+	uncertain      uncertainWrites
 	reassert       bool    // the store's row lacks what this holder knows
 	demand         float64 // moving average of requested tokens per second
 	lastRequested  int64   // Balance.requested at measuredAt
@@ -132,21 +132,36 @@
 		return nil
 	}
 	_, hadGrant := s.row.Holders[a.Holder]
-	s.row, s.rev, s.rowLoaded = row, e.Rev, true
-	grant, hasGrant := row.Holders[a.Holder]
-	if !hasGrant && s.granted != 0 && (hadGrant || s.writeUncertain) {
-		s.fenced = true
+	if e.Rev != s.rev {
+		s.settleUncertain(row, hadGrant, a.Holder)
 	}
-	s.writeUncertain = false
+	s.row, s.rev, s.rowLoaded = row, e.Rev, true
 	if !s.fenced {
-		s.setGranted(grant.Granted)
+		s.setGranted(s.uncertain.limit(row.Holders[a.Holder].Granted))
 	}
 	return nil
 }
 
-// setGranted sets this instance's grant to the row's. An earlier write whose
-// outcome is unknown can no longer take effect, because the row's revision is
-// past the one that the write expects.
+// settleUncertain is called as a row has moved on, so that no write over its former
+// revision can take effect any more. A row without this holder means that a later
+// incarnation has closed it, unless the holder's first write never took effect.
+func (s *AccountShare) settleUncertain(row Row, hadGrant bool, holder bbunit.HolderID) {
+	wasUncertain := s.uncertain.any
+	s.uncertain = uncertainWrites{}
+	if _, hasGrant := row.Holders[holder]; hasGrant {
+		return
+	}
+	switch {
+	case hadGrant && s.granted != 0, wasUncertain && s.granted > 0:
+		s.fenced = true
+	case wasUncertain:
+		// Borrowed tokens that a first write gave back. It may have taken effect, so
+		// they are not used again.
+		s.granted = 0
+	}
+}
+
+// setGranted sets this instance's grant.
 func (s *AccountShare) setGranted(granted bbunit.Tokens) {
 	s.Balance.available.Add(int64(granted - s.granted))
 	s.granted = granted
--- a/shared/bbshare/era.go
+++ b/shared/bbshare/era.go
@@ -73,7 +73,10 @@
 		row = row.merge(s.row, a.eras.era, a.Holder)
 	}
 	own, hasGrant := row.Holders[a.Holder]
-	s.row, s.rev, s.writeUncertain = row, rev, false
+	if rev != s.rev {
+		s.uncertain = uncertainWrites{}
+	}
+	s.row, s.rev = row, rev
 	s.fenced = s.fenced || !hasGrant && row.hasIncarnation(a.Holder)
 	s.reassert = !s.fenced && (s.granted != 0 || hasGrant) && (own.Granted != s.granted || own.Era != a.eras.era)
 }
--- a/shared/bbshare/write.go
+++ b/shared/bbshare/write.go
@@ -17,11 +17,38 @@
 	changes []grantChange
 }
 
-// grantChange is the state of one share once its RowWrite succeeds.
+// grantChange is the state of one share once its RowWrite succeeds. closes means that
+// the row then lacks the holder, which may still spend granted in all.
 type grantChange struct {
 	share   *AccountShare
 	row     Row
 	granted bbunit.Tokens
+	closes  bool
+}
+
+// uncertainWrites are the writes of one row over its last known revision whose
+// outcome is unknown. Each of them may take effect as long as the row is at that
+// revision, also after the row has been read again, so the holder relies on no more
+// than the least that any of them grants. The zero value is no write.
+type uncertainWrites struct {
+	any   bool
+	least bbunit.Tokens // granted by any of them
+}
+
+// add adds a write that grants so much.
+func (u *uncertainWrites) add(granted bbunit.Tokens) {
+	if !u.any || granted < u.least {
+		u.least = granted
+	}
+	u.any = true
+}
+
+// limit returns the part of a grant on which the holder may rely.
+func (u *uncertainWrites) limit(granted bbunit.Tokens) bbunit.Tokens {
+	if u.any {
+		return min(granted, u.least)
+	}
+	return granted
 }
 
 // NextWrite returns the next write, or nil if none is needed. Holders is the number
@@ -77,14 +104,14 @@
 // FinishWrite applies the outcome of a write: the new revision on success, or the
 // error. Current holds the rows that the store returned with ErrConflict; rowErrs
 // has an error for each of them that is malformed. After any other error the
-// write may or may not have taken effect, so the shares stay as they are until
-// the rows are read again.
+// write may have taken effect, or may do so later, so the shares rely on no more
+// than it grants until the rows have moved on.
 func (a *Allocator) FinishWrite(w *RowWrite, rev bbstore.Revision, current []bbstore.Entry, err error) (rowErrs []error) {
 	switch {
 	case err == nil:
 		a.SetEra(rev.Era())
 		for _, c := range w.changes {
-			c.share.reassert = false
+			c.share.reassert, c.share.fenced, c.share.uncertain = false, c.closes, uncertainWrites{}
 			c.share.row, c.share.rev, c.share.rowLoaded = c.row, rev, true
 			c.share.setGranted(c.granted)
 		}
@@ -92,7 +119,7 @@
 		rowErrs = a.ApplyRows(current)
 	default:
 		for _, c := range w.changes {
-			c.share.writeUncertain = true
+			c.share.uncertain.add(c.granted)
 		}
 	}
 	return rowErrs
@@ -113,7 +140,8 @@
 			continue
 		}
 		s.granted -= bbunit.Tokens(s.Balance.takeUpTo(1 << 62))
-		w.add(a, s, s.row.withClosed(a.Holder, s.granted), 0)
+		w.add(a, s, s.row.withClosed(a.Holder, s.granted), s.granted)
+		w.changes[len(w.changes)-1].closes = true
 	}
 	if len(w.Rows) == 0 {
 		return nil
