bbshare: draw for a waiting request only what serves it, and give the rest back

Cause: each try of a request that could not be reserved was added to what is drawn, without a bound; a request that the account could not cover drew all that was free, and its loans moved the shares of the peers. A request's size counted as usual even if it was refused, so the share was not given back.

Now a request counts once, for as long as it waits. One that is larger than all that was paid is refused at once, 402. For one that free tokens and the own share do not cover nothing is drawn; peers are asked only if what the row says they have reaches (if the store is away, only for up to a quarter of what is left), a home lends for it nothing. For several, at least the largest and at most the quarter is drawn. A share above its part of the quarter (by a fourth) is given back, a large unused reservation at once, also by a borrower in a large fleet. A home's word that a sum is not covered holds for that sum and larger ones, no longer for all of the account.

The tests in bbshare need the new interface. Tests that let requests wait say so with Await now; no check changed.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -278,6 +278,9 @@
 	loanTimeout = 100 * time.Millisecond
 	// maxLoanPeers is how many peers are asked for one request.
 	maxLoanPeers = 4
+	// largeReturnDivisor divides what an account has paid: a larger part of a
+	// reservation that was not used is given back at once.
+	largeReturnDivisor = 64
 	// loanInterval is the least time between two rounds of asking for an account.
 	loanInterval = 100 * time.Millisecond
 	// unresponsivePeriod is how long a peer that did not answer is not asked again.
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -167,7 +167,7 @@
 			used += unseenEvents * x.maxEventTokens
 		}
 	}
-	x.balance.Commit(x.reserved, used)
+	x.proxy.shares.settle(x.account, x.balance, x.reserved, used)
 }
 
 // accountID returns the client account, empty if the request was admitted
--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -25,11 +25,18 @@
 	unansweredAt sync.Map // bbunit.InstanceID -> time.Time: last call that a peer did not answer
 
 	// The rest is guarded by shares.mu.
-	uncoveredAt map[bbunit.AccountID]time.Time // when a home said that the account's balance does not cover a request
+	uncovered   map[bbunit.AccountID]uncoveredLoan
 	lastAskedAt map[bbunit.AccountID]time.Time // last round of asking peers
 	homes       homeMap
 }
 
+// uncoveredLoan is the word of a home that an account's balance does not cover so
+// many tokens.
+type uncoveredLoan struct {
+	at     time.Time
+	tokens bbunit.Tokens
+}
+
 // homeMap holds the accounts' homes, computed from one view of the fleet and
 // one plan. The home of an account is the instance of the failure domain that
 // gets grants from the store for the others.
@@ -40,7 +47,7 @@
 }
 
 func newPeerLoans(shares *shareController, peers PeerNetwork) *peerLoans {
-	l := &peerLoans{shares: shares, peers: peers, uncoveredAt: map[bbunit.AccountID]time.Time{}, lastAskedAt: map[bbunit.AccountID]time.Time{}}
+	l := &peerLoans{shares: shares, peers: peers, uncovered: map[bbunit.AccountID]uncoveredLoan{}, lastAskedAt: map[bbunit.AccountID]time.Time{}}
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Loanask{}}, l.handleLoanAsk)
 	return l
 }
@@ -153,21 +160,24 @@
 	share.AddLoan(bbunit.Tokens(reply.Tokens))
 	share.SetHomeRemaining(bbunit.Tokens(reply.Free))
 	if reply.Covered {
-		delete(l.uncoveredAt, request.Account)
+		delete(l.uncovered, request.Account)
 	} else {
-		l.uncoveredAt[request.Account] = l.shares.now()
+		l.uncovered[request.Account] = uncoveredLoan{l.shares.now(), share.Balance.Available() + request.Need - bbunit.Tokens(reply.Tokens)}
 	}
 	l.shares.mu.Unlock()
 	l.shares.notifyWaiters()
 }
 
 // uncoveredByHome reports whether the account's home last said that the
-// account's balance does not cover the request. The caller holds shares.mu.
-func (l *peerLoans) uncoveredByHome(id bbunit.AccountID) bool { return !l.uncoveredAt[id].IsZero() }
+// account's balance does not cover n tokens. The caller holds shares.mu.
+func (l *peerLoans) uncoveredByHome(id bbunit.AccountID, n bbunit.Tokens) bool {
+	word, ok := l.uncovered[id]
+	return ok && n >= word.tokens
+}
 
 // uncoveredRecently reports whether the home said so within shareTimeout.
-func (l *peerLoans) uncoveredRecently(id bbunit.AccountID) bool {
-	return l.uncoveredByHome(id) && l.shares.now().Sub(l.uncoveredAt[id]) < shareTimeout
+func (l *peerLoans) uncoveredRecently(id bbunit.AccountID, n bbunit.Tokens) bool {
+	return l.uncoveredByHome(id, n) && l.shares.now().Sub(l.uncovered[id].at) < shareTimeout
 }
 
 // unresponsive reports whether a peer left a call unanswered within
@@ -177,34 +187,38 @@
 	return ok && l.shares.now().Sub(at.(time.Time)) < unresponsivePeriod
 }
 
-// borrowFromPeers asks peers until n tokens are available here, and reports
-// whether they are. A loan is counted when its call returns, so that a
+// borrowFromPeers asks peers for what a request of n tokens lacks, and reports
+// whether that helped. A loan is counted when its call returns, so that a
 // duplicated message adds no tokens.
 func (l *peerLoans) borrowFromPeers(account *bbplan.Account, n bbunit.Tokens) bool {
 	shares := l.shares
 	shares.mu.Lock()
 	share := shares.allocator.Account(account.ID)
-	peers := share.Lenders(shares.allocator.Holder)
-	if now := shares.now(); now.Sub(l.lastAskedAt[account.ID]) < loanInterval {
-		peers = nil
-	} else {
-		l.lastAskedAt[account.ID] = now
+	now := shares.now()
+	if now.Sub(l.lastAskedAt[account.ID]) < loanInterval {
+		shares.mu.Unlock()
+		return share.Balance.Available() >= n
 	}
+	l.lastAskedAt[account.ID] = now
+	lenders := share.Lenders(shares.allocator.Holder)
+	lenders = lenders[:min(len(lenders), maxLoanPeers)]
+	missing := shares.allocator.ToBorrow(share, lenders, n, shares.outage() == 0 && shares.isFresh(account.ID))
 	shares.mu.Unlock()
-	for _, peer := range peers[:min(len(peers), maxLoanPeers)] {
-		missing := n - share.Balance.Available()
+	if missing <= 0 {
+		return share.Balance.Available() >= n
+	}
+	for _, lender := range lenders {
 		if missing <= 0 {
 			break
 		}
-		lent := l.borrowFrom(peer, account.ID, missing)
-		if lent <= 0 {
-			continue
+		if lent := l.borrowFrom(lender.Address, account.ID, missing); lent > 0 {
+			missing -= lent
+			shares.mu.Lock()
+			share.AddLoan(lent)
+			shares.mu.Unlock()
 		}
-		shares.mu.Lock()
-		share.AddLoan(lent)
-		shares.mu.Unlock()
 	}
-	return share.Balance.Available() >= n
+	return missing <= 0
 }
 
 // borrowFrom asks one peer for a loan, unless it is unresponsive, and returns
--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,11 +44,12 @@
 
 	mu          sync.Mutex // guards the fields down to lastWriteAt
 	allocator   *bbshare.Allocator
-	written     chan struct{} // closed and replaced after each write
-	lastReplyAt time.Time     // when the store last answered a write
-	plan        *bbplan.Plan  // whose payments have been applied
-	lastWriteAt time.Time     // when the last write was begun
-	backoff     time.Duration // pause after the last write, 0 if it succeeded
+	written     chan struct{}                  // closed and replaced after each write
+	lastReplyAt time.Time                      // when the store last answered a write
+	rowAt       map[bbunit.AccountID]time.Time // when it last told an account's row
+	plan        *bbplan.Plan                   // whose payments have been applied
+	lastWriteAt time.Time                      // when the last write was begun
+	backoff     time.Duration                  // pause after the last write, 0 if it succeeded
 
 	lostAt   atomic.Int64 // when the store stopped answering, in ns of the monotonic clock; 0 while it answers
 	balances sync.Map     // bbunit.AccountID -> *bbshare.Balance
@@ -58,7 +60,7 @@
 func newShareController(store ShareStore, board *Board, log logrus.FieldLogger, now func() time.Time, holder bbunit.HolderID) *shareController {
 	return &shareController{
 		store: store, board: board, log: log, now: now, wakeup: make(chan struct{}, 1),
-		allocator: bbshare.NewAllocator(holder, sharesPrefix, bbshare.DefaultPolicy()), written: make(chan struct{}),
+		allocator: bbshare.NewAllocator(holder, sharesPrefix, bbshare.DefaultPolicy()), written: make(chan struct{}), rowAt: map[bbunit.AccountID]time.Time{},
 	}
 }
 
@@ -76,19 +78,22 @@
 
 // reserve reserves n tokens of an account, or returns why it can't. It waits
 // for a share up to shareTimeout or the deadline, and less if the client leaves
-// or the store does not answer.
+// or the store does not answer. A request that is larger than all that was paid is
+// refused at once.
 func (c *shareController) reserve(account *bbplan.Account, n bbunit.Tokens, deadline time.Time, clientGone <-chan struct{}) (*bbshare.Balance, *Refusal) {
 	balance := c.balance(account.ID)
 	if balance.Reserve(n) {
 		return balance, nil
 	}
+	if n > account.Paid {
+		return nil, c.refuseBalance(account, n)
+	}
+	defer balance.Await(n)()
 	timeout := time.NewTimer(min(shareTimeout, time.Until(deadline)))
 	defer timeout.Stop()
 	for round := 0; round < maxShareRounds; round++ {
-		c.mu.Lock()
-		written, remoteHome := c.written, c.allocator.Account(account.ID).UsesRemoteHome()
-		c.mu.Unlock()
-		if !remoteHome && c.outage() > 0 {
+		written, remoteHome, more := c.awaitsWrite(account, n)
+		if !more {
 			break
 		}
 		c.wake()
@@ -102,14 +107,14 @@
 		if balance.Reserve(n) {
 			return balance, nil
 		}
-		if c.exhausted(account, n) {
-			break
-		}
 		if remoteHome {
+			if c.uncoveredByHome(account, n) {
+				break
+			}
 			time.Sleep(shareTimeout / maxShareRounds / 4) // the account's home writes meanwhile
 		}
 	}
-	if c.loans.borrowFromPeers(account, n) && balance.Reserve(n) {
+	if c.borrow(account, n, balance, timeout.C) {
 		return balance, nil
 	}
 	if refusal := c.refuseUncovered(account, n); refusal != nil {
@@ -118,16 +123,70 @@
 	return nil, c.refuseNoShare(account, n)
 }
 
-// exhausted reports that, by the latest reply of the store or of the account's
-// home, another write cannot bring n tokens.
-func (c *shareController) exhausted(account *bbplan.Account, n bbunit.Tokens) bool {
+// awaitsWrite reports whether the next write, or loan of the account's home, may
+// bring n tokens, and returns what is closed after it.
+func (c *shareController) awaitsWrite(account *bbplan.Account, n bbunit.Tokens) (written <-chan struct{}, remoteHome, more bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	share := c.allocator.Account(account.ID)
-	if share.UsesRemoteHome() {
-		return c.loans.uncoveredByHome(account.ID)
+	switch {
+	case share.UsesRemoteHome():
+		return c.written, true, true
+	case c.outage() > 0:
+		return nil, false, false
+	case share.RowLoaded() && share.Remaining()+share.Balance.Available() < n:
+		if c.isFresh(account.ID) {
+			return nil, false, false
+		}
+		share.Refresh()
+	}
+	return c.written, false, true
+}
+
+// borrow borrows what is missing to n tokens from peers, draws the rest if there is
+// any, and reports whether n tokens were reserved.
+func (c *shareController) borrow(account *bbplan.Account, n bbunit.Tokens, balance *bbshare.Balance, timeout <-chan time.Time) bool {
+	if !c.loans.borrowFromPeers(account, n) {
+		return false
+	}
+	if balance.Reserve(n) {
+		return true
+	}
+	written, _, more := c.awaitsWrite(account, n)
+	if !more {
+		return false
+	}
+	c.wake()
+	select {
+	case <-written:
+		return balance.Reserve(n)
+	case <-timeout:
+		return false
+	}
+}
+
+// uncoveredByHome reports whether the account's home said that the balance does not
+// cover a request of n tokens.
+func (c *shareController) uncoveredByHome(account *bbplan.Account, n bbunit.Tokens) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loans.uncoveredByHome(account.ID, n)
+}
+
+// isFresh reports whether the store has told the account's row within shareTimeout.
+// The caller holds mu.
+func (c *shareController) isFresh(id bbunit.AccountID) bool {
+	at, ok := c.rowAt[id]
+	return ok && c.now().Sub(at) <= shareTimeout
+}
+
+// settle ends a reservation of an account's tokens. A large part that was not used is
+// given back at once.
+func (c *shareController) settle(account *bbplan.Account, balance *bbshare.Balance, reserved, used bbunit.Tokens) {
+	balance.Commit(reserved, used)
+	if reserved-used > account.Paid/largeReturnDivisor {
+		c.wake()
 	}
-	return share.RowLoaded() && share.Remaining()+share.Balance.Available() < n
 }
 
 // wake makes run check the shares at once.
@@ -158,6 +217,18 @@
 	return refusal
 }
 
+// refuseBalance refuses a request that the account's balance does not cover.
+func (c *shareController) refuseBalance(account *bbplan.Account, n bbunit.Tokens) *Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.uncovered(c.allocator.Account(account.ID), n)
+}
+
+// uncovered is refuseBalance for a caller that holds mu.
+func (c *shareController) uncovered(share *bbshare.AccountShare, n bbunit.Tokens) *Refusal {
+	return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", ByPlan: true, LogFields: c.logFields(share, n)}
+}
+
 // refuseUncovered refuses a request that the account can't cover, or that only
 // other instances' shares could cover, if what is known is recent enough to say
 // so. Otherwise it returns nil.
@@ -165,10 +236,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	share := c.allocator.Account(account.ID)
-	fresh := !share.UsesRemoteHome() && share.RowLoaded() && c.now().Sub(c.lastReplyAt) <= shareTimeout
+	fresh := !share.UsesRemoteHome() && share.RowLoaded() && c.isFresh(account.ID)
 	switch {
-	case share.UsesRemoteHome() && c.loans.uncoveredRecently(account.ID), fresh && !share.Covers(n, c.allocator.Holder):
-		return &Refusal{Status: http.StatusPaymentRequired, Reason: "the account's balance does not cover the request", ByPlan: true, LogFields: c.logFields(share, n)}
+	case share.UsesRemoteHome() && c.loans.uncoveredRecently(account.ID, n), fresh && !share.Covers(n, c.allocator.Holder):
+		return c.uncovered(share, n)
 	case !fresh || share.Remaining()+share.Balance.Available() >= n:
 		return nil
 	}
@@ -290,6 +361,9 @@
 	c.logBadRows(c.allocator.FinishWrite(rowWrite, rev, now, err))
 	if err == nil || errors.Is(err, bbstore.ErrConflict) {
 		c.lastReplyAt = c.now()
+		for _, row := range rowWrite.Rows {
+			c.rowAt[bbunit.AccountID(strings.TrimPrefix(row.Key, sharesPrefix))] = c.lastReplyAt
+		}
 		c.lostAt.Store(0)
 	} else {
 		c.lostAt.CompareAndSwap(0, c.now().UnixNano())
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -48,13 +48,18 @@
 	// while a write that returns tokens is pending.
 	granted bbunit.Tokens
 	// remoteHome means that another instance is the home and can be reached.
-	// homeFree is the free amount that it last reported.
-	remoteHome bool
-	homeFree   bbunit.Tokens
+	// homeFree is the free amount that it last reported, if homeAsked.
+	remoteHome, homeAsked bool
+	homeFree              bbunit.Tokens
 	// homeUnreachable means that another instance is the home and cannot be reached.
 	homeUnreachable bool
 	// lent is the sum of the loans made by this incarnation.
 	lent bbunit.Tokens
+	// surplus is what a share with a remote home gives back with the next write.
+	surplus bbunit.Tokens
+	// refresh means that the row is written unchanged if nothing else is to change, to
+	// learn its present state.
+	refresh bool
 
 	fenced         bool // a later incarnation or Close has closed this holder
 	uncertain      uncertainWrites
@@ -81,6 +86,9 @@
 // Remaining returns what no holder has been granted, according to the last known row.
 func (s *AccountShare) Remaining() bbunit.Tokens { return s.paid - s.row.TotalGranted() }
 
+// Refresh makes the next write learn the present state of the account's row.
+func (s *AccountShare) Refresh() { s.refresh = true }
+
 // RowLoaded reports whether the account's row has been read.
 func (s *AccountShare) RowLoaded() bool { return s.rowLoaded }
 
@@ -135,7 +143,7 @@
 	if e.Rev != s.rev {
 		s.settleUncertain(row, hadGrant, a.Holder)
 	}
-	s.row, s.rev, s.rowLoaded = row, e.Rev, true
+	s.row, s.rev, s.rowLoaded, s.refresh = row, e.Rev, true, false
 	if !s.fenced {
 		s.setGranted(s.uncertain.limit(row.Holders[a.Holder].Granted))
 	}
--- a/shared/bbshare/allocator_test.go
+++ b/shared/bbshare/allocator_test.go
@@ -199,6 +199,7 @@
 // it was. The first write may fail with a conflict, which loads the row.
 func (s *simulation) reserve(i int, n bbunit.Tokens) bool {
 	a := s.instances[i].allocator
+	defer a.Account(account).Balance.Await(n)()
 	for range 4 {
 		if a.Account(account).Balance.Reserve(n) {
 			return true
@@ -244,10 +245,9 @@
 	is.True(s.reserve(0, 1)) // loads the row
 	balance := a.Account(account).Balance
 	before := balance.Available()
-	balance.Reserve(400)
+	defer balance.Await(400)()
 	s.write(0, a.NextWrite(1, true), 1)
 	is.Equal(balance.Available(), before)
-	balance.Reserve(400)
 	s.write(0, a.NextWrite(1, true), 0) // fails with a conflict, which loads the row
 	is.True(balance.Reserve(400))
 }
@@ -260,6 +260,7 @@
 	busy := s.instances[0].allocator
 	spend := func(n bbunit.Tokens) {
 		balance := busy.Account(account).Balance
+		defer balance.Await(n)()
 		for !balance.Reserve(n) {
 			s.write(0, busy.NextWrite(8, true), 0)
 		}
--- a/shared/bbshare/balance.go
+++ b/shared/bbshare/balance.go
@@ -20,24 +20,27 @@
 	available      atomic.Int64 // granted here, neither spent nor reserved
 	spent          atomic.Int64 // by requests that have ended, and lent to other holders
 	requested      atomic.Int64 // total of successful reservations and granted loans
-	unmet          atomic.Int64 // refused reservations and loans since the last NextWrite or LoanRequests
-	largestRequest atomic.Int64 // since the last Tick
+	largestRequest atomic.Int64 // largest successful reservation since the last Tick
+	unmet          unmetRequests
 }
 
-// Reserve reserves n and returns true, or counts n as unmet and returns false if
-// less than n is available.
+// Reserve reserves n and returns true, or returns false if less than n is available.
 func (b *Balance) Reserve(n bbunit.Tokens) bool {
+	if !b.take(int64(n)) {
+		return false
+	}
 	if int64(n) > b.largestRequest.Load() {
 		b.largestRequest.Store(int64(n))
 	}
-	if b.take(int64(n)) {
-		b.requested.Add(int64(n))
-		return true
-	}
-	b.unmet.Add(int64(n))
-	return false
+	b.requested.Add(int64(n))
+	return true
 }
 
+// Await records a request that waits until n can be reserved, so that a grant or a
+// loan is drawn for it. The function that it returns is called once it no longer
+// waits.
+func (b *Balance) Await(n bbunit.Tokens) (end func()) { return b.unmet.add(int64(n)) }
+
 // Commit ends a reservation: used counts as spent, the rest is available again.
 func (b *Balance) Commit(reserved, used bbunit.Tokens) {
 	used = min(max(used, 0), reserved)
--- a/shared/bbshare/draw.go
+++ b/shared/bbshare/draw.go
@@ -46,43 +46,72 @@
 	return Policy{Horizon: 15 * time.Second, RefillBelow: 0.7, MinShare: 0.005, MaxHeld: 0.25, LossLimit: 0.1, MinScale: 0.2, PriorSpent: 0.016, MaxRowsPerWrite: 32}
 }
 
+// A share is given back above surplusFactor times what is desired, or above maxSurplus
+// times what may be held.
+const (
+	surplusFactor = 3
+	maxSurplus    = 1.25
+)
+
 // unmetPrefetchFactor is the least desired share as a multiple of the unmet demand.
 // It matters while the measured demand lags behind the real one.
 const unmetPrefetchFactor = 3
 
 // desiredGrant returns what the grant of a share should become, and whether the
-// change is worth a write.
-func (a *Allocator) desiredGrant(s *AccountShare, unmet int64, holders int) (bbunit.Tokens, bool) {
+// change is worth a write. Need is above 0 if requests wait for the write: what is
+// drawn for them, or the size of one of them.
+func (a *Allocator) desiredGrant(s *AccountShare, holders int) (newGrant bbunit.Tokens, need int64, worth bool) {
 	if s.fenced || s.remoteHome || s.paid <= 0 && s.granted == 0 {
-		return 0, false
+		return 0, 0, false
 	}
-	free := max(s.Remaining(), 0)
+	free := int64(max(s.Remaining(), 0))
 	if !s.rowLoaded {
 		free = 0 // the write at revision 0 either creates the row or returns it with a conflict
 	}
-	desired := s.demand * a.policy.Horizon.Seconds()
-	desired = max(desired, float64(a.largestRequest), float64(s.paid)*a.policy.MinShare, unmetPrefetchFactor*float64(unmet))
 	available := s.Balance.available.Load()
-	desired = min(desired, a.maxHeldFraction(s)*float64(free+bbunit.Tokens(max(available, 0)))*a.spendingWeight(s, holders))
+	usable := free + max(available, 0)
+	need = a.neededDraw(s, usable, holders)
+	held := a.maxHeld(s, usable-need, holders)
+	desired := s.demand * a.policy.Horizon.Seconds()
+	desired = max(desired, float64(a.largestRequest), float64(s.paid)*a.policy.MinShare, float64(unmetPrefetchFactor*need))
+	desired = min(desired, held)
 	if a.draining || s.homeUnreachable {
 		desired = 0
 	}
-	goal := int64(desired) + unmet
-	newGrant := min(s.granted+bbunit.Tokens(goal-available), s.granted+free)
+	goal := int64(desired) + need
+	newGrant = min(s.granted+bbunit.Tokens(goal-available), s.granted+bbunit.Tokens(free))
 	if a.eras.settling {
 		newGrant = min(newGrant, s.granted)
 	}
+	waiting := s.Balance.unmet.sizes(0).smallest
 	switch {
-	case unmet > 0:
-		return newGrant, !s.rowLoaded || newGrant > s.granted
+	case need > 0 && newGrant > s.granted:
+		return newGrant, need, true
+	case waiting > 0 && (!s.rowLoaded || s.refresh):
+		return max(newGrant, s.granted), waiting, true
 	case newGrant > s.granted:
-		return newGrant, float64(available) < a.policy.RefillBelow*desired
+		return newGrant, 0, float64(available) < a.policy.RefillBelow*desired
 	case newGrant < s.granted && s.homeUnreachable:
-		return newGrant, false
+		return newGrant, 0, false
 	case newGrant < s.granted:
-		return newGrant, a.draining || available > 3*goal+int64(s.largestRequest)
+		return newGrant, 0, a.draining || float64(available-need) > min(maxSurplus*held, surplusFactor*float64(goal))
 	}
-	return newGrant, false
+	return newGrant, 0, false
+}
+
+// neededDraw returns how much of the usable tokens is drawn for requests that wait:
+// for all of them as far as that is within what may be held, but at least for the
+// largest. For one that the usable tokens do not cover nothing is drawn, since that
+// would not serve it.
+func (a *Allocator) neededDraw(s *AccountShare, usable int64, holders int) int64 {
+	unmet := s.Balance.unmet.sizes(usable)
+	return min(unmet.sum, max(unmet.largest, int64(a.maxHeld(s, usable, holders))))
+}
+
+// maxHeld returns the most that this holder keeps at hand of the usable tokens: its
+// own and the free ones.
+func (a *Allocator) maxHeld(s *AccountShare, usable int64, holders int) float64 {
+	return a.maxHeldFraction(s) * float64(usable) * a.spendingWeight(s, holders)
 }
 
 // maxHeldFraction returns the fraction of the free tokens that all holders
--- a/shared/bbshare/era_test.go
+++ b/shared/bbshare/era_test.go
@@ -63,9 +63,12 @@
 		}
 		balance := in.allocator.Account(account).Balance
 		for range e.r.IntN(4) {
-			if tokens := bbunit.Tokens(1 + e.r.IntN(40)); balance.Reserve(tokens) {
+			tokens := bbunit.Tokens(1 + e.r.IntN(40))
+			if balance.Reserve(tokens) {
 				in.inFlight = append(in.inFlight, tokens)
+				continue
 			}
+			defer balance.Await(tokens)() // it waits for this step's write
 		}
 		for len(in.inFlight) > 0 && e.r.IntN(3) > 0 {
 			used := bbunit.Tokens(e.r.IntN(int(in.inFlight[0]) + 1))
--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -52,19 +52,41 @@
 		if !s.remoteHome || s.paid <= 0 {
 			continue
 		}
-		unmet := s.Balance.unmet.Swap(0)
 		available := s.Balance.available.Load()
 		desired := 0.0
 		if !a.draining {
 			desired = a.desiredLoanShare(s, policy, instances)
 		}
-		if unmet > 0 || float64(available) < policy.RefillBelow*desired {
-			out = append(out, LoanRequest{Account: s.ID, Need: bbunit.Tokens(unmet), Prefetch: bbunit.Tokens(max(int64(desired)-available, 0))})
+		need := s.neededLoan(available)
+		if need > 0 || float64(available) < policy.RefillBelow*desired {
+			out = append(out, LoanRequest{Account: s.ID, Need: bbunit.Tokens(need), Prefetch: bbunit.Tokens(max(int64(desired)-available, 0))})
+		}
+		s.surplus = 0
+		if most := max(surplusFactor*desired, float64(s.paid)*a.policy.MinShare); need == 0 && float64(available) > most {
+			s.surplus = bbunit.Tokens(available - int64(desired))
 		}
 	}
 	return out
 }
 
+// neededLoan returns what to borrow for the requests that wait: for all of them, or
+// else for the largest, as far as the home may be able to cover it. If it may cover
+// none, it is asked for the smallest, so that it says so.
+func (s *AccountShare) neededLoan(available int64) int64 {
+	limit := int64(s.paid)
+	if s.homeAsked {
+		limit = available + int64(s.homeFree) + int64(s.homeFree)/4
+	}
+	unmet := s.Balance.unmet.sizes(limit)
+	switch {
+	case unmet.sum == 0:
+		return unmet.smallest
+	case unmet.sum <= limit:
+		return unmet.sum
+	}
+	return unmet.largest
+}
+
 // desiredLoanShare returns how many tokens an instance that is not the home should
 // have: its demand over the horizon, but at most a part of the free tokens that is
 // proportional to what the instance has spent.
@@ -84,19 +106,25 @@
 
 // SetHomeRemaining sets the free amount of the account as last reported by its home:
 // what no holder has been granted.
-func (s *AccountShare) SetHomeRemaining(free bbunit.Tokens) { s.homeFree = free }
+func (s *AccountShare) SetHomeRemaining(free bbunit.Tokens) { s.homeFree, s.homeAsked = free, true }
 
 // GrantLoan lends from the balance of the home and returns the amount. It serves
 // Need first, then Prefetch up to maxPrefetchPercent of the remainder. Any part of
 // Need that is not available is counted as unmet, so that the next write requests
-// it from the store.
+// it from the store. A Need that the home's share and the free tokens do not cover
+// gets nothing, as that would not serve it.
 func (s *AccountShare) GrantLoan(req LoanRequest) bbunit.Tokens {
+	if s.rowLoaded && req.Need > s.Balance.Available()+max(s.Remaining(), 0) {
+		return 0
+	}
 	lent := s.LendUpTo(req.Need)
 	if available := s.Balance.Available(); lent == req.Need && available > 0 {
 		lent += s.LendUpTo(min(req.Prefetch, available*maxPrefetchPercent/100))
 	}
 	s.Balance.requested.Add(int64(lent))
-	s.Balance.unmet.Add(int64(max(req.Need-lent, 0)))
+	if missing := req.Need - lent; missing > 0 {
+		s.Balance.unmet.addLoan(int64(missing))
+	}
 	return lent
 }
 
--- a/shared/bbshare/loan.go
+++ b/shared/bbshare/loan.go
@@ -27,25 +27,51 @@
 	s.Balance.available.Add(int64(n))
 }
 
-// Lenders returns the addresses of other holders that may have unspent tokens, in
-// descending order of the amount.
-func (s *AccountShare) Lenders(holder bbunit.HolderID) []bbunit.InstanceID {
-	type lender struct {
-		address bbunit.InstanceID
-		unspent bbunit.Tokens
-	}
-	var lenders []lender
+// Lender is another holder that may have unspent tokens. Unspent is the most that it
+// can have, as far as the last known row tells: what it borrowed is not counted.
+type Lender struct {
+	Address bbunit.InstanceID
+	Unspent bbunit.Tokens
+}
+
+// Lenders returns the other holders that may have unspent tokens, in descending order
+// of the amount.
+func (s *AccountShare) Lenders(holder bbunit.HolderID) []Lender {
+	var lenders []Lender
 	for id, g := range s.row.Holders {
 		if unspent := g.Granted - g.Spent; id != holder && unspent > 0 && addressOf(id) != "" {
-			lenders = append(lenders, lender{addressOf(id), unspent})
+			lenders = append(lenders, Lender{addressOf(id), unspent})
 		}
 	}
-	slices.SortFunc(lenders, func(x, y lender) int {
-		return cmp.Or(cmp.Compare(y.unspent, x.unspent), cmp.Compare(x.address, y.address))
+	slices.SortFunc(lenders, func(x, y Lender) int {
+		return cmp.Or(cmp.Compare(y.Unspent, x.Unspent), cmp.Compare(x.Address, y.Address))
 	})
-	addresses := make([]bbunit.InstanceID, len(lenders))
-	for i, x := range lenders {
-		addresses[i] = x.address
+	return lenders
+}
+
+// ToBorrow returns how many tokens to borrow from lenders so that a request of n can
+// be reserved here, 0 if loans do not help: with the rest drawn from the free tokens,
+// or with loans alone if the store is not reached. What the row tells is then old, so
+// a request that is large beside what the account has left borrows nothing: if the
+// lenders' tokens do not reach, they would be held here in vain.
+func (a *Allocator) ToBorrow(s *AccountShare, lenders []Lender, n bbunit.Tokens, rowIsFresh bool) bbunit.Tokens {
+	available, free := max(s.Balance.Available(), 0), max(s.Remaining(), 0)
+	if !rowIsFresh {
+		if left := available + free + s.UnspentByOthers(a.Holder); float64(n) > a.policy.MaxHeld*float64(left) {
+			return 0
+		}
+		return max(n-available, 0)
+	}
+	missing := n - available - free
+	if missing <= 0 {
+		missing = n - available // a draw did not come in time
+	}
+	lendable := bbunit.Tokens(0)
+	for _, l := range lenders {
+		lendable += l.Unspent
+	}
+	if lendable < missing {
+		return 0
 	}
-	return addresses
+	return max(missing, 0)
 }
--- a/shared/bbshare/several_accounts_test.go
+++ b/shared/bbshare/several_accounts_test.go
@@ -104,9 +104,16 @@
 	switch p := s.IntN(100); {
 	case p < 35:
 		most := int(s.paid) / []int{3, 20, 100}[s.IntN(3)]
-		if n := bbunit.Tokens(1 + s.IntN(most+1)); balance.Reserve(n) {
-			in.inFlight[id] = append(in.inFlight[id], n)
+		n := bbunit.Tokens(1 + s.IntN(most+1))
+		if !balance.Reserve(n) {
+			end := balance.Await(n)
+			s.write(in.allocator, in.allocator.NextWrite(len(s.instances), true))
+			end()
+			if !balance.Reserve(n) {
+				return
+			}
 		}
+		in.inFlight[id] = append(in.inFlight[id], n)
 	case p < 55:
 		if reserved := in.inFlight[id]; len(reserved) > 0 {
 			used := bbunit.Tokens(s.IntN(int(reserved[0]) + 1))
--- a/shared/bbshare/write.go
+++ b/shared/bbshare/write.go
@@ -60,7 +60,7 @@
 	type candidate struct {
 		s        *AccountShare
 		newGrant bbunit.Tokens
-		unmet    int64
+		need     int64 // tokens for requests that wait
 	}
 	var candidates []candidate
 	for _, s := range a.shares {
@@ -70,22 +70,28 @@
 			continue
 		}
 		if s.remoteHome {
+			if s.surplus > 0 && !s.fenced {
+				candidates = append(candidates, candidate{s, s.granted - s.surplus, 0})
+			}
 			continue
 		}
-		unmet := s.Balance.unmet.Swap(0)
-		if newGrant, ok := a.desiredGrant(s, unmet, holders); ok {
-			candidates = append(candidates, candidate{s, newGrant, unmet})
-			prefetch = prefetch || unmet > 0
+		newGrant, need, worth := a.desiredGrant(s, holders)
+		if !worth {
+			s.Balance.unmet.clearLoans()
+			continue
 		}
+		candidates = append(candidates, candidate{s, newGrant, need})
+		prefetch = prefetch || need > 0
 	}
 	if len(candidates) == 0 || !prefetch {
 		return nil
 	}
 	slices.SortFunc(candidates, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(y.unmet, x.unmet), cmp.Compare(x.s.ID, y.s.ID))
+		return cmp.Or(cmp.Compare(y.need, x.need), cmp.Compare(x.s.ID, y.s.ID))
 	})
 	write := &RowWrite{}
 	for _, c := range candidates[:min(len(candidates), a.policy.MaxRowsPerWrite)] {
+		c.s.surplus = 0
 		if surplus := c.s.granted - c.newGrant; surplus > 0 {
 			c.s.granted -= bbunit.Tokens(c.s.Balance.takeUpTo(int64(surplus)))
 			c.newGrant = c.s.granted
@@ -112,6 +118,8 @@
 		a.SetEra(rev.Era())
 		for _, c := range w.changes {
 			c.share.reassert, c.share.fenced, c.share.uncertain = false, c.closes, uncertainWrites{}
+			c.share.refresh = false
+			c.share.Balance.unmet.clearLoans()
 			c.share.row, c.share.rev, c.share.rowLoaded = c.row, rev, true
 			c.share.setGranted(c.granted)
 		}
