proxy: read a silent target on if no other one can give the answer

A sound target that fell silent for 0.8 to 2 s, before its answer or within a stream, cost its callers the answer: a stream ended in its middle, a whole answer became 502.

Cause: the time a repeatable request waits for a head (twice the latency objective) or for the next event (four times the gap objective) ended the attempt, and only then it was found that no retry was left in the budget, or no other target could be used.

Now the retry is taken first. If there is none, no other target, or the instance stops, the same connection is read on until the deadline; nothing that was read is lost, as the wait goes on below the buffer, also within a head or a chunk.

TestSilentTargetIsLeftForAnotherOne holds before and after: a target that is silent for good is left at once where another one can answer.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -195,7 +195,7 @@
 // connection may still hold.
 func (x *exchange) awaitResponse(conn *targetConn) (*Response, error) {
 	if x.route.Repeatable() && x.sentAttempts < x.route.MaxAttempts {
-		_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(x.headTimeout())))
+		x.awaitBytes(conn, x.headTimeout())
 	}
 	for range maxStrayResponses {
 		resp, err := conn.readResponseHead()
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -55,6 +55,8 @@
 	// mayHaveRun reports that a target may have run the request, mayHaveRunBefore
 	// the same before the latest attempt.
 	mayHaveRun, mayHaveRunBefore bool
+	// retryTaken reports that a retry was taken from the budget for the next attempt.
+	retryTaken bool
 	// passedOn reports that a part of a response's body was passed on before the
 	// rest had come, so that no other attempt can follow.
 	passedOn bool
@@ -307,6 +309,10 @@
 // takeRetry reports whether the route allows another attempt, and takes it from
 // the service's retry budget.
 func (x *exchange) takeRetry() bool {
+	if x.retryTaken {
+		x.retryTaken = false
+		return true
+	}
 	return !x.passedOn && !x.stream.unnumbered && !x.origin.endsHere(x.stream.started) && !x.proxy.crashes.HasProposedPart(x.parts) && x.sentAttempts < x.route.MaxAttempts && time.Now().Before(x.deadline) && x.proxy.takeRetry(x.service)
 }
 
@@ -317,21 +323,17 @@
 	if service == nil {
 		return nil, refuseNotRun("no target of the service is known", defaultRetryAfter)
 	}
-	request := bbplace.Request{Domain: x.proxy.domain, Excluded: x.tried, Random: rand.Uint64(), Leaves: x.proxy.leavesFunc(), Version: x.origin.pinned()}
-	if x.maxEventTokens > 0 {
-		request.PromptHash, request.SharedTokens = x.req.SharedPrefix()
-		request.PromptTokens = x.req.PromptTokens
-	}
-	target, reason := x.place(service, &request)
+	request := x.placeRequest()
+	target, reason := x.place(service, request)
 	switch {
 	case target != nil:
 		return target, nil
 	case reason == bbplace.ReasonLimited:
-		return nil, x.refuseLimited(service, x.asker(service, &request, x.proxy.now()))
+		return nil, x.refuseLimited(service, x.asker(service, request, x.proxy.now()))
 	case reason == bbplace.ReasonAllFull:
 		return nil, refuseNotRun("the targets have no room", defaultRetryAfter)
 	}
-	return nil, x.refuseUnusable(service, &request)
+	return nil, x.refuseUnusable(service, request)
 }
 
 // withDeadline returns a context that ends at the request's deadline.
--- a/bluebellport/proxy/pool.go
+++ b/bluebellport/proxy/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
 	"bluebellport.example/platform"
@@ -29,6 +30,38 @@
 	// requests is how many requests the connection has carried, strays how many
 	// responses that were not its latest request's.
 	requests, strays int
+	// onSilence decides whether to read on after awaitBytes was not answered in time.
+	onSilence func() bool
+}
+
+// Read reads from the target. A silence after awaitBytes ends it only if onSilence
+// says so.
+func (c *targetConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		var netErr net.Error
+		if n > 0 || c.onSilence == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onSilence() {
+			return n, err
+		}
+	}
+}
+
+// awaitBytes lets reads wait until a time, and asks then whether to read on.
+func (c *targetConn) awaitBytes(until time.Time, onSilence func() bool) {
+	c.onSilence = onSilence
+	_ = c.Conn.SetReadDeadline(until)
+}
+
+// SetReadDeadline sets until when reads wait.
+func (c *targetConn) SetReadDeadline(t time.Time) error {
+	c.onSilence = nil
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets until when reads and writes wait.
+func (c *targetConn) SetDeadline(t time.Time) error {
+	c.onSilence = nil
+	return c.Conn.SetDeadline(t)
 }
 
 // onlyRequest reports whether the connection has carried nothing but its latest
@@ -83,7 +116,8 @@
 		return nil, err
 	}
 	conn = p.meter.count(conn)
-	c := &targetConn{Conn: conn, br: bufio.NewReaderSize(conn, bufferSize), pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
+	c := &targetConn{Conn: conn, pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
+	c.br = bufio.NewReaderSize(c, bufferSize)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hasIdleTimeout {
--- /dev/null
+++ b/bluebellport/proxy/silence.go
@@ -0,0 +1,55 @@
+package bbproxy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbplace"
+)
+
+// awaitBytes lets the target be silent for a time. After it the request goes to
+// another target if it can; else the answer is awaited until the deadline, since a
+// sound target may be silent for a while.
+func (x *exchange) awaitBytes(conn *targetConn, timeout time.Duration) {
+	conn.awaitBytes(bbclock.Earlier(x.deadline, time.Now().Add(timeout)), func() bool {
+		if !time.Now().Before(x.deadline) || x.isAborted() || x.takeMove() {
+			return false
+		}
+		_ = conn.Conn.SetReadDeadline(x.deadline)
+		return true
+	})
+}
+
+// takeMove reports whether the request can go to another target now, and takes the
+// retry for that.
+func (x *exchange) takeMove() bool {
+	if x.checkStop() != nil || x.checkCrashes() != nil || !x.hasOtherTarget() {
+		return false
+	}
+	x.retryTaken = x.takeRetry()
+	return x.retryTaken
+}
+
+// hasOtherTarget reports whether a target can be used that the request was not sent
+// to, without a wait for a permit.
+func (x *exchange) hasOtherTarget() bool {
+	service := x.proxy.board.targetsOf(x.service)
+	if service == nil {
+		return false
+	}
+	request := x.placeRequest()
+	request.Access = x.onlyOpen
+	i, _ := bbplace.Choose(service.Candidates, request, x.proxy.now())
+	return i >= 0
+}
+
+// placeRequest describes the request for the choice of a target.
+func (x *exchange) placeRequest() *bbplace.Request {
+	request := &bbplace.Request{Domain: x.proxy.domain, Excluded: x.tried, Random: rand.Uint64(), Leaves: x.proxy.leavesFunc(), Version: x.origin.pinned()}
+	if x.maxEventTokens > 0 {
+		request.PromptHash, request.SharedTokens = x.req.SharedPrefix()
+		request.PromptTokens = x.req.PromptTokens
+	}
+	return request
+}
--- a/bluebellport/proxy/stream.go
+++ b/bluebellport/proxy/stream.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/juju/errors"
-
-	"bluebellport.example/shared/bbclock"
 )
 
 // streamState is what a client has received of an event stream. The zero value
@@ -149,7 +147,7 @@
 	defer buf.free()
 	for size := 0; ; {
 		if x.route.Repeatable() && x.sentAttempts < x.route.MaxAttempts {
-			_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(max(gapTimeoutFactor*x.route.EventGapObjective, minResponseTimeout))))
+			x.awaitBytes(conn, max(gapTimeoutFactor*x.route.EventGapObjective, minResponseTimeout))
 		}
 		n, err := buf.readOnce(b, maxEvent)
 		if size += n; size > maxResponseBody {
