proxy: each request that a stop cuts has a log line with its id

The users' record of a lost stream has no line of the instance that took it. Two paths end a stream at the client without one: of the requests cut at the end of a stop 16 were logged, and an answer that could not be written to its client left none.

Now up to 256 cut requests have a line of their own and the ids of all others stand together; an answer that is not delivered as the client does not read, or as the instance stops, is logged, and so is what is closed unread at the very end.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -161,8 +161,10 @@
 
 // Log lines of one planned stop.
 const (
-	// maxCutLogged is how many of the requests that a stop cuts are logged.
-	maxCutLogged = 16
+	// maxCutLogged is how many of the requests that a stop cuts have a line of their
+	// own, idsPerLine how many of the others stand in one line.
+	maxCutLogged = 256
+	idsPerLine   = 64
 	// maxTakenLogged is how many of the requests are logged that are sent during a
 	// stop.
 	maxTakenLogged = 256
--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/bluebellport/stop"
@@ -54,6 +55,7 @@
 	select {
 	case <-allClosed:
 	case <-time.After(time.Until(times.AnswersUntil())):
+		p.logRequests("answers not read by their callers", p.openRequests())
 		p.forEachConn(func(c *clientConn) { _ = c.Close() })
 	}
 }
@@ -99,12 +101,13 @@
 	return p.now().Sub(times.Begin).Milliseconds()
 }
 
-// logCutRequests logs up to maxCutLogged of the requests that are still open at
-// the end of the stop.
+// logCutRequests logs the requests that are still open at the end of the stop:
+// maxCutLogged of them in a line each, the ids of the others together.
 func (p *Proxy) logCutRequests() {
 	requests := p.openRequests()
 	p.log.WithFields(logrus.Fields{"event": "cut", "open": len(requests), "since": p.sinceStop()}).Warn("requests still open at the end of the stop")
-	for _, x := range requests[:min(len(requests), maxCutLogged)] {
+	detailed := min(len(requests), maxCutLogged)
+	for _, x := range requests[:detailed] {
 		fields := logrus.Fields{"request": x.req.AttemptID, "ms": time.Since(x.req.ReceivedAt).Milliseconds(), "since": p.sinceStop()}
 		if target := x.lastTarget.Load(); target != nil {
 			fields["target"] = target.ID
@@ -114,6 +117,31 @@
 		}
 		p.log.WithFields(fields).Warn("request cut")
 	}
+	p.logRequests("requests cut", requests[detailed:])
+}
+
+// logRequests logs the ids of requests, idsPerLine in a line.
+func (p *Proxy) logRequests(message string, requests []*exchange) {
+	for part := range slices.Chunk(requests, idsPerLine) {
+		ids := make([]string, len(part))
+		for i, x := range part {
+			ids[i] = x.req.AttemptID
+		}
+		p.log.WithFields(logrus.Fields{"event": "cut", "requests": ids, "since": p.sinceStop()}).Warn(message)
+	}
+}
+
+// logUndelivered logs an answer that could not be written to its client, if the
+// instance stops or the client did not read. One that has left is no news.
+func (p *Proxy) logUndelivered(x *exchange, result *attemptResult) {
+	var netErr net.Error
+	timedOut := errors.As(result.err, &netErr) && netErr.Timeout()
+	if result.err == nil || !timedOut && p.stop.Times() == nil {
+		return
+	}
+	fields := x.logFields(x.lastTarget.Load(), result)
+	fields["since"], fields["events"] = p.sinceStop(), x.stream.eventCount
+	p.log.WithFields(fields).Warn("answer not delivered")
 }
 
 // openRequests returns the requests in flight.
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -217,8 +217,10 @@
 		x.proxy.recordResult(x, target, &result)
 		switch result.kind {
 		case resultDone:
+			x.proxy.logUndelivered(x, &result)
 			return result.keepConn
 		case resultGone:
+			x.proxy.logUndelivered(x, &result)
 			return x.proxy.stop.Ended() && x.giveUp(nil)
 		}
 		refusal, retry = x.afterAttempt(&result)
--- a/bluebellport/proxy/proxy_test.go
+++ b/bluebellport/proxy/proxy_test.go
@@ -1,11 +1,13 @@
 package bbproxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -343,3 +345,49 @@
 		return strings.Contains(text, `"msg":"request cut"`) && strings.Contains(text, `"target":"t1"`)
 	})
 }
+
+// TestEachCutStreamIsLogged guards against a stream that a stop ends without a log
+// line that names it, as many are ended at once.
+func TestEachCutStreamIsLogged(t *testing.T) {
+	const n = 300 // some are named together
+	h := newHarness(t, 10_000_000)
+	h.timeout = time.Minute
+	h.declarePlan(2, 10_000_000)
+	h.settings.GracePeriod = 2 * time.Second
+	for i := range 3 {
+		h.startTarget(bbplatformstand.TargetOptions{ID: fmt.Sprint("t", i), Service: "llm", Engine: true, EventCount: 1000, Slots: 200, Pause: 200 * time.Millisecond})
+	}
+	h.start()
+	var streams sync.WaitGroup
+	var cut sync.Map // ids of the streams that began and were ended
+	for i := range n {
+		streams.Go(func() {
+			id := fmt.Sprintf("cut-%03d", i)
+			head := strings.Replace(requestHead("/once/1", 4), "late", id, 1)
+			conn := h.sendPart(strings.Replace(head, "Content-Length", bbplatform.HeaderTokenUsage+": 10,10000\r\nContent-Length", 1) + "body")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				return
+			}
+			if _, err = io.ReadAll(resp.Body); err != nil {
+				cut.Store(id, true)
+			}
+		})
+	}
+	time.Sleep(700 * time.Millisecond)
+	h.stop()
+	streams.Wait()
+	is.New(t).NoErr(<-h.serveErr)
+	h.serveErr <- nil
+	text, many := h.logs.String(), 0
+	cut.Range(func(id, _ any) bool {
+		many++
+		if !strings.Contains(text, fmt.Sprintf("%q", id)) {
+			t.Errorf("%s was cut, and no line names it", id)
+		}
+		return true
+	})
+	if many <= maxCutLogged {
+		t.Errorf("%d streams were cut, want more than %d", many, maxCutLogged)
+	}
+}
