serve: answers without end take no memory without end

A faulty target that answers without end, until its caller closes, filled the memory of a serving instance; the requests of all other callers there ended with it.

Cause: an event of many lines was kept whole however long it grew, the text of a chat grew with each event, and each of many whole answers could take 16 MB. Heads, 1xx answers, load reports and orders were bounded already, and so is native.

Now an event is bounded, and what whole answers and the texts of chats take while targets send them is bounded together (64 MB); what is above fails as a failed target. The text of an error of the key-value service's watch is bounded, too.

--- a/bluebellport/src/constants.go
+++ b/bluebellport/src/constants.go
@@ -28,8 +28,12 @@
 const (
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 1 << 20
-	// maxResponseBytes bounds an answer that is not streamed.
+	// maxResponseBytes bounds an answer that is not streamed. maxBodiesBytes bounds what
+	// all whole answers and the texts of all chats take together while targets send
+	// them; minBodyBuffer is the least that a whole answer takes.
 	maxResponseBytes = 16 << 20
+	maxBodiesBytes   = 64 << 20
+	minBodyBuffer    = 4 << 10
 )
 
 // Timeouts and intervals of requests.
--- a/bluebellport/src/engine_client.go
+++ b/bluebellport/src/engine_client.go
@@ -45,6 +45,10 @@
 	ea := &engineAttempt{address: attempt.Target.Address, requestID: req.attemptID(ec.owner, n), freshConn: fresh, started: time.Now()}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() {
+		ec.conns.heldBodies.Add(-relay.heldText)
+		relay.heldText = 0
+	}()
 	go ec.watchForSilence(attemptCtx, cancel, ea)
 	err := ec.sendChat(attemptCtx, req, ea, relay, answer)
 	if err != nil && ea.sent && ctx.Err() == nil && req.chat.Stream && !isFinalError(err) {
@@ -106,7 +110,7 @@
 		if relay.headSent {
 			return errors.WithType(errors.Errorf("target answered %d within a stream", resp.StatusCode()), errTargetFailed)
 		}
-		return passThroughError(ctx, resp, answer)
+		return ec.passThroughError(ctx, resp, answer)
 	}
 	if !req.chat.Stream {
 		return ec.relayWhole(ctx, resp, ea, relay, answer)
@@ -130,11 +134,12 @@
 // passThroughError relays the target's error response to the caller. A server
 // error (5xx) is returned as errTargetFailed instead, so that another target can
 // be tried.
-func passThroughError(ctx context.Context, resp *fasthttp.Response, answer *Answer) error {
+func (ec *engineClient) passThroughError(ctx context.Context, resp *fasthttp.Response, answer *Answer) error {
 	if resp.StatusCode() >= http.StatusInternalServerError {
 		return errors.WithType(errors.Errorf("target answered %d", resp.StatusCode()), errTargetFailed)
 	}
-	b, err := readBody(resp)
+	b, release, err := ec.conns.readBody(resp)
+	defer release()
 	if err != nil {
 		return classifyConnError(err)
 	}
@@ -149,7 +154,7 @@
 // errConnBroken or errDeadlineExceeded, unless it is already classified.
 func classifyConnError(err error) error {
 	switch {
-	case errors.Is(err, errNotSent), errors.Is(err, errTargetSilent), errors.Is(err, errOutOfStep):
+	case errors.Is(err, errNotSent), errors.Is(err, errTargetSilent), errors.Is(err, errOutOfStep), errors.Is(err, errTargetFailed):
 		return err
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return errors.WithType(err, errDeadlineExceeded)
@@ -165,7 +170,8 @@
 
 // relayWhole relays an answer that is not streamed.
 func (ec *engineClient) relayWhole(ctx context.Context, resp *fasthttp.Response, ea *engineAttempt, relay *chatRelay, answer *Answer) error {
-	b, err := readBody(resp)
+	b, release, err := ec.conns.readBody(resp)
+	defer release()
 	if err != nil {
 		return classifyConnError(err)
 	}
@@ -214,6 +220,11 @@
 		if err != nil {
 			return err
 		}
+		more := int64(cap(relay.text)) - relay.heldText
+		relay.heldText += more
+		if err := ec.conns.hold(more); err != nil {
+			return err
+		}
 		if data != nil {
 			if !relay.headSent {
 				beginAnswer(answer, http.StatusOK, "text/event-stream", nil)
@@ -293,7 +304,8 @@
 	if resp.StatusCode() != http.StatusOK {
 		return engineStatus{}, errors.NotFoundf("request %s", ea.requestID)
 	}
-	b, err := readBody(resp)
+	b, release, err := ec.conns.readBody(resp)
+	defer release()
 	if err != nil {
 		return engineStatus{}, errors.Trace(err)
 	}
--- a/bluebellport/src/plain_client.go
+++ b/bluebellport/src/plain_client.go
@@ -100,7 +100,8 @@
 	if req.idempotent && resp.StatusCode() >= http.StatusInternalServerError {
 		return errors.WithType(errors.Errorf("target answered %d", resp.StatusCode()), errTargetFailed)
 	}
-	b, err := readBody(resp)
+	b, release, err := pc.conns.readBody(resp)
+	defer release()
 	if err != nil {
 		return classifyConnError(err)
 	}
--- a/bluebellport/src/sse.go
+++ b/bluebellport/src/sse.go
@@ -51,6 +51,9 @@
 				event.data = append(event.data, '\n')
 			}
 			event.data = append(event.data, value...)
+			if len(event.data) > maxEventBytes {
+				return sseEvent{}, errors.WithType(errors.Errorf("event above %d bytes", maxEventBytes), errTargetFailed)
+			}
 		case "id":
 			if n, err := strconv.Atoi(string(value)); err == nil {
 				event.id = n
@@ -81,6 +84,7 @@
 type chatRelay struct {
 	chunkID         string // the chunk id that the caller sees
 	text            []byte
+	heldText        int64         // bytes of text that count in targetConns.heldBodies
 	attemptTokens   bbunit.Tokens // chunks with content in this attempt
 	earlierTokens   bbunit.Tokens // tokens of all earlier attempts
 	usage           *tokenUsage
--- a/bluebellport/src/target_conns.go
+++ b/bluebellport/src/target_conns.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,6 +29,8 @@
 	// unnamed holds until when refusals that name no request are expected of an address.
 	unnamed sync.Map // address -> time.Time
 	sent    sentIDs
+	// heldBodies is how many bytes whole answers and the texts of chats take now.
+	heldBodies atomic.Int64
 }
 
 // client returns the client for an address. With fresh set, the client opens a
@@ -219,17 +222,46 @@
 	return errors.Is(err, errNotSent) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout)
 }
 
-// readBody reads a response body of at most maxResponseBytes.
-func readBody(resp *fasthttp.Response) ([]byte, error) {
+// readBody reads a response body of at most maxResponseBytes, as far as the bodies that
+// are held take at most maxBodiesBytes together. The function that it returns is called
+// once the body is no longer held, also after an error, which is an errTargetFailed or
+// one of the connection.
+func (tc *targetConns) readBody(resp *fasthttp.Response) (body []byte, release func(), err error) {
+	held := int64(0)
+	release = func() { tc.heldBodies.Add(-held) }
 	stream := resp.BodyStream()
 	if stream == nil {
-		return append([]byte(nil), resp.Body()...), nil
+		return append([]byte(nil), resp.Body()...), release, nil
 	}
-	b, err := io.ReadAll(io.LimitReader(stream, maxResponseBytes+1))
-	if err == nil && len(b) > maxResponseBytes {
-		err = errors.WithType(errors.Errorf("answer above %d bytes", maxResponseBytes), errTargetFailed)
+	for {
+		if len(body) == cap(body) {
+			grown := int64(max(minBodyBuffer, 2*cap(body)))
+			held += grown
+			if err := tc.hold(grown); err != nil {
+				return nil, release, err
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxResponseBytes:
+			return nil, release, errors.WithType(errors.Errorf("answer above %d bytes", maxResponseBytes), errTargetFailed)
+		case err == io.EOF:
+			return body, release, nil
+		case err != nil:
+			return body, release, errors.Trace(err)
+		}
 	}
-	return b, errors.Trace(err)
+}
+
+// hold counts n more bytes of answers that are held. It returns an errTargetFailed if
+// all together take more than maxBodiesBytes.
+func (tc *targetConns) hold(n int64) error {
+	if tc.heldBodies.Add(n) > maxBodiesBytes {
+		return errors.WithType(errors.New("the answers of all targets take too much memory"), errTargetFailed)
+	}
+	return nil
 }
 
 // headerCarrier reads and writes trace context in a request header.
--- a/bluebellport/src/target_conns_test.go
+++ b/bluebellport/src/target_conns_test.go
@@ -65,8 +65,9 @@
 				if err != nil {
 					continue
 				}
-				body, err := readBody(resp)
+				body, freeBody, err := conns.readBody(resp)
 				is.NoErr(err)
+				freeBody()
 				release()
 				if string(body) == id {
 					own++
--- a/shared/bbstore/client_watch.go
+++ b/shared/bbstore/client_watch.go
@@ -37,12 +37,15 @@
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	if resp.StatusCode() != http.StatusOK {
-		text, _ := io.ReadAll(resp.BodyStream())
+		text, _ := io.ReadAll(io.LimitReader(resp.BodyStream(), maxErrorBytes))
 		return watchError(ctx, statusError(resp.StatusCode(), text))
 	}
 	return readEvents(ctx, json.NewDecoder(resp.BodyStream()), fn)
 }
 
+// maxErrorBytes bounds the text of an error, in bytes.
+const maxErrorBytes = 64 << 10
+
 // watchClient returns an HTTP client for one watch. Its connection is closed
 // when ctx ends.
 func (c *Client) watchClient(ctx context.Context) *fasthttp.HostClient {
