version: an instance out of step takes no stream up by its old split

During a release, streams broke that had begun at targets of a new software version, were taken up at an instance that had been cut off or had stood still for seconds, and went on at a target of the old version.

Cause: where no record tells a stream's version, an instance relied on its own split if an instance of another failure domain had answered, if its view of the fleet had none any more (as after a cut), or if the store had confirmed the split up to 2 s ago, twice as long as others wait before they begin streams by a new one. Instances that are out of step together confirmed each other. A take-up that names no origin asked nobody.

Now the store has to show the split after the take-up has come, one read for all that wait; if it does not answer, all other instances that were there in the last minute have to. Else the take-up is refused, 503 not run.

--- a/bluebellport/emulate/fleet.go
+++ b/bluebellport/emulate/fleet.go
@@ -130,6 +130,13 @@
 	f.After(duration+rejoin, func() { f.epoch++ })
 }
 
+// SetCut cuts an instance off from those that are not, or ends that.
+func (f *Fleet) SetCut(n *Node, cut bool) {
+	f.epoch++
+	n.Cut, n.CalmSince = cut, f.clock
+	f.After(suspicion, func() { f.epoch++ })
+}
+
 func (f *Fleet) setCut(domain bbunit.DomainID, cut bool) {
 	f.epoch++
 	for _, n := range f.Nodes {
--- a/bluebellport/proxy/streamorigin.go
+++ b/bluebellport/proxy/streamorigin.go
@@ -94,7 +94,9 @@
 			return refuseNotRun("the software versions of the service are not known here yet", defaultRetryAfter)
 		}
 	case attempt == "":
-		if x.origin.version, known = x.proxy.versions.OnlyVersion(x.service); !known {
+		ctx, cancel := x.withDeadline()
+		defer cancel()
+		if x.origin.version, known = x.proxy.versions.OnlyVersion(ctx, x.service); !known {
 			return x.refuseTakeUp("the request does not name the attempt that began the stream", 0)
 		}
 	default:
--- a/bluebellport/version/constants.go
+++ b/bluebellport/version/constants.go
@@ -50,8 +50,14 @@
 	homeCount = 3
 	// askTimeout is how long homes have to answer.
 	askTimeout = 200 * time.Millisecond
-	// confirmPeriod is how long a read of the store shows that a split is the newest.
-	confirmPeriod = 2 * time.Second
+	// confirmTimeout is how long the store has to show that a split is the newest,
+	// confirmPause how long after a failure it is not asked again.
+	confirmTimeout = 400 * time.Millisecond
+	confirmPause   = 500 * time.Millisecond
+	// memberRetention is how long after it was last seen an instance counts in the
+	// question whether all are reached, maxAsked the largest fleet in which each is asked.
+	memberRetention = time.Minute
+	maxAsked        = 16
 )
 
 // Times and sizes of the logs of streams.
--- a/bluebellport/version/fleet_test.go
+++ b/bluebellport/version/fleet_test.go
@@ -50,8 +50,14 @@
 	keeper *Keeper
 	lag    time.Duration // of what it knows of the targets
 	asks   func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope
+	// reachesCore reports that the store is reached though the instance is cut off,
+	// frozen that it does nothing.
+	reachesCore, frozen bool
 }
 
+// nodeID returns the id of an instance.
+func nodeID(i int) bbunit.InstanceID { return bbunit.InstanceID(fmt.Sprint("i", i)) }
+
 func (n *simNode) Handle(sample *bbwire.Envelope, fn func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope) {
 	if _, ok := sample.Body.(*bbwire.Envelope_Begunask); ok {
 		n.asks = fn
@@ -73,7 +79,7 @@
 
 // Get, List, CAS and Era are the store, which a cut instance does not reach.
 func (n *simNode) Get(ctx context.Context, key string) (bbstore.Entry, error) {
-	if n.Cut {
+	if n.Cut && !n.reachesCore {
 		return bbstore.Entry{}, bbstore.ErrDown
 	}
 	n.sim.reads++
@@ -81,7 +87,7 @@
 }
 
 func (n *simNode) List(ctx context.Context, prefix string) ([]bbstore.Entry, bbstore.Revision, error) {
-	if n.Cut {
+	if n.Cut && !n.reachesCore {
 		return nil, 0, bbstore.ErrDown
 	}
 	n.sim.reads++
@@ -89,7 +95,7 @@
 }
 
 func (n *simNode) CAS(ctx context.Context, key string, value []byte, prev bbstore.Revision, lease bbstore.LeaseID) (bbstore.Revision, error) {
-	if n.Cut {
+	if n.Cut && !n.reachesCore {
 		return 0, bbstore.ErrDown
 	}
 	n.sim.writes++
@@ -171,7 +177,11 @@
 		},
 		IsWatcher: func() bool { return node.View().Members[0].ID == n.Member.ID || n.Member.ID == bbunit.InstanceID("i1") },
 	})
-	n.Every(tickInterval, func() { node.keeper.Tick(context.Background()) })
+	n.Every(tickInterval, func() {
+		if !node.frozen {
+			node.keeper.Tick(context.Background())
+		}
+	})
 }
 
 // targetsBefore returns the targets that served a time ago.
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -87,10 +87,13 @@
 	log     streamLog
 	rounds  *bbnews.Rounds
 	dirty   bool // the split is to be flooded
-	// confirmedAt is when the store last showed that the split is the newest.
-	confirmedAt time.Time
+	// confirmed is when the store last showed that the split is the newest, members are
+	// the instances that were there of late, this one among them.
+	confirmed confirmation
+	members   map[bbunit.InstanceID]seenMember
 
-	lookup lookup // has a lock of its own
+	confirming sync.Mutex // held while the store is asked for that; taken before mu
+	lookup     lookup     // has a lock of its own
 
 	// The fields below are used by Tick only.
 
@@ -129,7 +132,7 @@
 		cfg: cfg, messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"), writes: counter("writes"), reads: counter("reads"),
 		logWrites: counter("logwrites"), logReads: counter("logreads"),
 		records: counter("records"), questions: counter("questions"), found: counter("found"), unknown: counter("unknown"),
-		streams: streams{byKey: map[StreamKey]*stream{}}, rounds: bbnews.NewRounds(&times, cfg.Now()),
+		streams: streams{byKey: map[StreamKey]*stream{}}, members: map[bbunit.InstanceID]seenMember{}, rounds: bbnews.NewRounds(&times, cfg.Now()),
 	}
 	k.state.Store(&state{split: &Split{}})
 	k.slots.Store(&map[bbunit.ServiceID]map[string]int{})
@@ -151,6 +154,7 @@
 func (k *Keeper) Tick(ctx context.Context) {
 	now, slots := k.cfg.Now(), k.cfg.Slots()
 	k.slots.Store(&slots)
+	k.noteMembers(k.cfg.Network.View(), now)
 	k.mu.Lock()
 	k.rounds.Follow(k.cfg.Network.View(), now)
 	out := k.news(now)
@@ -184,18 +188,6 @@
 	return version, true
 }
 
-// OnlyVersion returns the version that began all streams of a service that may be
-// taken up. It is false if there may be several.
-func (k *Keeper) OnlyVersion(service bbunit.ServiceID) (version string, known bool) {
-	current := k.state.Load()
-	epochs, slots := current.split.Services[service], (*k.slots.Load())[service]
-	if !current.complete || len(epochs) != 1 || len(epochs[0].Weights) != 1 || len(slots) != 1 {
-		return "", false
-	}
-	version = epochs[0].Version(0)
-	return version, slots[version] > 0
-}
-
 // Complete reports whether this instance knows what the store, or an instance that
 // knew its split, had when it started.
 func (k *Keeper) Complete() bool { return k.state.Load().complete }
--- a/bluebellport/version/news.go
+++ b/bluebellport/version/news.go
@@ -1,15 +1,12 @@
 package bbversion
 
 import (
-	"context"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
@@ -129,32 +126,8 @@
 	}
 }
 
-// homes returns the instances that keep the record of a stream, but for this one.
-func homes(view *bbmember.View, key StreamKey) []bbmember.Member {
-	rank := view.Rank(strconv.FormatUint(uint64(key), 16), "", homeCount+1)
-	rank = slices.DeleteFunc(rank, func(m bbmember.Member) bool { return m.ID == view.Self.ID })
-	return rank[:min(len(rank), homeCount)]
-}
-
-// witnesses returns whom to ask about a stream: its homes, and an instance of
-// another failure domain if they are all of this one.
-func (k *Keeper) witnesses(view *bbmember.View, key StreamKey) []bbmember.Member {
-	out := homes(view, key)
-	isRemote := func(m bbmember.Member) bool { return m.Domain != view.Self.Domain }
-	if slices.ContainsFunc(out, isRemote) {
-		return out
-	}
-	var remote []bbmember.Member
-	for _, m := range view.Members {
-		if isRemote(m) {
-			remote = append(remote, m)
-		}
-	}
-	if len(remote) > 0 {
-		out = append(out, remote[k.cfg.Rand(len(remote))])
-	}
-	return out
-}
+// streamRankKey is the rendezvous hash key that ranks the homes of a stream.
+func streamRankKey(key StreamKey) string { return strconv.FormatUint(uint64(key), 16) }
 
 // sendRecords tells the homes of streams, and the writer of the domain's log, which
 // version began them.
@@ -191,85 +164,3 @@
 	}
 	return &bbwire.Envelope{Body: &bbwire.Envelope_Beguntell{Beguntell: tell}}
 }
-
-// Find returns the version that began a stream which a client takes up again. It
-// is false if nothing tells it. It asks the homes of the stream and blocks for
-// askTimeout at most, or until ctx ends.
-func (k *Keeper) Find(ctx context.Context, service bbunit.ServiceID, key StreamKey) (version string, known bool) {
-	k.mu.Lock()
-	version, known = k.streams.find(key)
-	k.mu.Unlock()
-	source := "own"
-	if !known {
-		var inTouch bool
-		version, known, inTouch = k.ask(ctx, key)
-		source = "home"
-		if !known {
-			version, known = k.fromSplit(service, key, inTouch)
-			source = "split"
-		}
-		if !known {
-			version, known = k.fromLogs(ctx, key)
-			source = "log"
-		}
-	}
-	if !known {
-		k.unknown.Inc(1)
-		return "", false
-	}
-	k.found.Inc(1)
-	k.cfg.Log.WithFields(logrus.Fields{"event": "stream-found", "service": service, "version": version, "source": source}).Debug("version of a stream found")
-	return version, true
-}
-
-// fromSplit returns the version of a stream on which all epochs agree. An instance
-// that may have missed a newer split does not rely on its own: it has to be in touch
-// with other failure domains, or with the store.
-func (k *Keeper) fromSplit(service bbunit.ServiceID, key StreamKey, inTouch bool) (version string, known bool) {
-	k.mu.Lock()
-	confirmed := k.cfg.Now().Sub(k.confirmedAt) < confirmPeriod
-	k.mu.Unlock()
-	current := k.state.Load()
-	if !current.complete || !inTouch && !confirmed {
-		return "", false
-	}
-	return versionIn(current.split.Services[service], key)
-}
-
-// reply is what an instance knows of a stream; tell is nil if it did not answer.
-type reply struct {
-	from bbmember.Member
-	tell *bbwire.BegunTell
-}
-
-// ask asks the witnesses of a stream which version began it, and takes newer splits
-// from their answers. It reports whether an instance of another failure domain has
-// answered, or there is none.
-func (k *Keeper) ask(ctx context.Context, key StreamKey) (version string, known, inTouch bool) {
-	view := k.cfg.Network.View()
-	witnesses := k.witnesses(view, key)
-	inTouch = !slices.ContainsFunc(witnesses, func(m bbmember.Member) bool { return m.Domain != view.Self.Domain })
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	k.questions.Inc(int64(len(witnesses)))
-	question := &bbwire.BegunAsk{Stream: uint64(key), Number: k.state.Load().split.Number}
-	replies := make(chan reply, len(witnesses))
-	for _, m := range witnesses {
-		go func() {
-			e, err := k.cfg.Network.Call(ctx, m.ID, &bbwire.Envelope{Body: &bbwire.Envelope_Begunask{Begunask: question}})
-			if err != nil {
-				e = nil
-			}
-			replies <- reply{m, e.GetBeguntell()}
-		}()
-	}
-	for range witnesses {
-		r := <-replies
-		k.hear(r.from.ID, r.tell.GetSplit(), r.tell.GetComplete())
-		if r.tell.GetKnown() {
-			return r.tell.GetVersion(), true, true
-		}
-		inTouch = inTouch || r.tell.GetComplete() && r.from.Domain != view.Self.Domain
-	}
-	return "", false, inTouch
-}
--- a/bluebellport/version/writer.go
+++ b/bluebellport/version/writer.go
@@ -117,11 +117,7 @@
 func (k *Keeper) stored(split *Split, rev bbstore.Revision, at time.Time) {
 	k.revision = rev
 	k.adopt(split, true)
-	if split.Number == k.state.Load().split.Number {
-		k.mu.Lock()
-		k.confirmedAt = at
-		k.mu.Unlock()
-	}
+	k.noteConfirmed(split, at)
 }
 
 // change returns the split that should follow the current one, nil if that fits. A
