--- a/bluebellport/proxy/planned_stop_test.go
+++ b/bluebellport/proxy/planned_stop_test.go
@@ -124,12 +124,7 @@
 			if c.usage != "" {
 				options = bbplatformstand.TargetOptions{Service: "llm", Engine: true, EventCount: engineEvents}
 			}
-			options.BodyPause = true
-			var targets []*bbplatformstand.Target
-			for i := range stopTargets {
-				options.ID = fmt.Sprintf("t%d", i)
-				targets = append(targets, h.startTarget(options))
-			}
+			targets := h.startStopTargets(options)
 			h.start()
 			play := &stopPlay{grace: 8 * s, work: []time.Duration{c.history}, deadline: 10 * s, path: c.path, usage: c.usage, warm: 48}
 			h.warmUp(play)
--- a/bluebellport/proxy/stop_play_test.go
+++ b/bluebellport/proxy/stop_play_test.go
@@ -65,12 +65,7 @@
 	h.timeout = time.Minute
 	h.declarePlan(2, 1_000_000)
 	h.settings.GracePeriod = p.grace
-	target.BodyPause = true
-	var targets []*bbplatformstand.Target
-	for i := range stopTargets {
-		target.ID = fmt.Sprintf("t%d", i)
-		targets = append(targets, h.startTarget(target))
-	}
+	targets := h.startStopTargets(target)
 	h.start()
 	h.warmUp(p)
 	calls := make([]*stopCall, p.requests)
@@ -116,6 +111,17 @@
 	return calls, h
 }
 
+// startStopTargets starts stopTargets targets that work for as long as a request says.
+func (h *harness) startStopTargets(options bbplatformstand.TargetOptions) []*bbplatformstand.Target {
+	options.BodyPause = true
+	var targets []*bbplatformstand.Target
+	for i := range stopTargets {
+		options.ID = fmt.Sprintf("t%d", i)
+		targets = append(targets, h.startTarget(options))
+	}
+	return targets
+}
+
 // ranAt reports whether any of the targets ran a request.
 func ranAt(targets []*bbplatformstand.Target, id string) bool {
 	return slices.ContainsFunc(targets, func(target *bbplatformstand.Target) bool {
