--- a/bluebellport/src/serve_stop_test.go
+++ b/bluebellport/src/serve_stop_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +85,27 @@
 	is.True(resp.Header.Get("Retry-After") != "")
 }
 
+// TestRequestLongerThanAllBeforeItIsRefusedInAStop guards against requests that are
+// taken late in the linger time as all before them were short, and cut at the end.
+func TestRequestLongerThanAllBeforeItIsRefusedInAStop(t *testing.T) {
+	is := is.New(t)
+	var work atomic.Int64
+	f := newTestFrontend(t, func(w http.ResponseWriter, r *http.Request) { workingTarget(time.Duration(work.Load()))(w, r) })
+	for range 20 {
+		resp, _ := f.do(t, "POST", "/services/desk/x", "", "X-Request-Deadline-Ms", "3000")
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	work.Store(int64(2500 * time.Millisecond))
+	stopServing(t, f, 2*time.Second, time.Second)
+	time.Sleep(700 * time.Millisecond)
+	resp, body := f.do(t, "POST", "/services/desk/x", "", "X-Request-Deadline-Ms", "3000")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, `"outcome":"not-run"`))
+	work.Store(0)
+	resp, _ = f.do(t, "POST", "/services/desk/x", "", "X-Request-Deadline-Ms", "300") // ends before the stop in any case
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
 // TestStopAnswersOpenRequestsAndHandsBack guards against a stop that cuts open
 // requests without an answer and leaves no time to return shares and records.
 func TestStopAnswersOpenRequestsAndHandsBack(t *testing.T) {
