--- a/bluebellctl/src/cause.go
+++ b/bluebellctl/src/cause.go
@@ -73,6 +73,9 @@
 	case "too-uncertain":
 		return fmt.Sprintf("%s: %s after the order to stop, %s before its end, nothing was known of how long requests of route %s take",
 			l.text("reason"), since, milliseconds(l.number("left")), l.text("route"))
+	case "too-late":
+		return fmt.Sprintf("%s: it came late, %s after the order to stop, and might have taken %s, with %s left",
+			l.text("reason"), since, milliseconds(l.number("limit")), milliseconds(l.number("left")))
 	}
 	return fmt.Sprintf("%s: %s after the order to stop, %s before its end, it was expected to take %s, by %.0f requests of route %s that ended and %.0f open ones",
 		l.text("reason"), since, milliseconds(l.number("left")), milliseconds(l.number("expected")), l.number("samples"), l.text("route"), l.number("open"))
