--- a/bluebellport/proxy/silence.go
+++ b/bluebellport/proxy/silence.go
@@ -9,11 +9,12 @@
 )
 
 // awaitBytes lets the target be silent for a time. After it the request goes to
-// another target if it can; else the answer is awaited until the deadline, since a
-// sound target may be silent for a while.
+// another target if it can, and is given up if it is known to crash its targets; else
+// the answer is awaited until the deadline, since a sound target may be silent for a
+// while.
 func (x *exchange) awaitBytes(conn *targetConn, timeout time.Duration) {
 	conn.awaitBytes(bbclock.Earlier(x.deadline, time.Now().Add(timeout)), func() bool {
-		if !time.Now().Before(x.deadline) || x.isAborted() || x.takeMove() {
+		if !time.Now().Before(x.deadline) || x.isAborted() || x.checkCrashes() != nil || x.takeMove() {
 			return false
 		}
 		_ = conn.Conn.SetReadDeadline(x.deadline)
@@ -24,7 +25,7 @@
 // takeMove reports whether the request can go to another target now, and takes the
 // retry for that.
 func (x *exchange) takeMove() bool {
-	if x.checkStop() != nil || x.checkCrashes() != nil || !x.hasOtherTarget() {
+	if x.checkStop() != nil || !x.hasOtherTarget() {
 		return false
 	}
 	x.retryTaken = x.takeRetry()
