serve: a response is released only by its reader

As a request's context ended while its answer was read, the response went back to the HTTP library's pool under the reader's hands: a data race, and the next request could read on in it.

Cause: context.AfterFunc called the function that releases the response. Now the end of the context closes the connection only, if it still is this response's; the reader releases.

--- a/bluebellport/src/engine_client.go
+++ b/bluebellport/src/engine_client.go
@@ -100,7 +100,6 @@
 		return classifyConnError(err)
 	}
 	defer releaseResp()
-	defer context.AfterFunc(ctx, releaseResp)()
 	ea.received.Add(1)
 	if err := targetRefusal(resp); err != nil {
 		ea.sent = false
@@ -275,7 +274,6 @@
 		return errors.WithType(err, errNotResumable)
 	}
 	defer releaseResp()
-	defer context.AfterFunc(ctx, releaseResp)()
 	if resp.StatusCode() != http.StatusOK {
 		return errors.Trace(errNotResumable)
 	}
--- a/bluebellport/src/plain_client.go
+++ b/bluebellport/src/plain_client.go
@@ -51,7 +51,6 @@
 	result.Sent = sent
 	if err == nil {
 		defer releaseResp()
-		defer context.AfterFunc(ctx, releaseResp)()
 		result.TimeToFirstByte = time.Since(started)
 		result.Err = pc.relay(ctx, resp, req, answer)
 		if errors.Is(result.Err, ErrLeaving) || errors.Is(result.Err, ErrBusy) {
--- a/bluebellport/src/target_conns.go
+++ b/bluebellport/src/target_conns.go
@@ -26,6 +26,7 @@
 type targetConns struct {
 	pooled sync.Map // address -> *fasthttp.HostClient
 	fresh  sync.Map // address -> *fasthttp.HostClient for connections that are not reused
+	open   sync.Map // local address -> net.Conn
 	// unnamed holds until when refusals that name no request are expected of an address.
 	unnamed sync.Map // address -> time.Time
 	sent    sentIDs
@@ -43,15 +44,15 @@
 	if client, ok := clients.Load(address); ok {
 		return client.(*fasthttp.HostClient)
 	}
-	client, _ := clients.LoadOrStore(address, newTargetClient(address))
+	client, _ := clients.LoadOrStore(address, tc.newClient(address))
 	return client.(*fasthttp.HostClient)
 }
 
-// newTargetClient returns a client that sends each request at most once.
-func newTargetClient(address string) *fasthttp.HostClient {
+// newClient returns a client that sends each request at most once.
+func (tc *targetConns) newClient(address string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
-		Dial:                      dialTarget,
+		Dial:                      tc.dial,
 		MaxConns:                  maxConnsPerTarget,
 		MaxIdleConnDuration:       targetIdleTimeout,
 		MaxIdemponentCallAttempts: 1,
@@ -62,6 +63,54 @@
 	}
 }
 
+// dial is dialTarget, and keeps the connection for interrupt.
+func (tc *targetConns) dial(address string) (net.Conn, error) {
+	c, err := dialTarget(address)
+	if err != nil {
+		return nil, err
+	}
+	local := c.LocalAddr().String()
+	tc.open.Store(local, c)
+	return &openConn{Conn: c, closed: func() { tc.open.CompareAndDelete(local, c) }}, nil
+}
+
+// openConn is a connection to a target that is open.
+type openConn struct {
+	net.Conn
+	closed func()
+}
+
+// Close closes the connection.
+func (c *openConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// releasable returns a function that releases a response, and lets the end of ctx
+// interrupt the reading of its body before that: its connection is closed. The response
+// itself is not touched then, as it may be read at that moment.
+func (tc *targetConns) releasable(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) func() {
+	if resp.BodyStream() == nil { // its connection may carry another request by now
+		return sync.OnceFunc(func() { releaseExchange(req, resp) })
+	}
+	var mu sync.Mutex // held while the connection is this response's
+	released, local := false, resp.LocalAddr().String()
+	stop := context.AfterFunc(ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if c, ok := tc.open.Load(local); ok && !released {
+			_ = c.(net.Conn).Close()
+		}
+	})
+	return sync.OnceFunc(func() {
+		stop()
+		mu.Lock()
+		defer mu.Unlock()
+		released = true
+		releaseExchange(req, resp)
+	})
+}
+
 // dialTarget opens a connection, or fails with errNotSent.
 func dialTarget(address string) (net.Conn, error) {
 	c, err := net.DialTimeout("tcp", address, targetDialTimeout)
@@ -123,7 +172,7 @@
 // send sends the request and returns when the response head has arrived, ctx
 // ends or the deadline passes. The bool is set if the target may have got any
 // of the request. The returned function must be called to release the
-// response; it also interrupts a read of its body. A refusal on a pooled connection
+// response; the end of ctx interrupts a read of its body. A refusal on a pooled connection
 // that does not name the request may be that of an earlier one: it is an ErrBusy, and
 // the target may have got the request.
 func (tc *targetConns) send(ctx context.Context, address string, fresh bool, req *fasthttp.Request, deadline time.Time) (*fasthttp.Response, func(), bool, error) {
@@ -156,7 +205,7 @@
 			return nil, func() {}, true, errors.Trace(err)
 		}
 		if err == nil {
-			return resp, sync.OnceFunc(func() { releaseExchange(req, resp) }), true, nil
+			return resp, tc.releasable(ctx, req, resp), true, nil
 		}
 		releaseExchange(req, resp)
 		return nil, func() {}, !isNotSent(err), errors.Trace(err)
