bbshare: homes keep and lend as before, but for what the account does not cover

Cause: in a fleet with homes a share above a fourth over its part of the quarter was given back after nearly each request and drawn again, borrowers gave back small rests, and a home lent nothing where a part was at hand and the rest in other domains.

--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -61,7 +61,7 @@
 	need := bbunit.Tokens(max(ask.Tokens, 0))
 	var n bbunit.Tokens
 	if ask.Home {
-		n = share.GrantLoan(bbshare.LoanRequest{Need: need, Prefetch: bbunit.Tokens(max(ask.Ahead, 0))})
+		n = share.GrantLoan(bbshare.LoanRequest{Need: need, Prefetch: bbunit.Tokens(max(ask.Ahead, 0))}, l.shares.allocator.Holder)
 		l.shares.wake()
 	} else {
 		n = share.LendUpTo(need)
@@ -81,12 +81,10 @@
 	view := l.peers.View()
 	holders := int(shares.board.Instances.Load())
 	usesHomes := shares.board.UsesHomes()
-	horizon := bbshare.DefaultPolicy().Horizon
 	if usesHomes {
-		horizon = bbshare.HomeHorizon
 		holders = countDomains(view)
 	}
-	shares.allocator.SetHorizon(horizon)
+	shares.allocator.SetUsesHomes(usesHomes)
 	plan := shares.board.Plan.Load()
 	if usesHomes {
 		l.computeHomes(view, plan)
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -26,7 +26,9 @@
 	largestRequest int64
 	// draining means that grants are raised only for unmet requests.
 	draining bool
-	eras     eraState
+	// usesHomes means that the accounts have homes.
+	usesHomes bool
+	eras      eraState
 }
 
 // NewAllocator returns an allocator without accounts. Its rows are stored under
--- a/shared/bbshare/draw.go
+++ b/shared/bbshare/draw.go
@@ -37,8 +37,14 @@
 // borrowing instances hold shares of their own.
 const HomeHorizon = 8 * time.Second
 
-// SetHorizon changes how long shares should last.
-func (a *Allocator) SetHorizon(d time.Duration) { a.policy.Horizon = d }
+// SetUsesHomes sets whether the accounts have homes. A home keeps more than it may
+// need for a while, as many instances borrow from it and each write costs a call.
+func (a *Allocator) SetUsesHomes(uses bool) {
+	a.usesHomes, a.policy.Horizon = uses, DefaultPolicy().Horizon
+	if uses {
+		a.policy.Horizon = HomeHorizon
+	}
+}
 
 // DefaultPolicy returns the policy of a small fleet, where no account has a home
 // and each instance gets its grants from the store.
@@ -94,11 +100,19 @@
 	case newGrant < s.granted && s.homeUnreachable:
 		return newGrant, 0, false
 	case newGrant < s.granted:
-		return newGrant, 0, a.draining || float64(available-need) > min(maxSurplus*held, surplusFactor*float64(goal))
+		return newGrant, 0, a.draining || float64(available-need) > a.mostKept(s, held, goal)
 	}
 	return newGrant, 0, false
 }
 
+// mostKept returns above how many available tokens a share is given back.
+func (a *Allocator) mostKept(s *AccountShare, held float64, goal int64) float64 {
+	if a.usesHomes {
+		return surplusFactor*float64(goal) + float64(s.largestRequest)
+	}
+	return min(maxSurplus*held, surplusFactor*float64(goal))
+}
+
 // neededDraw returns how much of the usable tokens is drawn for requests that wait:
 // for all of them as far as that is within what may be held, but at least for the
 // largest. For one that the usable tokens do not cover nothing is drawn, since that
--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -62,20 +62,28 @@
 			out = append(out, LoanRequest{Account: s.ID, Need: bbunit.Tokens(need), Prefetch: bbunit.Tokens(max(int64(desired)-available, 0))})
 		}
 		s.surplus = 0
-		if most := max(surplusFactor*desired, float64(s.paid)*a.policy.MinShare); need == 0 && float64(available) > most {
+		if most := max(surplusFactor*desired, float64(s.paid)*maxBorrowedUnused); need == 0 && float64(available) > most {
 			s.surplus = bbunit.Tokens(available - int64(desired))
 		}
 	}
 	return out
 }
 
+// What an instance that borrows keeps and assumes, as fractions of what the account
+// has paid: what it keeps unused beyond surplusFactor times what it desires, and what
+// its home may have at hand beside the free tokens.
+const (
+	maxBorrowedUnused = 0.05
+	homeShareGuess    = 0.05
+)
+
 // neededLoan returns what to borrow for the requests that wait: for all of them, or
 // else for the largest, as far as the home may be able to cover it. If it may cover
 // none, it is asked for the smallest, so that it says so.
 func (s *AccountShare) neededLoan(available int64) int64 {
 	limit := int64(s.paid)
 	if s.homeAsked {
-		limit = available + int64(s.homeFree) + int64(s.homeFree)/4
+		limit = available + int64(s.homeFree) + int64(float64(s.paid)*homeShareGuess)
 	}
 	unmet := s.Balance.unmet.sizes(limit)
 	switch {
@@ -111,10 +119,10 @@
 // GrantLoan lends from the balance of the home and returns the amount. It serves
 // Need first, then Prefetch up to maxPrefetchPercent of the remainder. Any part of
 // Need that is not available is counted as unmet, so that the next write requests
-// it from the store. A Need that the home's share and the free tokens do not cover
-// gets nothing, as that would not serve it.
-func (s *AccountShare) GrantLoan(req LoanRequest) bbunit.Tokens {
-	if s.rowLoaded && req.Need > s.Balance.Available()+max(s.Remaining(), 0) {
+// it from the store. A Need that the account does not cover as far as is known gets
+// nothing, as that would not serve it. Holder is the home.
+func (s *AccountShare) GrantLoan(req LoanRequest, holder bbunit.HolderID) bbunit.Tokens {
+	if s.rowLoaded && !s.Covers(req.Need, holder) {
 		return 0
 	}
 	lent := s.LendUpTo(req.Need)
--- a/shared/bbshare/loss_test.go
+++ b/shared/bbshare/loss_test.go
@@ -78,10 +78,11 @@
 	is := is.New(t)
 	s := newSimulation(1, 1000)
 	is.True(s.reserve(0, 100))
-	share := s.instances[0].allocator.Account(account)
-	is.Equal(share.GrantLoan(LoanRequest{Account: account, Need: 950}), bbunit.Tokens(0))
+	home := s.instances[0].allocator
+	share := home.Account(account)
+	is.Equal(share.GrantLoan(LoanRequest{Account: account, Need: 950}, home.Holder), bbunit.Tokens(0))
 	is.Equal(share.Balance.unmet.sizes(1000), unmetSizes{})
-	is.Equal(share.GrantLoan(LoanRequest{Account: account, Need: 850}), share.lent)
+	is.Equal(share.GrantLoan(LoanRequest{Account: account, Need: 850}, home.Holder), share.lent)
 	is.True(share.Balance.unmet.sizes(1000).sum > 0)
 }
 
