Count an order to stop from the last beat before it was noticed

A process that stood still for up to half a second as SIGTERM came counted the times of its stop from when it went on.

Cause: a gap between two beats counted as a freeze only from 500 ms on, with a beat each 250 ms. So an order could be noticed late by as much as the stop keeps for its exit, unknowingly.

An order now counts from the latest beat that left 40 ms to notice it, whatever the gap; beats come each 40 ms. Without a freeze that is 40 to 80 ms early, which leaves the last sixth of grace periods from 2 s on untouched. Weighed and left: beats each 50 ms with a threshold of 100 ms (late by 100 ms unknowingly, which the end would have to pay), an earlier end for all (fewer served in each stop), SIGCONT (tells nothing of the begin, nor of other ways to stand still).

Evidence: TestFreezeIsPartOfTheGracePeriod plays freezes of 0 to 3 s with orders each 5 ms. The test before it wanted a freeze of 400 ms not to count, which was the fault.

--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -30,17 +30,13 @@
 	logDivisor     = 5
 )
 
-// PulseInterval is the time between two calls of Pulse.Beat.
-const PulseInterval = 250 * time.Millisecond
+// PulseInterval is the time between two calls of Pulse.Beat. An order to stop counts
+// from a beat, so its sum with noticeTime may not take from a grace period of 2 s what
+// lies between the end of its stop and its last sixth.
+const PulseInterval = 40 * time.Millisecond
 
-// frozenAfter is the time between two beats from which the process counts as frozen,
-// so that an order to stop is never noticed later than uncertainMargin. Less may be
-// load.
-const frozenAfter = uncertainMargin
-
-// thawWindow is how long after a freeze an order to stop may take effect that was
-// given during it.
-const thawWindow = 50 * time.Millisecond
+// noticeTime is how long a process that runs may take to notice an order to stop.
+const noticeTime = 40 * time.Millisecond
 
 // What is known of the length of requests.
 const (
--- a/bluebellport/stop/pulse.go
+++ b/bluebellport/stop/pulse.go
@@ -5,37 +5,37 @@
 	"time"
 )
 
-// Pulse finds out whether the process was frozen as the order to stop came. The
-// order then takes effect only as the process goes on, while the time to the kill
-// runs. The zero value has seen nothing.
+// Pulse tells since when an order to stop may have been there that is noticed now.
+// In a process that stands still it takes effect only as the process goes on, while
+// the time to the kill runs. The zero value has seen nothing.
 type Pulse struct {
 	mu sync.Mutex
-	// last is when the process last ran. From frozenAt to thawedAt it did not.
-	last, frozenAt, thawedAt time.Time
+	// last is when the process last ran, before the time that it ran before that.
+	last, before time.Time
 }
 
 // Beat is called each PulseInterval.
 func (p *Pulse) Beat(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.last.IsZero() && now.Sub(p.last) > frozenAfter {
-		p.frozenAt, p.thawedAt = p.last, now
-	}
-	p.last = now
+	p.before, p.last = p.last, now
 }
 
-// OrderedAt returns when an order to stop may have been given at the earliest that
-// took effect now: now, or the begin of a freeze that has just ended, but not so
-// early that less than half of the grace period is left.
+// OrderedAt returns when an order to stop that is noticed now may have been given at
+// the earliest: at the last beat that left enough time to notice it, but not so early
+// that less than half of the grace period is left.
 func (p *Pulse) OrderedAt(now time.Time, grace time.Duration) time.Time {
-	p.Beat(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.thawedAt.IsZero() || now.Sub(p.thawedAt) > thawWindow {
+	at := p.last
+	if now.Sub(at) < noticeTime {
+		at = p.before
+	}
+	if at.IsZero() {
 		return now
 	}
-	if earliest := now.Add(-grace / 2); p.frozenAt.Before(earliest) {
+	if earliest := now.Add(-grace / 2); at.Before(earliest) {
 		return earliest
 	}
-	return p.frozenAt
+	return at
 }
--- a/bluebellport/stop/pulse_test.go
+++ b/bluebellport/stop/pulse_test.go
@@ -8,35 +8,65 @@
 )
 
 // TestFreezeIsPartOfTheGracePeriod guards against a stop that counts the grace
-// period from the end of a freeze, and is killed before its own end.
+// period from the end of a freeze, however short, and is killed before its own end.
 func TestFreezeIsPartOfTheGracePeriod(t *testing.T) {
-	const grace = 8 * time.Second
-	for _, c := range []struct {
-		name        string
-		frozen      time.Duration
-		after, back time.Duration // from the end of the freeze to the order, and what counts before it
-	}{
-		{"running", 0, 0, 0},
-		{"late by a little", 400 * time.Millisecond, 0, 0},
-		{"late by more", 600 * time.Millisecond, 0, 600 * time.Millisecond},
-		{"ordered while frozen", 2 * time.Second, 0, 2 * time.Second},
-		{"the pulse came first", 2 * time.Second, 5 * time.Millisecond, 2005 * time.Millisecond},
-		{"ordered later", 2 * time.Second, time.Second, 0},
-		{"ordered soon after", 5 * time.Second, 200 * time.Millisecond, 0},
-		{"frozen for long", 20 * time.Second, 0, 4 * time.Second},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			var p Pulse
-			p.Beat(begin)
-			now := begin.Add(c.frozen)
-			if c.after > 0 {
-				for at := time.Duration(0); at < c.after; at += PulseInterval {
-					p.Beat(now.Add(at))
+	const grace, ms = 8 * time.Second, time.Millisecond
+	for _, frozen := range []time.Duration{0, 50 * ms, 100 * ms, 200 * ms, 300 * ms, 400 * ms, 450 * ms, 500 * ms, 600 * ms, time.Second, 3 * time.Second} {
+		for ordered := -2 * PulseInterval; ordered <= frozen+2*PulseInterval; ordered += 5 * ms {
+			for _, notice := range []time.Duration{0, 5 * ms, noticeTime - ms} {
+				counted, noticed := playPulse(frozen, ordered, notice, grace)
+				if counted > ordered {
+					t.Errorf("frozen for %s, ordered at %s, noticed at %s: counted from %s", frozen, ordered, noticed, counted)
+				}
+				if early := noticed - counted; early > frozen+2*PulseInterval+noticeTime {
+					t.Errorf("frozen for %s, ordered at %s, noticed at %s: counted from %s before", frozen, ordered, noticed, early)
 				}
 			}
-			now = now.Add(c.after)
-			is.New(t).Equal(now.Sub(p.OrderedAt(now, grace)), c.back)
-		})
+		}
+	}
+}
+
+// playPulse plays a process that stands still from 0 on and is ordered to stop, which
+// it notices once it has run for a time. It returns from when the order counts and when
+// it is noticed.
+func playPulse(frozen, ordered, notice, grace time.Duration) (counted, noticed time.Duration) {
+	noticed = ordered + notice
+	switch {
+	case ordered >= 0 && ordered < frozen:
+		noticed = frozen + notice
+	case ordered < 0 && noticed >= 0:
+		noticed += frozen
+	}
+	var p Pulse
+	for at := -10 * PulseInterval; at <= noticed; at += PulseInterval {
+		if at >= 0 && at < frozen {
+			at = frozen
+		}
+		if at <= noticed {
+			p.Beat(begin.Add(at))
+		}
+	}
+	return p.OrderedAt(begin.Add(noticed), grace).Sub(begin), noticed
+}
+
+// TestOrderAfterALongFreezeLeavesHalfOfTheGracePeriod guards against a stop without
+// time for its requests.
+func TestOrderAfterALongFreezeLeavesHalfOfTheGracePeriod(t *testing.T) {
+	const grace = 8 * time.Second
+	counted, noticed := playPulse(20*time.Second, time.Second, 0, grace)
+	is.New(t).Equal(noticed-counted, grace/2)
+}
+
+// TestOrderToARunningProcessTakesNoPartOfItsLastSixth guards against requests that are
+// ended before the last sixth of the grace period, since an order counts from a beat.
+func TestOrderToARunningProcessTakesNoPartOfItsLastSixth(t *testing.T) {
+	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 8 * time.Second, 30 * time.Second} {
+		for ordered := time.Duration(0); ordered < 2*PulseInterval; ordered += time.Millisecond {
+			counted, noticed := playPulse(0, ordered, 0, grace)
+			if end := NewTimes(begin.Add(counted), grace).End.Sub(begin.Add(noticed)); end < grace-grace/6 {
+				t.Errorf("grace period %s: ends after %s", grace, end)
+			}
+		}
 	}
 }
 
