Keep time for the last answers of a stop whose end comes late

A process that stood still once more, over the end of its stop, closed the connections of what was open as it went on, without the 502 that it had: the time for the last answers was over as well, so nothing was waited for.

The last answers and the shares now have 40 ms each from when the process comes to them (a part of short grace periods), and so has what is read between the close of the listener and the end.

TestLateStopKeepsTimeForItsAnswers has the times.

--- a/bluebellport/proxy/connphase.go
+++ b/bluebellport/proxy/connphase.go
@@ -42,7 +42,7 @@
 	c.phase.closing = true
 	until := time.Now().Add(closeReadTimeout)
 	if times := c.proxy.stop.Times(); times != nil {
-		until = bbclock.Earlier(until, times.AnswersUntil())
+		until = bbclock.Earlier(until, times.AnswersUntil(time.Now()))
 	}
 	_ = c.SetReadDeadline(until)
 }
--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -47,14 +47,14 @@
 	select {
 	case <-allClosed:
 		return
-	case <-time.After(time.Until(times.End)):
+	case <-time.After(time.Until(times.CutAt(time.Now()))):
 	}
 	p.logCutRequests()
 	p.stop.SetEnded()
 	p.forEachConn((*clientConn).endRequest)
 	select {
 	case <-allClosed:
-	case <-time.After(time.Until(times.AnswersUntil())):
+	case <-time.After(time.Until(times.AnswersUntil(time.Now()))):
 		p.logRequests("answers not read by their callers", p.openRequests())
 		p.forEachConn(func(c *clientConn) { _ = c.Close() })
 	}
@@ -73,7 +73,7 @@
 // exit ends the controllers and returns the shares, as far as there is time.
 func (p *Proxy) exit(times *bbstop.Times, waitForControllers func()) {
 	drainedAt := p.now()
-	ctx, cancel := context.WithDeadline(context.Background(), times.SharesUntil())
+	ctx, cancel := context.WithDeadline(context.Background(), times.SharesUntil(drainedAt))
 	defer cancel()
 	controllersEnded := make(chan struct{})
 	go func() {
--- a/bluebellport/stop/constants.go
+++ b/bluebellport/stop/constants.go
@@ -28,6 +28,9 @@
 	// for the log.
 	answersDivisor = 2
 	logDivisor     = 5
+	// leastPeriod is how long the last answers and the shares may take each if the
+	// process comes to them late, but not more than answersDivisor allows.
+	leastPeriod = 40 * time.Millisecond
 )
 
 // PulseInterval is the time between two calls of Pulse.Beat. An order to stop counts
--- a/bluebellport/stop/pulse_test.go
+++ b/bluebellport/stop/pulse_test.go
@@ -91,3 +91,18 @@
 	var p Pulse
 	is.New(t).Equal(p.OrderedAt(begin, time.Second), begin)
 }
+
+// TestLateStopKeepsTimeForItsAnswers guards against answers and shares that are given
+// up at once as a process stood still to the end of its stop.
+func TestLateStopKeepsTimeForItsAnswers(t *testing.T) {
+	is := is.New(t)
+	times := NewTimes(begin, 8*time.Second)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	is.Equal(times.AnswersUntil(times.End), at(7750*time.Millisecond))
+	is.Equal(times.SharesUntil(times.End), at(7900*time.Millisecond))
+	is.Equal(times.CutAt(times.AcceptUntil), times.End)
+	late := at(7900 * time.Millisecond)
+	is.Equal(times.CutAt(late), late.Add(leastPeriod))
+	is.Equal(times.AnswersUntil(late), late.Add(leastPeriod))
+	is.Equal(times.SharesUntil(late), late.Add(leastPeriod))
+}
--- a/bluebellport/stop/stop.go
+++ b/bluebellport/stop/stop.go
@@ -56,11 +56,30 @@
 	}
 }
 
-// AnswersUntil is until when the last answers to clients are written.
-func (t *Times) AnswersUntil() time.Time { return t.End.Add(t.ExitBy.Sub(t.End) / answersDivisor) }
+// AnswersUntil is until when the last answers to clients are written. A process that
+// stood still takes a short time for them also if it is later than that.
+func (t *Times) AnswersUntil(now time.Time) time.Time {
+	return later(t.End.Add(t.ExitBy.Sub(t.End)/answersDivisor), now.Add(t.least()))
+}
+
+// SharesUntil is until when shares are returned, also with a short time if it is late.
+// The rest is for the log.
+func (t *Times) SharesUntil(now time.Time) time.Time {
+	return later(t.ExitBy.Add(-t.ExitBy.Sub(t.End)/logDivisor), now.Add(t.least()))
+}
+
+// CutAt is when requests that are still open are ended: at End, or a short time after
+// the listener was closed if that was late.
+func (t *Times) CutAt(closedAt time.Time) time.Time { return later(t.End, closedAt.Add(t.least())) }
 
-// SharesUntil is until when shares are returned. The rest is for the log.
-func (t *Times) SharesUntil() time.Time { return t.ExitBy.Add(-t.ExitBy.Sub(t.End) / logDivisor) }
+func (t *Times) least() time.Duration { return min(leastPeriod, t.ExitBy.Sub(t.End)/answersDivisor) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // Stop is what an instance knows of its planned stop. The zero value is an
 // instance that is not stopping. It may be used by several goroutines.
