proxy: a request behind another one is answered in a stop

Callers that had sent a request behind another one on the same connection got no answer to it, neither whole nor a refusal, if the instance was stopping (or its link was saturated) as the answer to the first went out: that answer announced `Connection: close`, and the connection was closed with the next request read whole and unanswered, up to seconds after it was sent. A stream was closed in the same way although its head had promised to keep the connection, if it was resumed at another target after the order to stop.

Cause: whether the connection closes was decided by the state of the instance alone, and once more for each attempt of a stream. Now an answer announces the close only if no byte of a next request has come, a stream keeps to what its head said, and a request that is in the buffer as the stop ends gets its 503.

--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -117,7 +117,7 @@
 	}
 	c.becomeIdle()
 	<-peekDone
-	return !gone.isSet()
+	return !gone.isSet() || c.proxy.stop.Ended() && c.hasNext.Load()
 }
 
 // refuseUnreadable answers bytes that could not be read as a request. A
--- a/bluebellport/proxy/delivery.go
+++ b/bluebellport/proxy/delivery.go
@@ -38,7 +38,7 @@
 // complete.
 func (x *exchange) passOn(conn *targetConn, resp *Response, b *bodyReader, buf *buffer) attemptResult {
 	x.passedOn = true
-	closeConn := x.req.Close || x.proxy.board.shouldCloseConns()
+	closeConn := x.closesConn()
 	length := int(resp.framing.length)
 	err := x.client.write(responseHead(resp, length, closeConn))
 	if err == nil {
@@ -129,7 +129,7 @@
 // writeResponse writes a response whose body has been read whole.
 func (x *exchange) writeResponse(resp *Response, body []byte) attemptResult {
 	x.stream.complete = true
-	closeConn := x.req.Close || x.proxy.board.shouldCloseConns()
+	closeConn := x.closesConn()
 	head := responseHead(resp, len(body), closeConn)
 	if x.req.Method == http.MethodHead {
 		body = nil
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -279,10 +279,16 @@
 	refusal.LogFields = x.withProof(refusal)
 	refusal.RetryAfter = spreadRetryAfter(refusal.RetryAfter, rand.Float64())
 	x.proxy.recordRefusal(x.req.AttemptID, refusal)
-	closeConn := refusal.Close || x.req.Close || x.proxy.board.shouldCloseConns()
+	closeConn := refusal.Close || x.closesConn()
 	return x.client.write(refusal.encode(x.req.AttemptID, closeConn)) == nil && !closeConn
 }
 
+// closesConn reports whether the response announces that the connection is closed after
+// it. Behind it no request that has come already may be left without a response.
+func (x *exchange) closesConn() bool {
+	return x.req.Close || x.proxy.board.shouldCloseConns() && !x.client.hasNext.Load()
+}
+
 // withProof returns the log fields of a refusal, with what its promise rests on and,
 // where it rests on the plan, which plan that is and whether a newer one was known.
 func (x *exchange) withProof(refusal *Refusal) logrus.Fields {
--- a/bluebellport/proxy/stream.go
+++ b/bluebellport/proxy/stream.go
@@ -14,6 +14,7 @@
 // is a stream that has not started.
 type streamState struct {
 	started      bool
+	closesConn   bool // announced by the head of the response
 	complete     bool // the whole response was passed on
 	eventCount   int
 	firstEventAt time.Time     // when the first event came
@@ -75,8 +76,10 @@
 	}
 	x.stream.answerID, x.stream.answered = 0, false
 	b := responseBody(conn.br, resp.framing, resp.Status, x.req.Method)
-	closeConn := x.req.Close || x.proxy.board.shouldCloseConns()
-	head := responseHead(resp, -1, closeConn)
+	if !x.stream.started {
+		x.stream.closesConn = x.closesConn()
+	}
+	head := responseHead(resp, -1, x.stream.closesConn)
 	err := x.forwardEvents(conn, b, head)
 	if err == nil && !x.stream.mayEnd(x.maxEvents()) {
 		err = errNoContinuation
@@ -89,7 +92,7 @@
 		x.stream.complete = true
 		x.releaseConn(conn)
 		writeErr := x.client.write([]byte(lastChunk))
-		return attemptResult{kind: resultDone, err: writeErr, keepConn: writeErr == nil && !closeConn}
+		return attemptResult{kind: resultDone, err: writeErr, keepConn: writeErr == nil && !x.stream.closesConn}
 	case errors.Is(err, errClient):
 		_ = conn.Close()
 		return attemptResult{kind: resultGone, err: err}
