--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -10,7 +11,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbplan"
 )
@@ -177,7 +180,21 @@
 func (c *clientConn) closeGracefully() {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
-		c.becomeClosing()
+		if wasIdle := c.becomeClosing(); wasIdle {
+			c.logCrossing()
+		}
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxBody))
 	}
 }
+
+// logCrossing logs a request that comes after an idle connection was closed: its client
+// gets no answer to it.
+func (c *clientConn) logCrossing() {
+	late, _ := c.br.Peek(bufferSize)
+	if len(late) == 0 {
+		return
+	}
+	_, attempt, _ := bytes.Cut(late, []byte(bbplatform.HeaderAttemptID+": "))
+	attempt, _, _ = bytes.Cut(attempt, []byte("\r\n"))
+	c.proxy.log.WithFields(logrus.Fields{"event": "crossed", "request": string(attempt), "bytes": len(late), "since": c.proxy.sinceStop()}).Info("request crossed the close of an idle connection")
+}
--- a/bluebellport/proxy/connphase.go
+++ b/bluebellport/proxy/connphase.go
@@ -35,8 +35,8 @@
 }
 
 // becomeClosing lets the connection be read for closeReadTimeout, but not beyond
-// the stop.
-func (c *clientConn) becomeClosing() {
+// the stop. It reports whether the connection waited for a request.
+func (c *clientConn) becomeClosing() (wasIdle bool) {
 	c.phase.mu.Lock()
 	defer c.phase.mu.Unlock()
 	c.phase.closing = true
@@ -45,6 +45,7 @@
 		until = bbclock.Earlier(until, times.AnswersUntil())
 	}
 	_ = c.SetReadDeadline(until)
+	return c.phase.idle
 }
 
 // readBy sets the read deadline, zero for none. Once the stop has ended nothing
