Answer HEAD without a body

Clients that asked with HEAD and were refused got the refusal's JSON behind its head, and on an engine service without tokens told a last chunk: bytes that belong to no answer, which the next request on the kept connection reads as its own. Found while answers to HEAD were cut at each byte: Go's client logged "Unsolicited response received on idle HTTP channel".

Cause: refusals were encoded with their body whatever the method was, and a success of an engine was passed on as a stream.

Now a refusal's body is left out for HEAD (its length stays, as HTTP has it), and a success to HEAD is passed on as its head alone.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -263,7 +263,7 @@
 		_ = conn.Close()
 		return attemptResult{kind: resultBroken, err: errors.Errorf("status %d without signature", resp.Status)}
 	}
-	if ok && x.maxEventTokens > 0 {
+	if ok && x.maxEventTokens > 0 && x.req.Method != http.MethodHead {
 		return x.forwardStream(conn, resp)
 	}
 	if !ok && x.isNotPassedOn(resp) {
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -142,12 +142,12 @@
 			r.Status, r.Reason = http.StatusServiceUnavailable, reasonStopping
 		}
 	}
-	attemptID := ""
+	method, attemptID := "", ""
 	if req != nil {
-		attemptID = req.AttemptID
+		method, attemptID = req.Method, req.AttemptID
 	}
 	c.proxy.recordRefusal(attemptID, r)
-	_ = c.write(r.encode(attemptID, true))
+	_ = c.write(r.encode(method, attemptID, true))
 	return false
 }
 
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -280,7 +280,7 @@
 	refusal.RetryAfter = spreadRetryAfter(refusal.RetryAfter, rand.Float64())
 	x.proxy.recordRefusal(x.req.AttemptID, refusal)
 	closeConn := refusal.Close || x.req.Close || x.proxy.board.shouldCloseConns()
-	return x.client.write(refusal.encode(x.req.AttemptID, closeConn)) == nil && !closeConn
+	return x.client.write(refusal.encode(x.req.Method, x.req.AttemptID, closeConn)) == nil && !closeConn
 }
 
 // withProof returns the log fields of a refusal, with what its promise rests on and,
--- a/bluebellport/proxy/refusal.go
+++ b/bluebellport/proxy/refusal.go
@@ -44,8 +44,9 @@
 	Outcome string `json:"outcome"`
 }
 
-// encode returns the response, head and body.
-func (r *Refusal) encode(attemptID string, closeConn bool) []byte {
+// encode returns the response to a request with a method, head and body. One to HEAD has
+// no body.
+func (r *Refusal) encode(method, attemptID string, closeConn bool) []byte {
 	text := http.StatusText(r.Status)
 	body, err := json.Marshal(problemJSON{Title: text, Status: r.Status, Detail: r.Reason, Outcome: r.outcome()})
 	if err != nil {
@@ -64,6 +65,9 @@
 		b = append(b, "Connection: close\r\n"...)
 	}
 	b = append(b, "\r\n"...)
+	if method == http.MethodHead {
+		return b
+	}
 	return append(b, body...)
 }
 
