Take no head that goes on as another response, on a new connection either

Clients got a 200 with an empty or short body, framed as whole, and "not run" (503) for requests that a target had begun to answer.

Cause: a target stops in the middle of a head and goes on with another response on the same connection. Where the first one broke off within a value or its reason, both heads read as one: status, id and signature of the first, length and fields of the second. Such a head was rejected only on a connection that had carried another request; on a new one a second response was thought impossible.

Now a head with a status line in it is malformed on any connection: 502, or another target.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -202,7 +202,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn.requests > 1 && resp.isJoined() {
+		if resp.isJoined() {
 			return nil, errors.Annotate(ErrMalformed, "two responses in one head")
 		}
 		x.heard.origin = originOf(resp.Fields, x.req.AttemptID, conn.onlyRequest())
