--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -202,7 +202,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if conn.requests > 1 && resp.isJoined() {
+		if resp.isJoined() {
 			return nil, errors.Annotate(ErrMalformed, "two responses in one head")
 		}
 		x.heard.origin = originOf(resp.Fields, x.req.AttemptID, conn.onlyRequest())
@@ -263,7 +263,7 @@
 		_ = conn.Close()
 		return attemptResult{kind: resultBroken, err: errors.Errorf("status %d without signature", resp.Status)}
 	}
-	if ok && x.maxEventTokens > 0 {
+	if ok && x.maxEventTokens > 0 && x.req.Method != http.MethodHead {
 		return x.forwardStream(conn, resp)
 	}
 	if !ok && x.isNotPassedOn(resp) {
--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -280,7 +280,7 @@
 	refusal.RetryAfter = spreadRetryAfter(refusal.RetryAfter, rand.Float64())
 	x.proxy.recordRefusal(x.req.AttemptID, refusal)
 	closeConn := refusal.Close || x.closesConn()
-	return x.client.write(refusal.encode(x.req.AttemptID, closeConn)) == nil && !closeConn
+	return x.client.write(refusal.encode(x.req.Method, x.req.AttemptID, closeConn)) == nil && !closeConn
 }
 
 // closesConn reports whether the response announces that the connection is closed after
