Offer requests to targets that refuse only some

Cause: each refusal kept all requests from a target for 50 ms, so that soon all targets were left out.

The decision is now code of its own (bbplace, refusals.go) that needs no network. For 50 ms after a refusal a target comes after all others, but is chosen where there are no others. Only refusals in a row, with no other answer between, keep requests from it: 5 ms after the second, doubling up to 50 ms. Requests that were on their way together count once. So a target that serves some is offered what others can't take, and one that is full gets an offer each 50 ms, as before. A target's own Retry-After holds as before, a refusal that may be another request's still keeps requests away for 50 ms, and a request still leaves a silent target, or does not wait for a permit, only where a target has not just refused. Repeats come from the same budget.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -227,8 +227,8 @@
 	// retryBudgetFraction is the fraction of the allowed retries that is used, so
 	// that instances that have just started do not exceed them together.
 	retryBudgetFraction = 0.6
-	// notRunBackoff is how long a target that did not run a request gets no
-	// requests.
+	// notRunBackoff is how long a target gets no requests after a refusal that may be
+	// another request's.
 	notRunBackoff = 50 * time.Millisecond
 	// maxTargetPause is the longest time for which a target is believed that it wants
 	// no requests.
--- a/bluebellport/proxy/permit.go
+++ b/bluebellport/proxy/permit.go
@@ -89,7 +89,7 @@
 // target without a limit is open, else as long as it can then still be served.
 func (x *exchange) asker(service *ServiceTargets, request *bbplace.Request, now time.Time) bblimit.Asker {
 	open := *request
-	open.Access = x.onlyOpen
+	open.Access, open.SkipRefusing = x.onlyOpen, true
 	if i, _ := bbplace.Choose(service.Candidates, &open, now); i >= 0 {
 		return bblimit.Asker{}
 	}
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -37,7 +37,7 @@
 		return
 	case resultNotRun:
 		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
-		target.State.BackOffUntil(now.Add(notRunBackoff))
+		target.State.RecordRefusal(x.sentAt, now)
 	case resultUnproven:
 		target.State.BackOffUntil(now.Add(notRunBackoff))
 		p.watchForCrash(x, target, result)
--- a/bluebellport/proxy/silence.go
+++ b/bluebellport/proxy/silence.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	request := x.placeRequest()
-	request.Access = x.onlyOpen
+	request.Access, request.SkipRefusing = x.onlyOpen, true
 	i, _ := bbplace.Choose(service.Candidates, request, x.proxy.now())
 	return i >= 0
 }
--- a/shared/bbplace/place.go
+++ b/shared/bbplace/place.go
@@ -61,6 +61,7 @@
 	backOffUntil atomic.Int64  // Unix ns of the caller's steady clock
 	pausedUntil  atomic.Int64  // the same
 	prefillUntil atomic.Int64  // estimated end of queued prefills, on the same clock
+	refusals     refusals
 }
 
 // loadReport is the last load report of a target.
@@ -193,6 +194,9 @@
 	SharedTokens, PromptTokens bbunit.Tokens
 	// Excluded lists targets that must not be used, such as those already tried.
 	Excluded []bbunit.TargetID
+	// SkipRefusing leaves out targets that have just refused a request, which are
+	// otherwise chosen if there are no others.
+	SkipRefusing bool
 	// Random seeds the random part of the costs.
 	Random uint64
 	// Access tells how the request may use a target; nil if no target has a limit.
@@ -234,19 +238,16 @@
 )
 
 // Choose returns the index of the target with the lowest cost, or -1 and the reason
-// if there is none. The cost is a duration: the time until the target has processed
-// the prompts already sent, the time to process this one, and penalties for its
-// load, its failures and another failure domain.
+// if there is none. Targets that have just refused a request come after all others.
 func Choose(targets []*Target, req *Request, now time.Time) (int, Reason) {
 	cached := cacheTarget(targets, req, now)
-	best, minCost := -1, time.Duration(math.MaxInt64)
+	best, minCost, bestRefuses := -1, time.Duration(math.MaxInt64), true
 	reason := ReasonNoneUsable
 	for i, t := range targets {
 		if !usable(t, req, now) {
 			continue
 		}
-		load := t.load(now)
-		if load >= maxLoad {
+		if t.load(now) >= maxLoad {
 			reason = max(reason, ReasonAllFull)
 			continue
 		}
@@ -255,22 +256,33 @@
 			reason = ReasonLimited
 			continue
 		}
-		cost := t.State.prefillBacklog(now) + prefillTime(req.UncachedTokens(i == cached)) + time.Duration(load*float64(fullLoadCost))
-		cost += time.Duration(float64(failureCost) * math.Float64frombits(t.State.failureRate.Load()))
-		if t.Domain != req.Domain {
-			cost += otherDomainCost
+		refuses := t.State.refusals.avoids(now)
+		if refuses && (req.SkipRefusing || !bestRefuses) {
+			continue
 		}
+		cost := t.cost(req, i == cached, now) + time.Duration(bbhash.Mix(req.Random+uint64(i))%uint64(maxJitter))
 		if access == AccessPermit {
 			cost -= permitBonus
 		}
-		cost += time.Duration(bbhash.Mix(req.Random+uint64(i)) % uint64(maxJitter))
-		if cost < minCost {
-			best, minCost = i, cost
+		if cost < minCost || bestRefuses && !refuses {
+			best, minCost, bestRefuses = i, cost, refuses
 		}
 	}
 	return best, reason
 }
 
+// cost returns what the choice of a target costs a request: the time until the target
+// has processed the prompts already sent, the time to process this one, and penalties
+// for its load, its failures and another failure domain.
+func (t *Target) cost(req *Request, cached bool, now time.Time) time.Duration {
+	cost := t.State.prefillBacklog(now) + prefillTime(req.UncachedTokens(cached)) + time.Duration(t.load(now)*float64(fullLoadCost))
+	cost += time.Duration(float64(failureCost) * math.Float64frombits(t.State.failureRate.Load()))
+	if t.Domain != req.Domain {
+		cost += otherDomainCost
+	}
+	return cost
+}
+
 // access returns how the request may use a target.
 func (r *Request) access(t *Target) Access {
 	if r.Access == nil {
@@ -328,7 +340,7 @@
 
 // usable reports whether a target may get the request, apart from its load.
 func usable(t *Target, req *Request, now time.Time) bool {
-	if !t.isOpen(req, now) || now.UnixNano() < t.State.backOffUntil.Load() {
+	if !t.isOpen(req, now) || now.UnixNano() < t.State.backOffUntil.Load() || t.State.refusals.holds(now) {
 		return false
 	}
 	for _, id := range req.Excluded {
