Don't let a peer that does not read hold up the exit of a stop

The exit waited half a second for messages that a peer did not take, after the stop had ended 0.5 s before the kill: the process was killed though all was answered and its shares were returned.

The half second counts from when the instance announced that it leaves, on the platform at SIGTERM; after that its last messages have 100 ms.

--- a/bluebellport/src/peer.go
+++ b/bluebellport/src/peer.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,6 +38,7 @@
 	queueFull, unsent metrics.Counter
 	bytesIn, bytesOut metrics.Counter
 	members           *membership
+	leftAt            atomic.Pointer[time.Time] // first call of Leave, nil before
 }
 
 // NewPeers listens for other instances and maintains Board.View. The returned
@@ -76,11 +78,19 @@
 
 // Leave announces to the fleet that this instance leaves. It does not block;
 // later calls do nothing.
-func (p *Peers) Leave() { p.members.leave() }
+func (p *Peers) Leave() {
+	p.leftAt.CompareAndSwap(nil, new(time.Now()))
+	p.members.leave()
+}
 
-// flush waits up to leaveFlushTimeout until the queues to all peers are empty.
+// flush waits until the queues to all peers are empty: up to leaveFlushTimeout from
+// Leave on, and for lastFlushTimeout if that is over. A peer may not read.
 func (p *Peers) flush() {
-	for deadline := time.Now().Add(leaveFlushTimeout); time.Now().Before(deadline); time.Sleep(leaveFlushTimeout / 50) {
+	deadline := p.leftAt.Load().Add(leaveFlushTimeout)
+	if least := time.Now().Add(lastFlushTimeout); deadline.Before(least) {
+		deadline = least
+	}
+	for ; time.Now().Before(deadline); time.Sleep(leaveFlushTimeout / 50) {
 		pending := 0
 		p.links.Range(func(_, l any) bool {
 			pending += int(l.(*link).pending.Load())
--- a/bluebellport/src/peer_constants.go
+++ b/bluebellport/src/peer_constants.go
@@ -54,6 +54,9 @@
 	// leaveFlushTimeout bounds the wait until a leaving instance has sent its
 	// queued messages.
 	leaveFlushTimeout = 500 * time.Millisecond
+	// lastFlushTimeout bounds it if the instance has announced that long before, so
+	// that a peer that does not read does not hold up the exit.
+	lastFlushTimeout = 100 * time.Millisecond
 )
 
 // Limits of following the log of change tickets.
--- a/bluebellport/src/peer_test.go
+++ b/bluebellport/src/peer_test.go
@@ -277,3 +277,17 @@
 		is.Equal(r.Inc, uint64(newer.view().Self.Inc))
 	}
 }
+
+// TestExitDoesNotWaitLongForAPeerThatDoesNotRead guards against an instance that is
+// killed after its stop, since it waits for what a peer does not take.
+func TestExitDoesNotWaitLongForAPeerThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := startPair(t)
+	is.True(canCall(a, "b"))
+	a.peers.existingLink("b").pending.Add(1) // never taken
+	a.peers.Leave()
+	time.Sleep(leaveFlushTimeout)
+	begin := time.Now()
+	a.stop()
+	is.True(time.Since(begin) < 2*lastFlushTimeout)
+}
