Play requests at each moment of a stop on processes

The plays that were there have none of: pipelining, silence, GETs, and slow parts and further signals at each moment.

--- a/e2e/stop_caller_test.go
+++ b/e2e/stop_caller_test.go
@@ -60,6 +60,9 @@
 	kept            bool // sent on a connection that was open before
 	slow            slowPart
 	pause           time.Duration // in the middle of the slow part
+	get             bool          // a GET without a body
+	silence         time.Duration // of the target, in the middle of its silentPart
+	silentPart      slowPart
 	sentAt, endedAt time.Time
 	writtenAt       time.Time // when the last byte was sent; zero: it was not
 	closed          bool      // the answer closes the connection
@@ -72,8 +75,16 @@
 
 // head returns the request as it is sent.
 func (q *stopRequest) head() string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\nToken-Usage: %d,%d\r\nContent-Length: 4\r\n\r\nbody",
-		q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds(), nativePromptTokens, workEvents)
+	if q.get {
+		return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n\r\n",
+			q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds(), silenceField, q.silence.Milliseconds(), silentPartField, q.silentPart)
+	}
+	silence := ""
+	if q.silence > 0 {
+		silence = fmt.Sprintf("%s: %d\r\n%s: %d\r\n", silenceField, q.silence.Milliseconds(), silentPartField, q.silentPart)
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: %d\r\n%s: %d\r\n%sToken-Usage: %d,%d\r\nContent-Length: 4\r\n\r\nbody",
+		q.path, nativeHost, q.attemptID, nativeKey, q.limit.Milliseconds(), workField, q.work.Milliseconds(), silence, nativePromptTokens, workEvents)
 }
 
 // send sends the request on a connection, a new one to the address if it is nil,
@@ -111,8 +122,11 @@
 }
 
 // read reads the answer.
-func (q *stopRequest) read(conn net.Conn) error {
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+func (q *stopRequest) read(conn net.Conn) error { return q.readFrom(bufio.NewReader(conn)) }
+
+// readFrom reads the answer, with others behind it.
+func (q *stopRequest) readFrom(br *bufio.Reader) error {
+	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
 		return err
 	}
--- a/e2e/stop_target_test.go
+++ b/e2e/stop_target_test.go
@@ -22,6 +22,10 @@
 	// workField is the field in which a caller names how long its request lasts, in
 	// milliseconds.
 	workField = "Work-Ms"
+	// silenceField names for how long the target is silent within its answer, in
+	// milliseconds, silentPartField in the middle of which part, as a slowPart.
+	silenceField    = "Silence-Ms"
+	silentPartField = "Silent-Part"
 )
 
 // workRun is one request that a work target began.
@@ -120,8 +124,8 @@
 			return false
 		}
 		body := rawBody(id, w.id)
-		_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-		return err == nil
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+		return writeWithSilence(c, r, closed, head+body, map[slowPart]int{slowHead: len(head) / 2, slowBody: len(head) + len(body)/2})
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	begun := false
@@ -133,8 +137,12 @@
 		if !begun {
 			text, begun = head+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", true
 		}
-		event := workEvent(i + 1)
-		if _, err := fmt.Fprintf(c, "%s%x\r\n%s\r\n", text, len(event), event); err != nil {
+		event, at := workEvent(i+1), map[slowPart]int{slowHead: len(text) / 2}
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		if i == workEvents/2 {
+			at[slowBody] = len(text) / 2
+		}
+		if !writeWithSilence(c, r, closed, text, at) {
 			return false
 		}
 	}
@@ -142,6 +150,21 @@
 	return err == nil
 }
 
+// writeWithSilence writes a text, with the silence that the request asks for at the
+// place of its silent part, if there is one. It reports whether all was written.
+func writeWithSilence(c net.Conn, r *http.Request, closed <-chan struct{}, text string, at map[slowPart]int) bool {
+	part, _ := strconv.Atoi(r.Header.Get(silentPartField))
+	millis, _ := strconv.Atoi(r.Header.Get(silenceField))
+	if cut := at[slowPart(part)]; cut > 0 && millis > 0 {
+		if _, err := io.WriteString(c, text[:cut]); err != nil || !waitUnless(closed, time.Duration(millis)*time.Millisecond) {
+			return false
+		}
+		text = text[cut:]
+	}
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
 // workEvent is one event of a work target's streams.
 func workEvent(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
 
