--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -60,8 +60,20 @@
 // one came.
 func (c *clientConn) awaitRequest() bool {
 	c.becomeIdle()
-	_, err := c.br.Peek(1)
+	came := c.peekNext()
 	c.becomeBusy()
+	return came
+}
+
+// peekNext reports whether the first byte of a request came before the deadline or the
+// close of the connection. A request that came before its idle connection's time was
+// over is taken, even if the process stood still meanwhile and sees both only now.
+func (c *clientConn) peekNext() bool {
+	_, err := c.br.Peek(1)
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() && c.beginLastLook() {
+		_, err = c.br.Peek(1)
+	}
 	return err == nil
 }
 
@@ -99,7 +111,7 @@
 	c.readBy(time.Time{})
 	go func() {
 		defer close(peekDone)
-		if _, err := c.br.Peek(1); err != nil {
+		if !c.peekNext() {
 			gone.set()
 			return
 		}
