proxy: a request leaves a silent target with the other target in hand

Callers of sound targets that were silent for a while got 502 although another target was free, and the target that was left would have answered.

Cause: before a silent target is left, it was checked that another one can be used, and the retry was taken; the target itself was chosen only after the attempt had ended. Requests that fell silent together each count as a failure of their target, so three of them open the circuit breakers of both; who chose after that found no target. Now the target is chosen together with the retry and kept.

--- a/bluebellport/proxy/exchange.go
+++ b/bluebellport/proxy/exchange.go
@@ -55,8 +55,10 @@
 	// mayHaveRun reports that a target may have run the request, mayHaveRunBefore
 	// the same before the latest attempt.
 	mayHaveRun, mayHaveRunBefore bool
-	// retryTaken reports that a retry was taken from the budget for the next attempt.
+	// retryTaken reports that a retry was taken from the budget for the next attempt,
+	// moveTo is the target that was taken with it.
 	retryTaken bool
+	moveTo     *Target
 	// passedOn reports that a part of a response's body was passed on before the
 	// rest had come, so that no other attempt can follow.
 	passedOn bool
@@ -327,6 +329,10 @@
 // chooseTarget returns the target for the next attempt, or the refusal if there
 // is none. It gets a permit for a target with a limit, and blocks for that.
 func (x *exchange) chooseTarget() (*Target, *Refusal) {
+	if target := x.moveTo; target != nil {
+		x.moveTo = nil
+		return target, nil
+	}
 	service := x.proxy.board.targetsOf(x.service)
 	if service == nil {
 		return nil, refuseNotRun("no target of the service is known", defaultRetryAfter)
--- a/bluebellport/proxy/silence.go
+++ b/bluebellport/proxy/silence.go
@@ -23,26 +23,31 @@
 }
 
 // takeMove reports whether the request can go to another target now, and takes the
-// retry for that.
+// retry and that target for it: the requests that move together may make it unusable
+// for any other.
 func (x *exchange) takeMove() bool {
-	if x.checkStop() != nil || !x.hasOtherTarget() {
+	if x.checkStop() != nil {
 		return false
 	}
-	x.retryTaken = x.takeRetry()
-	return x.retryTaken
+	target := x.otherTarget()
+	if target == nil || !x.takeRetry() {
+		return false
+	}
+	x.moveTo, x.retryTaken = target, true
+	return true
 }
 
-// hasOtherTarget reports whether a target can be used that the request was not sent
-// to, without a wait for a permit.
-func (x *exchange) hasOtherTarget() bool {
+// otherTarget returns a target that can be used and that the request was not sent to,
+// without a wait for a permit, nil if there is none.
+func (x *exchange) otherTarget() *Target {
 	service := x.proxy.board.targetsOf(x.service)
 	if service == nil {
-		return false
+		return nil
 	}
 	request := x.placeRequest()
 	request.Access = x.onlyOpen
-	i, _ := bbplace.Choose(service.Candidates, request, x.proxy.now())
-	return i >= 0
+	target, _ := x.pick(service, request, x.proxy.now())
+	return target
 }
 
 // placeRequest describes the request for the choice of a target.
--- a/bluebellport/proxy/silence_test.go
+++ b/bluebellport/proxy/silence_test.go
@@ -1,9 +1,13 @@
 package bbproxy
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +75,36 @@
 		is.True(time.Since(begin) < 2*time.Second)
 	}
 }
+
+// TestRequestsThatLeaveSilentTargetsTogetherAreAnswered guards against a sound answer that
+// is given up for another target, which the other requests that move make unusable.
+func TestRequestsThatLeaveSilentTargetsTogetherAreAnswered(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 10_000)
+	h.timeout = 10 * time.Second
+	h.declarePlan(2, 10_000)
+	for i := range 2 {
+		h.startTarget(bbplatformstand.TargetOptions{ID: fmt.Sprint("desk", i), Service: "desk", BodyPause: true, Slots: 64})
+	}
+	h.start()
+	for round := range 5 {
+		statuses := make([]int, 24)
+		var wg sync.WaitGroup
+		for i := range statuses {
+			wg.Go(func() {
+				conn, err := net.Dial("tcp4", h.settings.FrontendAddress)
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = io.WriteString(conn, rawRequest("/read/1", fmt.Sprint("m", round, "-", i), "400ms"))
+				statuses[i], _ = nextStatus(bufio.NewReader(conn))
+			})
+		}
+		wg.Wait()
+		for _, status := range statuses {
+			is.Equal(status, http.StatusOK)
+		}
+		time.Sleep(1100 * time.Millisecond) // the targets may be used again
+	}
+}
