proxy: a request that crosses the close of an idle connection stays unread

Callers whose request crossed the close of a connection (the idle timeout, or 3.5 s after SIGTERM) got no answer, and those with requests that may not be repeated could not send them again: the instance had read the request, so that nothing told that it had not run.

Cause: after each close the connection was read on for up to 0.5 s, so that bytes that come do not reset it and take the last answer with them. A client that has the connection to itself again has got its last answer; what it sends then was read whole and dropped. Now an idle connection is just closed: what comes is reset, unread. After an answer that announces the close the rest is still read as before.

--- /dev/null
+++ b/bluebellport/proxy/change_crossing_test.go
@@ -0,0 +1,67 @@
+package bbproxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+)
+
+// TestRequestThatCrossesAnIdleCloseIsNotRead guards against a request that is read and gets
+// no answer, as its connection was closed while it was on its way.
+func TestRequestThatCrossesAnIdleCloseIsNotRead(t *testing.T) {
+	cases := []struct {
+		name     string
+		requests int // served on the connection before
+		stop     bool
+	}{
+		{"idle timeout", 1, false},
+		{"idle timeout, nothing sent yet", 0, false},
+		{"stop", 2, true},
+		{"stop, nothing sent yet", 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, 1000)
+			if !c.stop {
+				entry, err := h.mem.Get(t.Context(), bbplatform.KeyPlan)
+				is.NoErr(err)
+				text := strings.Replace(string(entry.Value), `"idle-timeout-ms":5000`, `"idle-timeout-ms":300`, 1)
+				_, err = h.mem.CAS(t.Context(), bbplatform.KeyPlan, []byte(strings.Replace(text, `"version":1`, `"version":2`, 1)), entry.Rev, 0)
+				is.NoErr(err)
+			}
+			target := h.startTarget(testTarget)
+			h.start()
+			conn := h.sendPart("")
+			br := bufio.NewReader(conn)
+			for i := range c.requests {
+				_, err := io.WriteString(conn, rawRequest("/book/1", fmt.Sprint("before-", i), "body"))
+				is.NoErr(err)
+				status, err := nextStatus(br)
+				is.NoErr(err)
+				is.Equal(status, 200)
+			}
+			if c.stop {
+				h.stop()
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, err := br.ReadByte()
+			is.Equal(err, io.EOF) // the connection is closed
+			crossing := rawRequest("/book/1", "crossing", "body")
+			_, _ = io.WriteString(conn, crossing)
+			time.Sleep(50 * time.Millisecond)
+			_, err = io.WriteString(conn, crossing)
+			is.True(err != nil) // the client learns at once that nobody reads it
+			is.True(!ranAt([]*bbplatformstand.Target{target}, "crossing"))
+		})
+	}
+}
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -11,9 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/sirupsen/logrus"
 
-	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbplan"
 )
@@ -54,6 +51,7 @@
 			return
 		}
 	}
+	c.logCrossing()
 }
 
 // awaitRequest waits for the first byte of the next request and reports whether
@@ -176,25 +174,16 @@
 
 // closeGracefully ends the sending side and reads what still comes. A connection
 // closed with unread bytes would be reset, and the client could lose the last
-// response.
+// response. A client that had the connection to itself again has got that; a request
+// that it sends now stays unread, so that it can be sent elsewhere.
 func (c *clientConn) closeGracefully() {
+	if c.isIdle() {
+		c.logCrossing()
+		return
+	}
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
-		if wasIdle := c.becomeClosing(); wasIdle {
-			c.logCrossing()
-		}
+		c.becomeClosing()
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxBody))
 	}
 }
-
-// logCrossing logs a request that comes after an idle connection was closed: its client
-// gets no answer to it.
-func (c *clientConn) logCrossing() {
-	late, _ := c.br.Peek(bufferSize)
-	if len(late) == 0 {
-		return
-	}
-	_, attempt, _ := bytes.Cut(late, []byte(bbplatform.HeaderAttemptID+": "))
-	attempt, _, _ = bytes.Cut(attempt, []byte("\r\n"))
-	c.proxy.log.WithFields(logrus.Fields{"event": "crossed", "request": string(attempt), "bytes": len(late), "since": c.proxy.sinceStop()}).Info("request crossed the close of an idle connection")
-}
--- a/bluebellport/proxy/connphase.go
+++ b/bluebellport/proxy/connphase.go
@@ -34,9 +34,16 @@
 	c.phase.idle = false
 }
 
+// isIdle reports whether the connection waits, or waited last, for a request.
+func (c *clientConn) isIdle() bool {
+	c.phase.mu.Lock()
+	defer c.phase.mu.Unlock()
+	return c.phase.idle
+}
+
 // becomeClosing lets the connection be read for closeReadTimeout, but not beyond
-// the stop. It reports whether the connection waited for a request.
-func (c *clientConn) becomeClosing() (wasIdle bool) {
+// the stop.
+func (c *clientConn) becomeClosing() {
 	c.phase.mu.Lock()
 	defer c.phase.mu.Unlock()
 	c.phase.closing = true
@@ -45,7 +52,6 @@
 		until = bbclock.Earlier(until, times.AnswersUntil())
 	}
 	_ = c.SetReadDeadline(until)
-	return c.phase.idle
 }
 
 // readBy sets the read deadline, zero for none. Once the stop has ended nothing
