--- a/bluebellport/proxy/connphase.go
+++ b/bluebellport/proxy/connphase.go
@@ -45,9 +45,16 @@
 	return c.phase.idle
 }
 
+// isIdle reports whether the connection waits, or waited last, for a request.
+func (c *clientConn) isIdle() bool {
+	c.phase.mu.Lock()
+	defer c.phase.mu.Unlock()
+	return c.phase.idle
+}
+
 // becomeClosing lets the connection be read for closeReadTimeout, but not beyond
-// the stop. It reports whether the connection waited for a request.
-func (c *clientConn) becomeClosing() (wasIdle bool) {
+// the stop.
+func (c *clientConn) becomeClosing() {
 	c.phase.mu.Lock()
 	defer c.phase.mu.Unlock()
 	c.phase.closing = true
@@ -56,7 +63,6 @@
 		until = bbclock.Earlier(until, times.AnswersUntil(time.Now()))
 	}
 	_ = c.SetReadDeadline(until)
-	return c.phase.idle
 }
 
 // readBy sets the read deadline, zero for none. Once the stop has ended nothing
