Pass on no body or trailer that goes on as another response

Clients got a 200 of the declared length whose last bytes were the start of another response ("the answer iHTTP/1."), or a whole body whose trailer had broken off.

Cause: a target breaks off within a body of a declared length, or in the trailer of one in chunks, and goes on with another response on the same connection. The missing bytes were taken from that one; lines of a trailer could be anything.

Evidence: TestAnswerCutAtAnyByteIsNotWhole now goes on with another response after each byte of a body too.

Now the end of such a body is looked at: if a status line begins in it, or may begin at its end, and more bytes have come behind it, the answer is broken off (502, another target, or an end without the last bytes). A body that only holds such a text is passed on as before, as is one with further bytes behind it. A line of a trailer has to be a field without a status line. Not seen: another response of which nothing has arrived yet once the body is full.

--- a/bluebellport/proxy/body.go
+++ b/bluebellport/proxy/body.go
@@ -115,6 +115,9 @@
 			b.complete = true
 			return nil
 		}
+		if name, value, ok := strings.Cut(line, ":"); !ok || !isToken(name) || containsStatusLine(value) {
+			break
+		}
 	}
 	return errors.Annotate(ErrMalformed, "trailer")
 }
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -210,6 +210,9 @@
 	// unprovenRefusalPeriod the same after one that may have been another request's.
 	unnamedRefusalPeriod  = time.Minute
 	unprovenRefusalPeriod = time.Second
+	// restTimeout is how long the rest of a response is awaited that began within the body
+	// of another one.
+	restTimeout = 10 * time.Millisecond
 	// discardTimeout limits reading a response that is not passed on.
 	discardTimeout = 100 * time.Millisecond
 	// closeReadTimeout is how long a connection is read after its last response.
--- a/bluebellport/proxy/cut_test.go
+++ b/bluebellport/proxy/cut_test.go
@@ -189,7 +189,7 @@
 	text, onKept := row.head+row.body, 0
 	for end := range cutEndings {
 		for cut := range len(text) + 1 {
-			if end > 0 && !*cutAll && (cut+end+seed)%4 != 0 || end > 1 && cut >= len(row.head) {
+			if end > 0 && !*cutAll && (cut+end+seed)%4 != 0 {
 				continue
 			}
 			h.callGood(target, cutAnswer{text: good, close: !kept})
@@ -247,3 +247,19 @@
 	}
 	return ""
 }
+
+// TestLargeAnswerThatRunsOnIsNotWhole guards against the same in an answer that is passed on
+// while it is read.
+func TestLargeAnswerThatRunsOnIsNotWhole(t *testing.T) {
+	const size = 4 << 20
+	for _, missing := range []int{1, 5, 11, 12, 13, 30} {
+		is := is.New(t)
+		h := newHarness(t, 0)
+		h.settings.MemoryMB = 1
+		target := h.startCutTarget("desk", "t1")
+		h.start()
+		text := fmt.Sprintf("%s%s%sContent-Length: %d\r\n\r\n%s%s", cutOK, cutID, cutSign, size, strings.Repeat("x", size-missing), cutEndings[2].more)
+		target.set(func(*http.Request) cutAnswer { return cutAnswer{text: text, close: true} })
+		is.True(h.call("POST", "/book/large", "").err != nil)
+	}
+}
--- a/bluebellport/proxy/delivery.go
+++ b/bluebellport/proxy/delivery.go
@@ -19,6 +19,9 @@
 	buf := buffer{budget: x.proxy.responseMemory}
 	defer buf.free()
 	err := buf.readAll(b, maxResponseBody)
+	if err == nil {
+		err = conn.checkEnd(b, buf.bytes)
+	}
 	switch {
 	case err == nil:
 		x.releaseConn(conn)
@@ -48,6 +51,9 @@
 	block := newPassBlock(buf, length < 0)
 	for err == nil && !b.complete {
 		n, readErr := b.Read(block.space())
+		if endErr := conn.checkEnd(b, block.space()[:n]); endErr != nil {
+			n, readErr = 0, endErr // without its last bytes it does not look complete
+		}
 		if n > 0 {
 			err = x.writePart(block.frame(n))
 		}
--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -86,10 +86,17 @@
 	return false
 }
 
+// versionPrefix is how each status line begins, statusLineBytes how many bytes show that
+// one does.
+const (
+	versionPrefix   = "HTTP/1."
+	statusLineBytes = len(versionPrefix + "1 200")
+)
+
 // containsStatusLine reports whether s contains the start of a status line.
 func containsStatusLine(s string) bool {
 	for {
-		_, rest, ok := strings.Cut(s, "HTTP/1.")
+		_, rest, ok := strings.Cut(s, versionPrefix)
 		if !ok {
 			return false
 		}
@@ -105,9 +112,8 @@
 	if len(s) < len("1 200") || s[1] != ' ' {
 		return false
 	}
-	code, _, _ := strings.Cut(s[2:], " ")
-	_, err := parseDigits(code, 10)
-	return err == nil && len(code) == 3
+	_, err := parseDigits(s[2:5], 10)
+	return err == nil && (len(s) == 5 || s[5] == ' ' || s[5] == '\r')
 }
 
 // isSigned reports whether the response has the target's signature and was not
--- /dev/null
+++ b/bluebellport/proxy/runon.go
@@ -0,0 +1,49 @@
+package bbproxy
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// errBodyRunsOn means that the target broke off within a body and went on with another
+// response, of which the body has taken the start.
+var errBodyRunsOn = errors.WithType(errors.New("another response within a body"), ErrMalformed)
+
+// checkEnd returns errBodyRunsOn if a body of a declared length, which ends with tail, has
+// taken a status line in and more bytes have come behind it. It blocks for up to
+// restTimeout if they have.
+func (c *targetConn) checkEnd(b *bodyReader, tail []byte) error {
+	if !b.complete || b.framing.chunked || b.untilClose || !mayHoldStatusLine(tail) {
+		return nil
+	}
+	if c.br.Buffered() == 0 && openAndQuiet(c.Conn) {
+		return nil
+	}
+	_ = c.SetReadDeadline(time.Now().Add(restTimeout))
+	rest, _ := c.br.Peek(statusLineBytes - 1)
+	if len(rest) == 0 {
+		return nil
+	}
+	start := max(len(tail)-statusLineBytes+1, 0)
+	if containsStatusLine(string(tail)) || containsStatusLine(string(append(slices.Clone(tail[start:]), rest...))) {
+		return errBodyRunsOn
+	}
+	return nil
+}
+
+// mayHoldStatusLine reports whether a text contains the start of a status line or ends
+// within one.
+func mayHoldStatusLine(text []byte) bool {
+	if bytes.Contains(text, []byte(versionPrefix)) {
+		return true
+	}
+	for n := range len(versionPrefix) - 1 {
+		if bytes.HasSuffix(text, []byte(versionPrefix[:n+1])) {
+			return true
+		}
+	}
+	return false
+}
