proxy: record that a target took a request where its answer is read

Reading notices has nothing to do with the choice of targets, so the call moves to where the answer is read.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -185,6 +185,9 @@
 	conn.readHints(resp)
 	x.proxy.hints.record(target, resp, x.req.AttemptID, x.sentAt, x.proxy.now())
 	x.proxy.notices.record(target, resp, x.heard.origin, x.proxy.now())
+	if x.heard.origin.isOwn() && resp.isSigned() && !resp.saysNotRun() {
+		target.State.RecordTaken()
+	}
 	result := x.handleResponse(conn, resp)
 	result.succeeded, result.endedByClose = resp.isSuccess(), resp.endsWithConn(x.req.Method)
 	return result
--- a/bluebellport/proxy/notice.go
+++ b/bluebellport/proxy/notice.go
@@ -39,9 +39,6 @@
 	if !whose.isOwn() || resp.Status == statusMisdirected {
 		return
 	}
-	if resp.isSigned() && !resp.saysNotRun() {
-		target.State.RecordTaken()
-	}
 	if resp.isSigned() || resp.saysNotRun() || resp.Status == http.StatusServiceUnavailable {
 		n.recordLeaving(target, resp)
 	}
