proxy: log a request whose client left before its answer

A request that ends because the instance takes its client for gone had no line in the log, so that a try without an answer could not be told from one that we gave up by mistake. The line "client left" has the request, how the close was seen, the sends, the time and the events passed on. TestRequestWhoseClientLeftHasALogLine; there was none before.

--- a/bluebellport/proxy/change_crossing_test.go
+++ b/bluebellport/proxy/change_crossing_test.go
@@ -65,3 +65,17 @@
 		})
 	}
 }
+
+// TestRequestWhoseClientLeftHasALogLine guards against a request that ends without an answer
+// and without a trace of who ended it.
+func TestRequestWhoseClientLeftHasALogLine(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1000)
+	h.startTarget(bbplatformstand.TargetOptions{ID: "t1", Service: "desk", BodyPause: true})
+	h.start()
+	conn := h.sendPart(rawRequest("/book/1", "left", "1s"))
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(conn.Close())
+	h.eventually("a line", func() bool { return strings.Contains(h.logs.String(), `"msg":"client left"`) })
+	is.True(strings.Contains(h.logs.String(), `"read":"EOF","request":"left"`))
+}
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -27,6 +27,8 @@
 	hasNext atomic.Bool
 	// current is the request in flight, nil if there is none.
 	current atomic.Pointer[exchange]
+	// readErr is the error that ended the wait for the client's next bytes.
+	readErr atomic.Pointer[error]
 }
 
 // limits returns the limits of the plan in force, or else the defaults.
@@ -98,6 +100,7 @@
 	go func() {
 		defer close(peekDone)
 		if _, err := c.br.Peek(1); err != nil {
+			c.readErr.Store(&err)
 			gone.set()
 			return
 		}
--- a/bluebellport/proxy/drain.go
+++ b/bluebellport/proxy/drain.go
@@ -132,16 +132,22 @@
 }
 
 // logUndelivered logs an answer that could not be written to its client, if the
-// instance stops or the client did not read. One that has left is no news.
+// instance stops or the client did not read, and any other request whose client left.
 func (p *Proxy) logUndelivered(x *exchange, result *attemptResult) {
-	var netErr net.Error
-	timedOut := errors.As(result.err, &netErr) && netErr.Timeout()
-	if result.err == nil || !timedOut && p.stop.Times() == nil {
+	if result.err == nil && result.kind != resultGone {
 		return
 	}
 	fields := x.logFields(x.lastTarget.Load(), result)
 	fields["since"], fields["events"] = p.sinceStop(), x.stream.eventCount
-	p.log.WithFields(fields).Warn("answer not delivered")
+	if err := x.client.readErr.Load(); err != nil {
+		fields["read"] = (*err).Error()
+	}
+	var netErr net.Error
+	if timedOut := errors.As(result.err, &netErr) && netErr.Timeout(); timedOut || result.err != nil && p.stop.Times() != nil {
+		p.log.WithFields(fields).Warn("answer not delivered")
+		return
+	}
+	p.log.WithFields(fields).Info("client left")
 }
 
 // openRequests returns the requests in flight.
