--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -27,6 +27,8 @@
 	hasNext atomic.Bool
 	// current is the request in flight, nil if there is none.
 	current atomic.Pointer[exchange]
+	// readErr is the error that ended the wait for the client's next bytes.
+	readErr atomic.Pointer[error]
 }
 
 // limits returns the limits of the plan in force, or else the defaults.
@@ -58,21 +60,22 @@
 // one came.
 func (c *clientConn) awaitRequest() bool {
 	c.becomeIdle()
-	came := c.peekNext()
+	err := c.peekNext()
 	c.becomeBusy()
-	return came
+	return err == nil
 }
 
-// peekNext reports whether the first byte of a request came before the deadline or the
-// close of the connection. A request that came before its idle connection's time was
-// over is taken, even if the process stood still meanwhile and sees both only now.
-func (c *clientConn) peekNext() bool {
+// peekNext waits for the first byte of a request, until the deadline or the close of the
+// connection, and returns the error that ended it. A request that came before its idle
+// connection's time was over is taken, even if the process stood still meanwhile and
+// sees both only now.
+func (c *clientConn) peekNext() error {
 	_, err := c.br.Peek(1)
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() && c.beginLastLook() {
 		_, err = c.br.Peek(1)
 	}
-	return err == nil
+	return err
 }
 
 // serveRequest reads and answers one request. It reports whether the connection
@@ -109,7 +112,8 @@
 	c.readBy(time.Time{})
 	go func() {
 		defer close(peekDone)
-		if !c.peekNext() {
+		if err := c.peekNext(); err != nil {
+			c.readErr.Store(&err)
 			gone.set()
 			return
 		}
