serve: take no target's answer that goes on as another one

Callers of `serve` got a 200 with another answer's body, with an empty body, or with a body whose last bytes were the start of another answer, framed as whole, after a target that broke off and went on with another answer on the same connection.

Cause: as with the store, the HTTP library reads both heads as one, and fills a body of a declared length from whatever follows. A look at the parsed head can't see all: a repeated Content-Type or Server replaces the value in which the status line stood.

Now shared/bbhead looks at the bytes of a connection as they are read: a head with a status line in it, or a body of a declared length that has taken one in and is followed by more bytes, ends the connection with an error before the HTTP library sees the end. Not seen, as in `native`: another answer of which nothing has arrived yet once a body is full.

--- a/bluebellport/proxy/body.go
+++ b/bluebellport/proxy/body.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbhead"
 )
 
 // bodyReader reads the body of a message. It distinguishes a complete body from
@@ -115,7 +117,7 @@
 			b.complete = true
 			return nil
 		}
-		if name, value, ok := strings.Cut(line, ":"); !ok || !isToken(name) || containsStatusLine(value) {
+		if name, value, ok := strings.Cut(line, ":"); !ok || !isToken(name) || bbhead.HoldsStatusLine(value) {
 			break
 		}
 	}
--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbhead"
 )
 
 // statusMisdirected is the status of a server that is not the one expected.
@@ -75,47 +76,17 @@
 // isJoined reports whether the head has a second status line inside a value: it
 // began as one response, broke off, and ends as another.
 func (r *Response) isJoined() bool {
-	if containsStatusLine(r.Reason) {
+	if bbhead.HoldsStatusLine(r.Reason) {
 		return true
 	}
 	for i := range r.Fields {
-		if containsStatusLine(r.Fields[i].Value) {
+		if bbhead.HoldsStatusLine(r.Fields[i].Value) {
 			return true
 		}
 	}
 	return false
 }
 
-// versionPrefix is how each status line begins, statusLineBytes how many bytes show that
-// one does.
-const (
-	versionPrefix   = "HTTP/1."
-	statusLineBytes = len(versionPrefix + "1 200")
-)
-
-// containsStatusLine reports whether s contains the start of a status line.
-func containsStatusLine(s string) bool {
-	for {
-		_, rest, ok := strings.Cut(s, versionPrefix)
-		if !ok {
-			return false
-		}
-		if startsWithStatus(rest) {
-			return true
-		}
-		s = rest
-	}
-}
-
-// startsWithStatus reports whether s is the rest of a status line after "HTTP/1.".
-func startsWithStatus(s string) bool {
-	if len(s) < len("1 200") || s[1] != ' ' {
-		return false
-	}
-	_, err := parseDigits(s[2:5], 10)
-	return err == nil && (len(s) == 5 || s[5] == ' ' || s[5] == '\r')
-}
-
 // isSigned reports whether the response has the target's signature and was not
 // changed on the way, which a content encoding would show.
 func (r *Response) isSigned() bool {
--- a/bluebellport/proxy/runon.go
+++ b/bluebellport/proxy/runon.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbhead"
 )
 
 // errBodyRunsOn means that the target broke off within a body and went on with another
@@ -23,12 +25,12 @@
 		return nil
 	}
 	_ = c.SetReadDeadline(time.Now().Add(restTimeout))
-	rest, _ := c.br.Peek(statusLineBytes - 1)
+	rest, _ := c.br.Peek(bbhead.StatusLineBytes - 1)
 	if len(rest) == 0 {
 		return nil
 	}
-	start := max(len(tail)-statusLineBytes+1, 0)
-	if containsStatusLine(string(tail)) || containsStatusLine(string(append(slices.Clone(tail[start:]), rest...))) {
+	start := max(len(tail)-bbhead.StatusLineBytes+1, 0)
+	if bbhead.HoldsStatusLine(string(tail)) || bbhead.HoldsStatusLine(string(append(slices.Clone(tail[start:]), rest...))) {
 		return errBodyRunsOn
 	}
 	return nil
@@ -37,11 +39,11 @@
 // mayHoldStatusLine reports whether a text contains the start of a status line or ends
 // within one.
 func mayHoldStatusLine(text []byte) bool {
-	if bytes.Contains(text, []byte(versionPrefix)) {
+	if bytes.Contains(text, []byte(bbhead.VersionPrefix)) {
 		return true
 	}
-	for n := range len(versionPrefix) - 1 {
-		if bytes.HasSuffix(text, []byte(versionPrefix[:n+1])) {
+	for n := range len(bbhead.VersionPrefix) - 1 {
+		if bytes.HasSuffix(text, []byte(bbhead.VersionPrefix[:n+1])) {
 			return true
 		}
 	}
--- a/bluebellport/src/target_conns.go
+++ b/bluebellport/src/target_conns.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbhead"
 )
 
 // errNotSent means that no byte of the request left for the target.
@@ -71,7 +72,7 @@
 	}
 	local := c.LocalAddr().String()
 	tc.open.Store(local, c)
-	return &openConn{Conn: c, closed: func() { tc.open.CompareAndDelete(local, c) }}, nil
+	return &openConn{Conn: &bbhead.Conn{Conn: c}, closed: func() { tc.open.CompareAndDelete(local, c) }}, nil
 }
 
 // openConn is a connection to a target that is open.
--- /dev/null
+++ b/shared/bbhead/conn_test.go
@@ -0,0 +1,52 @@
+package bbhead
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+)
+
+// textConn is a connection from which a text is read in parts of some bytes.
+type textConn struct {
+	net.Conn
+	text *strings.Reader
+	part int
+}
+
+func (c *textConn) Read(b []byte) (int, error)  { return c.text.Read(b[:min(len(b), c.part)]) }
+func (c *textConn) Write(b []byte) (int, error) { return len(b), nil }
+
+// TestResponseThatGoesOnAsAnotherIsFound guards against two responses that are read as one,
+// and against a sound one that is taken for such.
+func TestResponseThatGoesOnAsAnotherIsFound(t *testing.T) {
+	const ok, busy, length = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Busy\r\nA: b\r\n\r\n", "Content-Length: 5\r\n"
+	for text, joined := range map[string]bool{
+		ok + "Server: a\r\n\r\n":                                          false,
+		ok + "Via: HTTP/1.1 proxy\r\n\r\n":                                false,
+		ok + "Via: HTTP/1.1\r\nAge: 200\r\n\r\n":                          false,
+		ok + "Upgrade: HTTP/1.1 2000\r\n\r\n":                             false,
+		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + "\r\n":       false,
+		"\r\n" + ok + length + "\r\nHTTP/":                                false,
+		ok + length + "\r\nwhole" + busy:                                  false,
+		ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nHTTP/\r\n" + ok:      false,
+		"HTTP/1.1 200 O" + busy:                                           true,
+		ok + "Server: a" + busy:                                           true,
+		ok + "Content-Type: te" + ok + "Content-Type: text\r\n\r\n":       true,
+		ok + "Via: HTTP/1.1 proxyHTTP/1.0 503\r\n\r\n":                    true,
+		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + "A: " + busy: true,
+		ok + length + "\r\n" + busy:                                       true,
+		ok + length + "\r\nwhol" + busy:                                   true,
+	} {
+		for _, part := range []int{16 << 10, 64} { // a head and what follows come together
+			is := is.New(t)
+			c := &Conn{Conn: &textConn{text: strings.NewReader(text), part: part}}
+			_, _ = c.Write([]byte("GET"))
+			_, err := io.ReadAll(c)
+			is.Equal(errors.Is(err, ErrJoined), joined) // text
+		}
+	}
+}
--- /dev/null
+++ b/shared/bbhead/statusline.go
@@ -0,0 +1,31 @@
+package bbhead
+
+import "strings"
+
+// HoldsStatusLine reports whether a text holds the beginning of a status line, with its
+// status.
+func HoldsStatusLine(text string) bool {
+	for {
+		_, rest, ok := strings.Cut(text, VersionPrefix)
+		if !ok {
+			return false
+		}
+		if beginsWithStatus(rest) {
+			return true
+		}
+		text = rest
+	}
+}
+
+// beginsWithStatus reports whether a text is the rest of a status line after VersionPrefix.
+func beginsWithStatus(text string) bool {
+	if len(text) < StatusLineBytes-len(VersionPrefix) || text[1] != ' ' {
+		return false
+	}
+	for _, c := range text[2:5] {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(text) == 5 || text[5] == ' ' || text[5] == '\r'
+}
