Test that a take-up which breaks off at any byte ends no stream

The second answer of a stream that goes on at another target is cut at each byte (in chunks, with a length, with an event that the client has first), and closes, resets or goes on as another answer. No fault was found: the client never saw the end of a stream that it has not whole.

--- a/bluebellport/proxy/cut_test.go
+++ b/bluebellport/proxy/cut_test.go
@@ -263,3 +263,47 @@
 		is.True(h.call("POST", "/book/large", "").err != nil)
 	}
 }
+
+// cutResumed are answers that go on with a stream behind its second event.
+var cutResumed = []struct{ name, text string }{
+	{"chunks", cutOK + cutID + cutSign + cutEvent + "Transfer-Encoding: chunked\r\n\r\n0f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"},
+	{"length", cutOK + "Content-Length: 15\r\n" + cutEvent + cutSign + cutID + "\r\nid: 3\ndata: c\n\n"},
+	{"its own first", cutOK + cutID + cutSign + cutEvent + "Content-Length: 30\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+}
+
+// TestTakeUpCutAtAnyByteEndsNoStream guards against a stream that is taken up by an answer that
+// breaks off at any byte, or goes on as another one, and then ends as if it were whole.
+func TestTakeUpCutAtAnyByteEndsNoStream(t *testing.T) {
+	const begun = cutOK + cutID + cutSign + cutEvent + "Transfer-Encoding: chunked\r\n\r\n1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n5\r\nid: 3"
+	for i, c := range cutResumed {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, 1<<40)
+			h.settings.RetryExtra = 1e6
+			var ids []string
+			for n := range 2 * len(c.text) { // each breaks off seldom enough to stay in use
+				ids = append(ids, fmt.Sprintf("t%d", n))
+			}
+			target := h.startCutTarget("llm", ids...)
+			h.startWithVersions()
+			takenUp := 0
+			for cut := range len(c.text) + 1 {
+				end := (cut + i) % len(cutEndings)
+				target.set(func(r *http.Request) cutAnswer {
+					if r.Header.Get(bbplatform.HeaderLastEventID) == "" {
+						return cutAnswer{text: begun, close: true}
+					}
+					takenUp++
+					id := r.Header.Get(bbplatform.HeaderAttemptID)
+					return cutAnswer{text: strings.ReplaceAll(c.text, "$id", id)[:cut] + cutEndings[end].more, close: true, reset: cutEndings[end].name == "reset"}
+				})
+				r := h.call("POST", "/draft/1", fmt.Sprint("body", cut), bbplatform.HeaderTokenUsage, "10,60", bbplatform.HeaderAttemptID, fmt.Sprintf("%03x", cut))
+				if isWhole := r.err == nil && r.body == cutThree; r.err == nil && r.status == 200 && !isWhole || isWhole && cut < len(c.text) {
+					t.Errorf("%s after %q: %d %q", cutEndings[end].name, c.text[max(cut-20, 0):cut], r.status, r.body)
+				}
+			}
+			is.True(takenUp > len(c.text)*3/4)
+		})
+	}
+}
