One sender for what instances tell each other

The keepers of crashes, limits, leavings and versions and the spreader each had the same type of an addressed message, the same loop that sends and counts, and four of them the same one that addresses several instances. These are now bbnews.Outgoing, Sender and ToEach. What is sent, counted and drawn at random is the same, and so are the names of the counters. No test is changed.

--- a/bluebellport/crash/learn.go
+++ b/bluebellport/crash/learn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbwire"
 )
 
@@ -26,9 +27,5 @@
 		t.learner.nextAsk = now.Add(quietRoundInterval)
 	}
 	msg := t.comparison(bbwire.Crashes_COMPARE, nil, now)
-	var out []outgoing
-	for _, id := range t.randomPeers(2) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(t.randomPeers(2), msg)
 }
--- a/bluebellport/crash/report.go
+++ b/bluebellport/crash/report.go
@@ -73,7 +73,7 @@
 	var out []outgoing
 	for _, home := range homes {
 		requests, parts := splitRecords(due[home])
-		out = append(out, outgoing{home, &bbwire.Crashes{Reports: encodeRecords(requests, now), PartReports: encodeRecords(parts, now)}})
+		out = append(out, outgoing{To: home, Msg: &bbwire.Crashes{Reports: encodeRecords(requests, now), PartReports: encodeRecords(parts, now)}})
 	}
 	return out
 }
--- a/bluebellport/crash/spread.go
+++ b/bluebellport/crash/spread.go
@@ -7,17 +7,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
 
-// outgoing is a message to be sent once the lock is released.
-type outgoing struct {
-	to  bbunit.InstanceID
-	msg *bbwire.Crashes
-}
+type outgoing = bbnews.Outgoing[*bbwire.Crashes]
 
 // Tick does the work that is due: it sends reports, changes and comparisons.
 func (t *Tracker) Tick() {
@@ -25,7 +21,7 @@
 	t.mu.Lock()
 	out := t.tick(now)
 	t.mu.Unlock()
-	t.send(out)
+	t.sender.Send(out)
 }
 
 func (t *Tracker) tick(now time.Time) []outgoing {
@@ -59,13 +55,9 @@
 	}
 }
 
-// send sends messages. One that is lost is repeated by what comes later.
-func (t *Tracker) send(out []outgoing) {
-	for _, o := range out {
-		t.messages.Inc(1)
-		t.bytes.Inc(int64(proto.Size(o.msg)))
-		_ = t.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: o.msg}})
-	}
+// envelope returns the envelope of a message.
+func envelope(msg *bbwire.Crashes) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Crashes{Crashes: msg}}
 }
 
 // flood tells a few random instances of the verdicts that changed here, and they
@@ -92,11 +84,7 @@
 	}
 	msg := &bbwire.Crashes{}
 	setVerdicts(msg, records, now)
-	var out []outgoing
-	for _, id := range t.randomPeers(floodFanout) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(t.randomPeers(floodFanout), msg)
 }
 
 // floodState limits how often one verdict is flooded. The zero value is a
@@ -146,11 +134,7 @@
 		}
 		t.nextRound = now.Add(busyRoundInterval)
 	}
-	var out []outgoing
-	for _, id := range t.randomPeers(1) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(t.randomPeers(1), msg)
 }
 
 // comparison returns a message of a comparison.
@@ -191,7 +175,7 @@
 	reply := t.handle(from, msg, now)
 	t.mu.Unlock()
 	if reply != nil {
-		t.send([]outgoing{{from, reply}})
+		t.sender.Send([]outgoing{{To: from, Msg: reply}})
 	}
 	return nil
 }
--- a/bluebellport/crash/tracker.go
+++ b/bluebellport/crash/tracker.go
@@ -73,6 +73,7 @@
 	startedAt   time.Time
 	snapshot    atomic.Pointer[snapshot]
 	trackerMetrics
+	sender *bbnews.Sender[*bbwire.Crashes]
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that handle a message, send, or use the store.
@@ -115,14 +116,18 @@
 }
 
 type trackerMetrics struct {
-	recorded, disproved, messages, bytes, dropped metrics.Counter
-	refused, suspects, refusedParts               metrics.Gauge
+	recorded, disproved, dropped    metrics.Counter
+	refused, suspects, refusedParts metrics.Gauge
+}
+
+func counterIn(r metrics.Registry) func(name string) metrics.Counter {
+	return func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("crash."+name, r) }
 }
 
 func newTrackerMetrics(r metrics.Registry) trackerMetrics {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("crash."+name, r) }
+	counter := counterIn(r)
 	return trackerMetrics{
-		recorded: counter("recorded"), disproved: counter("disproved"), messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"),
+		recorded: counter("recorded"), disproved: counter("disproved"), dropped: counter("dropped"),
 		refused: metrics.GetOrRegisterGauge("crash.refused", r), suspects: metrics.GetOrRegisterGauge("crash.suspects", r),
 		refusedParts: metrics.GetOrRegisterGauge("crash.refused.parts", r),
 	}
@@ -135,7 +140,7 @@
 		cfg.Rand = rand.IntN
 	}
 	t := &Tracker{
-		cfg: cfg, startedAt: cfg.Now(), trackerMetrics: newTrackerMetrics(cfg.Metrics),
+		cfg: cfg, startedAt: cfg.Now(), trackerMetrics: newTrackerMetrics(cfg.Metrics), sender: bbnews.NewSender(cfg.Network, envelope, counterIn(cfg.Metrics)),
 		records: map[uint64]*entry{}, crashed: map[TargetRun]time.Time{}, dirty: map[uint64]bool{},
 	}
 	t.snapshot.Store(&snapshot{})
--- a/bluebellport/leave/keeper.go
+++ b/bluebellport/leave/keeper.go
@@ -44,9 +44,10 @@
 type Keeper struct {
 	cfg Config
 	// leaving holds the runs that leave, for requests, which take no lock.
-	leaving                  atomic.Pointer[map[bbplan.TargetRun]bool]
-	known                    metrics.Gauge
-	messages, bytes, dropped metrics.Counter
+	leaving atomic.Pointer[map[bbplan.TargetRun]bool]
+	known   metrics.Gauge
+	dropped metrics.Counter
+	sender  *bbnews.Sender[*bbwire.Leavings]
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that send or receive a message.
@@ -75,7 +76,7 @@
 	}
 	k := &Keeper{
 		cfg: cfg, known: metrics.GetOrRegisterGauge("door.leave.known", cfg.Metrics),
-		messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"),
+		sender: bbnews.NewSender(cfg.Network, envelope, counter), dropped: counter("dropped"),
 		entries: map[bbplan.TargetRun]*entry{}, dirty: map[bbplan.TargetRun]bool{}, rounds: bbnews.NewRounds(&times, cfg.Now()),
 	}
 	k.leaving.Store(&map[bbplan.TargetRun]bool{})
@@ -102,7 +103,7 @@
 	out := k.tick(now)
 	busy = len(k.entries) > 0
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	return busy
 }
 
@@ -132,7 +133,7 @@
 		out = k.flood(now)
 	}
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 }
 
 // add notes that a run leaves, and reports whether that is new.
--- a/bluebellport/leave/spread.go
+++ b/bluebellport/leave/spread.go
@@ -7,8 +7,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -17,11 +17,7 @@
 // errMalformed means that a message of another instance is not usable.
 const errMalformed = errors.ConstError("malformed message about targets that leave")
 
-// outgoing is a message to be sent once the lock is released.
-type outgoing struct {
-	to  bbunit.InstanceID
-	msg *bbwire.Leavings
-}
+type outgoing = bbnews.Outgoing[*bbwire.Leavings]
 
 func (k *Keeper) tick(now time.Time) []outgoing {
 	k.rounds.Follow(k.cfg.Network.View(), now)
@@ -86,20 +82,12 @@
 
 // toRandom addresses a message to a few random instances.
 func (k *Keeper) toRandom(n int, msg *bbwire.Leavings) []outgoing {
-	var out []outgoing
-	for _, id := range k.rounds.View().RandomOthers(n, k.cfg.Rand) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(k.rounds.View().RandomOthers(n, k.cfg.Rand), msg)
 }
 
-// send sends messages. One that is lost is repeated by what comes later.
-func (k *Keeper) send(out []outgoing) {
-	for _, o := range out {
-		k.messages.Inc(1)
-		k.bytes.Inc(int64(proto.Size(o.msg)))
-		_ = k.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Leavings{Leavings: o.msg}})
-	}
+// envelope returns the envelope of a message.
+func envelope(msg *bbwire.Leavings) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Leavings{Leavings: msg}}
 }
 
 // receive handles a message of another instance.
@@ -108,7 +96,7 @@
 	k.mu.Lock()
 	out := k.handle(from, msg, now)
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	return nil
 }
 
@@ -127,7 +115,7 @@
 	if withEntries {
 		reply.Entries = k.encode(k.runs(func(*entry) bool { return true }), now)
 	}
-	return append(out, outgoing{from, reply})
+	return append(out, outgoing{To: from, Msg: reply})
 }
 
 // merge takes an entry of another instance.
--- a/bluebellport/limit/keeper.go
+++ b/bluebellport/limit/keeper.go
@@ -54,6 +54,7 @@
 	// while there is none.
 	limited atomic.Pointer[map[bbplan.TargetRun]bool]
 	keeperMetrics
+	sender *bbnews.Sender[*bbwire.Limits]
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that send or handle a message.
@@ -104,15 +105,19 @@
 type keeperMetrics struct {
 	known                                    metrics.Gauge
 	asked, granted, denied, unanswered, lost metrics.Counter
-	messages, bytes, dropped, silent         metrics.Counter
+	dropped, silent                          metrics.Counter
+}
+
+func counterIn(r metrics.Registry) func(name string) metrics.Counter {
+	return func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("limit."+name, r) }
 }
 
 func newKeeperMetrics(r metrics.Registry) keeperMetrics {
-	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("limit."+name, r) }
+	counter := counterIn(r)
 	return keeperMetrics{
 		known: metrics.GetOrRegisterGauge("limit.known", r),
 		asked: counter("asked"), granted: counter("granted"), denied: counter("denied"), unanswered: counter("unanswered"), lost: counter("lost"),
-		messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"), silent: counter("silent"),
+		dropped: counter("dropped"), silent: counter("silent"),
 	}
 }
 
@@ -123,7 +128,7 @@
 		cfg.Rand = rand.IntN
 	}
 	k := &Keeper{
-		cfg: cfg, keeperMetrics: newKeeperMetrics(cfg.Metrics), entries: map[bbplan.TargetRun]*entry{},
+		cfg: cfg, keeperMetrics: newKeeperMetrics(cfg.Metrics), sender: bbnews.NewSender(cfg.Network, envelope, counterIn(cfg.Metrics)), entries: map[bbplan.TargetRun]*entry{},
 		dirty: map[bbplan.TargetRun]bool{}, rounds: map[uint64]*round{}, peers: map[bbunit.InstanceID]*peerState{}, nextID: uint64(cfg.Rand(1<<30)) << 30,
 	}
 	k.limited.Store(&map[bbplan.TargetRun]bool{})
@@ -152,7 +157,7 @@
 	out := k.tick(now)
 	busy = len(k.entries) > 0
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	return busy
 }
 
@@ -202,7 +207,7 @@
 	k.mu.Lock()
 	out := k.observe(run, s, now)
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 }
 
 // observe applies a statement of an answer, and tells the homes of a new limit.
@@ -221,7 +226,7 @@
 	msg := &bbwire.Limits{Entries: []*bbwire.LimitEntry{encodeEntry(run, s, now)}}
 	for _, id := range k.homesOf(k.entries[run], now) {
 		if id != k.comparisons.View().Self.ID {
-			out = append(out, outgoing{id, msg})
+			out = append(out, outgoing{To: id, Msg: msg})
 		}
 	}
 	return out
--- a/bluebellport/limit/news.go
+++ b/bluebellport/limit/news.go
@@ -7,19 +7,15 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbhash"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
 
-// outgoing is a message to be sent once the lock is released.
-type outgoing struct {
-	to  bbunit.InstanceID
-	msg *bbwire.Limits
-}
+type outgoing = bbnews.Outgoing[*bbwire.Limits]
 
 // rankKey is the rendezvous hash key that ranks the homes of a target.
 func rankKey(run bbplan.TargetRun) string { return "limit\x00" + string(run.ID) }
@@ -42,13 +38,9 @@
 	}
 }
 
-// send sends messages. One that is lost is repeated by what comes later.
-func (k *Keeper) send(out []outgoing) {
-	for _, o := range out {
-		k.messages.Inc(1)
-		k.bytes.Inc(int64(proto.Size(o.msg)))
-		_ = k.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Limits{Limits: o.msg}})
-	}
+// envelope returns the envelope of a message.
+func envelope(msg *bbwire.Limits) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Limits{Limits: msg}}
 }
 
 // flood tells a few random instances of what changed here, and they tell others.
@@ -88,11 +80,7 @@
 
 // toRandom addresses a message to a few random instances.
 func (k *Keeper) toRandom(n int, msg *bbwire.Limits) []outgoing {
-	var out []outgoing
-	for _, id := range k.comparisons.View().RandomOthers(n, k.cfg.Rand) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(k.comparisons.View().RandomOthers(n, k.cfg.Rand), msg)
 }
 
 // comparison returns a message of a comparison, with entries if wanted.
@@ -122,7 +110,7 @@
 	k.mu.Lock()
 	out := k.handle(from, msg, now)
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	return nil
 }
 
@@ -163,7 +151,7 @@
 	if e.statement.named() {
 		t = k.answerAsk(e, decodeAsk(from, m), now)
 	}
-	return []outgoing{{from, &bbwire.Limits{Tell: encodeTell(&t, encodeEntry(e.run, e.statement, now))}}}
+	return []outgoing{{To: from, Msg: &bbwire.Limits{Tell: encodeTell(&t, encodeEntry(e.run, e.statement, now))}}}
 }
 
 // answerComparison replies to a step of a comparison, unless both instances now
@@ -173,7 +161,7 @@
 	if step == bbwire.Limits_NONE {
 		return nil
 	}
-	return []outgoing{{from, k.comparison(step, withEntries, now)}}
+	return []outgoing{{To: from, Msg: k.comparison(step, withEntries, now)}}
 }
 
 // merge merges an entry of another instance and returns what is then known of its
--- a/bluebellport/limit/permit.go
+++ b/bluebellport/limit/permit.go
@@ -121,7 +121,7 @@
 	k.mu.Lock()
 	r, out := k.beginRound(run, asker, now)
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	return r
 }
 
--- a/bluebellport/limit/question.go
+++ b/bluebellport/limit/question.go
@@ -56,7 +56,7 @@
 				continue
 			}
 			k.countTry(h.id, now)
-			out = append(out, outgoing{h.id, questionOf(e, r, h, now)})
+			out = append(out, outgoing{To: h.id, Msg: questionOf(e, r, h, now)})
 		}
 	}
 	return out
--- a/bluebellport/spread/fetch.go
+++ b/bluebellport/spread/fetch.go
@@ -123,7 +123,7 @@
 	if f.transfer != nil {
 		ask.Packed, ask.Offset = f.transfer.id.encode(), uint32(len(f.transfer.packed))
 	}
-	return []outgoing{{to, ask}}
+	return []outgoing{{To: to, Msg: ask}}
 }
 
 // pieceTimeout returns how long an answer of a peer is awaited.
@@ -332,14 +332,14 @@
 		out = s.offer(t.rev)
 	}
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 	s.cfg.Apply(Version{Rev: t.rev, Text: text})
 	s.mu.Lock()
 	s.fetch.applying = false
 	s.newest = max(s.newest, t.rev) // also if it was not accepted
 	out = s.advance(s.cfg.Now())
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 }
 
 // text returns the text of a transfer that is complete, or ErrMalformed.
--- a/bluebellport/spread/serve.go
+++ b/bluebellport/spread/serve.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	if bbstore.Revision(ask.GetRevision()) >= s.newest {
-		return []outgoing{{from, tell}}
+		return []outgoing{{To: from, Msg: tell}}
 	}
 	offset := int(ask.GetOffset())
 	it := s.shelf.byID(id)
@@ -43,7 +43,7 @@
 			delete(s.served, from)
 		}
 	}
-	return []outgoing{{from, tell}}
+	return []outgoing{{To: from, Msg: tell}}
 }
 
 // fill adds a piece to a reply.
--- a/bluebellport/spread/spreader.go
+++ b/bluebellport/spread/spreader.go
@@ -11,7 +11,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbclock"
@@ -64,8 +63,9 @@
 //	            |                  +--NEWS--> peers
 //	            +-- transfer <--pieces-- a peer that has told of a newer revision
 type Spreader struct {
-	cfg                                          Config
-	messages, bytes, transfers, malformed, reads metrics.Counter
+	cfg                         Config
+	transfers, malformed, reads metrics.Counter
+	sender                      *bbnews.Sender[*bbwire.Spread]
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that send or receive a message, unpack or apply.
@@ -80,11 +80,7 @@
 	fetch   fetch
 }
 
-// outgoing is a message to be sent once the lock is released.
-type outgoing struct {
-	to  bbunit.InstanceID
-	msg *bbwire.Spread
-}
+type outgoing = bbnews.Outgoing[*bbwire.Spread]
 
 // New returns a spreader. Listen makes it handle messages; its other work is done by
 // Run, or by Tick.
@@ -99,7 +95,7 @@
 		return metrics.GetOrRegisterCounter("door.spread."+name, cfg.Metrics)
 	}
 	s := &Spreader{
-		cfg: cfg, messages: counter("messages"), bytes: counter("bytes"), transfers: counter("transfers"), malformed: counter("malformed"), reads: counter("reads"),
+		cfg: cfg, sender: bbnews.NewSender(cfg.Network, envelope, counter), transfers: counter("transfers"), malformed: counter("malformed"), reads: counter("reads"),
 		served: map[bbunit.InstanceID]time.Time{}, pace: newPace(cfg.LinkRate*linkShare, cfg.Now()), fetch: newFetch(),
 	}
 	return s
@@ -128,7 +124,7 @@
 	out := s.advance(s.cfg.Now())
 	busy = s.fetch.begun()
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 	return busy
 }
 
@@ -155,7 +151,7 @@
 	s.held, s.digest = v, digest
 	out := append(s.offer(v.Rev), s.advance(now)...)
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 }
 
 // Hear notes that a peer has a revision.
@@ -168,7 +164,7 @@
 		out = s.advance(now)
 	}
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 }
 
 // offer notes that peers can get a revision, and tells a few if it is the newest.
@@ -188,7 +184,7 @@
 		}
 		if *left > 0 {
 			*left--
-			out = append(out, outgoing{id, &bbwire.Spread{Kind: bbwire.Spread_NEWS, Revision: int64(s.newest)}})
+			out = append(out, outgoing{To: id, Msg: &bbwire.Spread{Kind: bbwire.Spread_NEWS, Revision: int64(s.newest)}})
 		}
 	}
 	return out
@@ -211,13 +207,9 @@
 	return ok && m.Domain == view.Self.Domain
 }
 
-// send sends messages. What is lost is asked for again.
-func (s *Spreader) send(out []outgoing) {
-	for _, o := range out {
-		s.messages.Inc(1)
-		s.bytes.Inc(int64(proto.Size(o.msg)))
-		_ = s.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Spread{Spread: o.msg}})
-	}
+// envelope returns the envelope of a message.
+func envelope(msg *bbwire.Spread) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Spread{Spread: msg}}
 }
 
 // receive handles a message of another instance.
@@ -240,6 +232,6 @@
 		out = s.advance(now)
 	}
 	s.mu.Unlock()
-	s.send(out)
+	s.sender.Send(out)
 	return nil
 }
--- a/bluebellport/version/keeper.go
+++ b/bluebellport/version/keeper.go
@@ -77,8 +77,9 @@
 	// slots holds what Config.Slots returned last.
 	slots atomic.Pointer[map[bbunit.ServiceID]map[string]int]
 
-	messages, bytes, dropped, writes, reads                 metrics.Counter
+	dropped, writes, reads                                  metrics.Counter
 	records, questions, found, unknown, logWrites, logReads metrics.Counter
+	sender                                                  *bbnews.Sender[*bbwire.Versions]
 
 	// mu guards the fields below. Callers of unexported methods hold it, but for
 	// those that send or receive a message or call the store.
@@ -129,7 +130,7 @@
 		return metrics.GetOrRegisterCounter("door.versions."+name, cfg.Metrics)
 	}
 	k := &Keeper{
-		cfg: cfg, messages: counter("messages"), bytes: counter("bytes"), dropped: counter("dropped"), writes: counter("writes"), reads: counter("reads"),
+		cfg: cfg, sender: bbnews.NewSender(cfg.Network, envelope, counter), dropped: counter("dropped"), writes: counter("writes"), reads: counter("reads"),
 		logWrites: counter("logwrites"), logReads: counter("logreads"),
 		records: counter("records"), questions: counter("questions"), found: counter("found"), unknown: counter("unknown"),
 		streams: streams{byKey: map[StreamKey]*stream{}}, members: map[bbunit.InstanceID]seenMember{}, rounds: bbnews.NewRounds(&times, cfg.Now()),
@@ -159,7 +160,7 @@
 	k.rounds.Follow(k.cfg.Network.View(), now)
 	out := k.news(now)
 	k.mu.Unlock()
-	k.send(out)
+	k.sender.Send(out)
 	if !now.Before(k.nextRefresh) {
 		k.nextRefresh = now.Add(recordRefresh)
 		k.refreshRecords()
--- a/bluebellport/version/log.go
+++ b/bluebellport/version/log.go
@@ -106,7 +106,7 @@
 	}
 	var out []outgoing
 	for part := range slices.Chunk(streams, maxStreamsPerMessage) {
-		out = append(out, outgoing{writer, &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part, Log: true}})
+		out = append(out, outgoing{To: writer, Msg: &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part, Log: true}})
 	}
 	return out
 }
--- a/bluebellport/version/news.go
+++ b/bluebellport/version/news.go
@@ -5,17 +5,12 @@
 	"strconv"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
+	"bluebellport.example/bluebellport/news"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
 )
 
-// outgoing is a message to be sent once the lock is released.
-type outgoing struct {
-	to  bbunit.InstanceID
-	msg *bbwire.Versions
-}
+type outgoing = bbnews.Outgoing[*bbwire.Versions]
 
 // news returns the messages about the split that are due.
 func (k *Keeper) news(now time.Time) []outgoing {
@@ -48,21 +43,12 @@
 
 // toRandom addresses a message to a few random instances.
 func (k *Keeper) toRandom(n int, msg *bbwire.Versions) []outgoing {
-	var out []outgoing
-	for _, id := range k.rounds.View().RandomOthers(n, k.cfg.Rand) {
-		out = append(out, outgoing{id, msg})
-	}
-	return out
+	return bbnews.ToEach(k.rounds.View().RandomOthers(n, k.cfg.Rand), msg)
 }
 
-// send sends messages. One about the split that is lost is repeated by what comes
-// later.
-func (k *Keeper) send(out []outgoing) {
-	for _, o := range out {
-		k.messages.Inc(1)
-		k.bytes.Inc(int64(proto.Size(o.msg)))
-		_ = k.cfg.Network.Send(o.to, &bbwire.Envelope{Body: &bbwire.Envelope_Versions{Versions: o.msg}})
-	}
+// envelope returns the envelope of a message.
+func envelope(msg *bbwire.Versions) *bbwire.Envelope {
+	return &bbwire.Envelope{Body: &bbwire.Envelope_Versions{Versions: msg}}
 }
 
 // receive handles a message of another instance.
@@ -85,11 +71,11 @@
 	switch {
 	case step == bbwire.Limits_NONE:
 	case withSplit && own > msg.GetNumber():
-		out = append(out, outgoing{from, k.withSplit(step)})
+		out = append(out, outgoing{To: from, Msg: k.withSplit(step)})
 	default:
-		out = append(out, outgoing{from, k.comparison(step)})
+		out = append(out, outgoing{To: from, Msg: k.comparison(step)})
 	}
-	k.send(out)
+	k.sender.Send(out)
 	return nil
 }
 
@@ -145,11 +131,11 @@
 	var out []outgoing
 	for home, streams := range byHome {
 		for part := range slices.Chunk(streams, maxStreamsPerMessage) {
-			out = append(out, outgoing{home, &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part}})
+			out = append(out, outgoing{To: home, Msg: &bbwire.Versions{Number: k.state.Load().split.Number, Streams: part}})
 		}
 	}
 	k.records.Inc(int64(len(versions)))
-	k.send(append(out, k.toLog(view, all)...))
+	k.sender.Send(append(out, k.toLog(view, all)...))
 }
 
 // answer tells another instance which version began a stream.
