--- a/bluebellport/leave/keeper.go
+++ b/bluebellport/leave/keeper.go
@@ -86,13 +86,7 @@
 
 // Run does the keeper's work until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		interval := idleTickInterval
-		if k.Tick() {
-			interval = tickInterval
-		}
-		bbclock.Wait(ctx, interval)
-	}
+	bbclock.Repeat(ctx, tickInterval, idleTickInterval, k.Tick)
 }
 
 // Tick does the work that is due: it spreads and compares news. It reports whether
--- a/bluebellport/limit/keeper.go
+++ b/bluebellport/limit/keeper.go
@@ -140,13 +140,7 @@
 
 // Run does the keeper's work until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		interval := idleTickInterval
-		if k.Tick() {
-			interval = tickInterval
-		}
-		bbclock.Wait(ctx, interval)
-	}
+	bbclock.Repeat(ctx, tickInterval, idleTickInterval, k.Tick)
 }
 
 // Tick does the work that is due: it repeats questions, and spreads and compares
--- a/bluebellport/spread/spreader.go
+++ b/bluebellport/spread/spreader.go
@@ -109,13 +109,7 @@
 
 // Run does the spreader's work until ctx ends.
 func (s *Spreader) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		interval := idleTickInterval
-		if s.Tick() {
-			interval = tickInterval
-		}
-		bbclock.Wait(ctx, interval)
-	}
+	bbclock.Repeat(ctx, tickInterval, idleTickInterval, s.Tick)
 }
 
 // Tick does the work that is due, and reports whether a newer version is awaited.
--- a/shared/bbclock/wait.go
+++ b/shared/bbclock/wait.go
@@ -17,3 +17,15 @@
 		return false
 	}
 }
+
+// Repeat calls work until ctx ends, after each call once the time has passed that suits
+// what work reports: busy or idle.
+func Repeat(ctx context.Context, busy, idle time.Duration, work func() (isBusy bool)) {
+	for ctx.Err() == nil {
+		interval := idle
+		if work() {
+			interval = busy
+		}
+		Wait(ctx, interval)
+	}
+}
