Name the pause after an unproven refusal for what it is

notRunBackoff applies only to refusals that may be another request's since. The value is the same; two tests use the new name, their checks are unchanged.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -227,9 +227,9 @@
 	// retryBudgetFraction is the fraction of the allowed retries that is used, so
 	// that instances that have just started do not exceed them together.
 	retryBudgetFraction = 0.6
-	// notRunBackoff is how long a target gets no requests after a refusal that may be
+	// unprovenBackoff is how long a target gets no requests after a refusal that may be
 	// another request's.
-	notRunBackoff = 50 * time.Millisecond
+	unprovenBackoff = 50 * time.Millisecond
 	// maxTargetPause is the longest time for which a target is believed that it wants
 	// no requests.
 	maxTargetPause = 10 * time.Minute
--- a/bluebellport/proxy/late_test.go
+++ b/bluebellport/proxy/late_test.go
@@ -107,7 +107,7 @@
 			is.Equal(len(first.Arrivals())+len(second.Arrivals()), 2)
 			is.Equal(r.status, http.StatusServiceUnavailable)
 			is.Equal(r.outcome, "not-run")
-			time.Sleep(2 * notRunBackoff)
+			time.Sleep(2 * unprovenBackoff)
 			is.Equal(h.call("POST", path, "body", bbplatform.HeaderTokenUsage, "600,200").status, http.StatusOK) // the balance is whole
 		})
 	}
--- a/bluebellport/proxy/laterate_test.go
+++ b/bluebellport/proxy/laterate_test.go
@@ -69,7 +69,7 @@
 				status := h.callOver(transport, []string{"/book/1", "/read/1"}[i%2], id).status
 				statuses[caller][id] = status
 				if status == http.StatusServiceUnavailable {
-					time.Sleep(notRunBackoff)
+					time.Sleep(unprovenBackoff)
 				}
 				time.Sleep(4 * time.Millisecond)
 			}
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -39,7 +39,7 @@
 		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
 		target.State.RecordRefusal(x.sentAt, now)
 	case resultUnproven:
-		target.State.BackOffUntil(now.Add(notRunBackoff))
+		target.State.BackOffUntil(now.Add(unprovenBackoff))
 		p.watchForCrash(x, target, result)
 	case resultUnsent:
 		if p.board.LinkSaturated.Load() {
