proxy: log what a refusal for money rests on

The lines said neither which instance was the account's home nor what it had answered, when, nor why the wait ended; those of a stop not what the life had spent and lent. Each refusal now has the home, its last word and the word's age, the age of the row, the rounds and what ended the wait; the close of the shares has the accounts and its tries. No decision changed.

--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbplan"
@@ -27,9 +28,18 @@
 	// The rest is guarded by shares.mu.
 	uncovered   map[bbunit.AccountID]uncoveredLoan
 	lastAskedAt map[bbunit.AccountID]time.Time // last round of asking peers
+	words       map[bbunit.AccountID]homeWord  // the last outcome of asking a home
 	homes       homeMap
 }
 
+// homeWord is the outcome of asking an account's home for a loan.
+type homeWord struct {
+	home              bbunit.InstanceID
+	at                time.Time
+	answered, covered bool
+	asked, lent, free bbunit.Tokens
+}
+
 // uncoveredLoan is the word of a home that an account's balance does not cover so
 // many tokens.
 type uncoveredLoan struct {
@@ -47,7 +57,7 @@
 }
 
 func newPeerLoans(shares *shareController, peers PeerNetwork) *peerLoans {
-	l := &peerLoans{shares: shares, peers: peers, uncovered: map[bbunit.AccountID]uncoveredLoan{}, lastAskedAt: map[bbunit.AccountID]time.Time{}}
+	l := &peerLoans{shares: shares, peers: peers, uncovered: map[bbunit.AccountID]uncoveredLoan{}, lastAskedAt: map[bbunit.AccountID]time.Time{}, words: map[bbunit.AccountID]homeWord{}}
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Loanask{}}, l.handleLoanAsk)
 	return l
 }
@@ -150,6 +160,12 @@
 func (l *peerLoans) borrowFromHome(home bbunit.InstanceID, request bbshare.LoanRequest) {
 	msg := &bbwire.LoanAsk{Account: string(request.Account), Tokens: int64(request.Need), Ahead: int64(request.Prefetch), Home: true}
 	reply := l.call(home, msg)
+	l.shares.mu.Lock()
+	l.words[request.Account] = homeWord{
+		home: home, at: l.shares.now(), asked: request.Need, answered: reply != nil, covered: reply.GetCovered(),
+		lent: bbunit.Tokens(reply.GetTokens()), free: bbunit.Tokens(reply.GetFree()),
+	}
+	l.shares.mu.Unlock()
 	if reply == nil || reply.Tokens < 0 || reply.Tokens > msg.Tokens+msg.Ahead {
 		return
 	}
@@ -178,6 +194,24 @@
 	return l.uncoveredByHome(id, n) && l.shares.now().Sub(l.uncovered[id].at) < shareTimeout
 }
 
+// logFields returns where the account's tokens are borrowed and what the home last
+// said, as far as it was asked. The caller holds shares.mu.
+func (l *peerLoans) logFields(id bbunit.AccountID) logrus.Fields {
+	home, ok := l.homes.byAccount[id]
+	if !ok {
+		return logrus.Fields{}
+	}
+	fields := logrus.Fields{"home": home.ID, "responsive": !l.unresponsive(home.ID)}
+	_, fields["asking"] = l.pendingAsks.Load(id)
+	if word, ok := l.words[id]; ok {
+		fields["word"] = logrus.Fields{
+			"home": word.home, "age": l.shares.now().Sub(word.at).Milliseconds(), "answered": word.answered, "covered": word.covered,
+			"asked": word.asked, "lent": word.lent, "free": word.free,
+		}
+	}
+	return fields
+}
+
 // unresponsive reports whether a peer left a call unanswered within
 // unresponsivePeriod.
 func (l *peerLoans) unresponsive(peer bbunit.InstanceID) bool {
--- a/bluebellport/proxy/reserve.go
+++ b/bluebellport/proxy/reserve.go
@@ -1,6 +1,7 @@
 package bbproxy
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -15,7 +16,7 @@
 // for a share up to shareTimeout or the deadline, and less if the client leaves
 // or the store does not answer. A request that is larger than all that was paid is
 // refused at once.
-func (c *shareController) reserve(account *bbplan.Account, n bbunit.Tokens, deadline time.Time, clientGone <-chan struct{}) (*bbshare.Balance, *Refusal) {
+func (c *shareController) reserve(account *bbplan.Account, n bbunit.Tokens, deadline time.Time, clientGone <-chan struct{}) (_ *bbshare.Balance, refusal *Refusal) {
 	balance := c.balance(account.ID)
 	if balance.Reserve(n) {
 		return balance, nil
@@ -26,9 +27,16 @@
 	defer balance.Await(n)()
 	timeout := time.NewTimer(min(shareTimeout, time.Until(deadline)))
 	defer timeout.Stop()
-	for round := 0; round < maxShareRounds; round++ {
+	ended, rounds := "rounds", 0
+	defer func() {
+		if refusal != nil && refusal.LogFields != nil {
+			refusal.LogFields["ended"], refusal.LogFields["rounds"] = ended, rounds
+		}
+	}()
+	for ; rounds < maxShareRounds; rounds++ {
 		written, remoteHome, more := c.awaitsWrite(account, n)
 		if !more {
+			ended = "no write helps"
 			break
 		}
 		c.wake()
@@ -37,6 +45,7 @@
 		case <-clientGone:
 			return nil, refuseNotRun("caller left", 0)
 		case <-timeout.C:
+			ended = "timeout"
 			return nil, c.refuseNoShare(account, n)
 		}
 		if balance.Reserve(n) {
@@ -44,6 +53,7 @@
 		}
 		if remoteHome {
 			if c.uncoveredByHome(account, n) {
+				ended = "home says not covered"
 				break
 			}
 			time.Sleep(shareTimeout / maxShareRounds / 4) // the account's home writes meanwhile
@@ -168,8 +178,13 @@
 
 // logFields returns the values that decide whether a share is available.
 func (c *shareController) logFields(share *bbshare.AccountShare, n bbunit.Tokens) logrus.Fields {
-	return logrus.Fields{
-		"account": share.ID, "tokens": n, "here": share.Balance.Available(), "free": share.Remaining(), "others": share.UnspentByOthers(c.allocator.Holder),
-		"age": c.now().Sub(c.lastReplyAt).Milliseconds(),
+	fields := c.loans.logFields(share.ID)
+	if at, ok := c.rowAt[share.ID]; ok {
+		fields["row-age"] = c.now().Sub(at).Milliseconds()
 	}
+	maps.Copy(fields, logrus.Fields{
+		"account": share.ID, "tokens": n, "here": share.Balance.Available(), "free": share.Remaining(), "others": share.UnspentByOthers(c.allocator.Holder),
+		"age": c.now().Sub(c.lastReplyAt).Milliseconds(), "remote": share.UsesRemoteHome(), "row-read": share.RowLoaded(),
+	})
+	return fields
 }
--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -242,9 +242,9 @@
 
 // close returns all that is unspent to the store. It tries until ctx ends.
 func (c *shareController) close(ctx context.Context) {
-	for {
+	for tries := 1; ; tries++ {
 		c.mu.Lock()
-		rowWrite := c.allocator.Close()
+		rowWrite, held := c.allocator.Close(), c.activeAccounts()
 		c.mu.Unlock()
 		if rowWrite == nil {
 			c.log.WithField("event", "money-closed").Info("no shares to return")
@@ -252,11 +252,11 @@
 		}
 		err := c.write(ctx, rowWrite)
 		if err == nil {
-			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": len(rowWrite.Rows)}).Info("shares returned")
+			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": len(rowWrite.Rows), "held": held, "tries": tries}).Info("shares returned")
 			return
 		}
 		if ctx.Err() != nil {
-			c.log.WithError(err).WithField("event", "money-stuck").Warn("shares not returned; they count as spent")
+			c.log.WithError(err).WithFields(logrus.Fields{"event": "money-stuck", "held": held, "tries": tries}).Warn("shares not returned; they count as spent")
 			return
 		}
 	}
