bbshare: an instance that is not the home borrows once for what it was asked

A former home, or one that a borrower with an older view of the fleet asks, records what it could not lend as unmet. Only the writes of a home forgot that, so such an instance asked the present home for the sum again at each check, without end, and kept it: with a need it gives nothing back. Callers were refused while their account's money lay there.

--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -58,6 +58,7 @@
 			desired = a.desiredLoanShare(s, policy, instances)
 		}
 		need := s.neededLoan(available)
+		s.Balance.unmet.clearLoans()
 		if need > 0 || float64(available) < policy.RefillBelow*desired {
 			out = append(out, LoanRequest{Account: s.ID, Need: bbunit.Tokens(need), Prefetch: bbunit.Tokens(max(int64(desired)-available, 0))})
 		}
