bbshare: a new home of an account has a part before it has spent

A home's part of the quarter was its part of what all living holders have spent in their lives. After a restart that is nearly nothing beside others that have spent for long, so a new home drew by one request per write. In a large fleet a half of the part is now the same for all homes. A home also gave back only what was above three times its goal and its largest request, so that the homes together kept most of a small balance; now it is above its part by a fourth, as in a small fleet.

--- a/shared/bbshare/draw.go
+++ b/shared/bbshare/draw.go
@@ -37,8 +37,7 @@
 // borrowing instances hold shares of their own.
 const HomeHorizon = 8 * time.Second
 
-// SetUsesHomes sets whether the accounts have homes. A home keeps more than it may
-// need for a while, as many instances borrow from it and each write costs a call.
+// SetUsesHomes sets whether the accounts have homes.
 func (a *Allocator) SetUsesHomes(uses bool) {
 	a.usesHomes, a.policy.Horizon = uses, DefaultPolicy().Horizon
 	if uses {
@@ -100,16 +99,13 @@
 	case newGrant < s.granted && s.homeUnreachable:
 		return newGrant, 0, false
 	case newGrant < s.granted:
-		return newGrant, 0, a.draining || float64(available-need) > a.mostKept(s, held, goal)
+		return newGrant, 0, a.draining || float64(available-need) > mostKept(held, goal)
 	}
 	return newGrant, 0, false
 }
 
 // mostKept returns above how many available tokens a share is given back.
-func (a *Allocator) mostKept(s *AccountShare, held float64, goal int64) float64 {
-	if a.usesHomes {
-		return surplusFactor*float64(goal) + float64(s.largestRequest)
-	}
+func mostKept(held float64, goal int64) float64 {
 	return min(maxSurplus*held, surplusFactor*float64(goal))
 }
 
@@ -152,5 +148,9 @@
 	if others+ownSpent <= 0 {
 		return 1 / float64(max(holders, 1))
 	}
-	return (ownSpent + prior) / (others + ownSpent)
+	weight := (ownSpent + prior) / (others + ownSpent)
+	if a.usesHomes { // homes change with restarts: a new one has a part before it has spent
+		weight = (weight + 1/float64(max(holders, 1))) / 2
+	}
+	return weight
 }
