proxy: money passes between the instances of a domain instead of through rows

Callers of a large fleet whose instances were restarted in series were refused for money that their accounts had.

Now a borrower, also a stopping one, offers its home what it has beyond its part; the home collects that with a loan of its own, which is counted once as all loans are, so no message can add tokens. An instance that isn't ready, stops, or waits for a write says so, and the borrower asks the next one in the order of homes, which is the former or the coming home. Messages are as before: an offer is an ask with a negative amount ahead, which older instances answer with nothing.

--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -278,6 +278,13 @@
 	accountHomeGroups = 8
 	// loanTimeout limits one call to a peer.
 	loanTimeout = 100 * time.Millisecond
+	// handOverInterval is the time between two offers of what a stopping instance has
+	// left, handOverTime how long it makes them.
+	handOverInterval = 10 * time.Millisecond
+	handOverTime     = 250 * time.Millisecond
+	// overdueWrite is how old a write of shares without an answer is when a home sends
+	// borrowers elsewhere.
+	overdueWrite = 100 * time.Millisecond
 	// maxLoanPeers is how many peers are asked for one request.
 	maxLoanPeers = 4
 	// largeReturnDivisor divides what an account has paid: a larger part of a
--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -20,10 +20,13 @@
 // theirs. Loans help when an account is nearly used up, and when one instance
 // has lost the store while another still reaches it.
 type peerLoans struct {
-	shares       *shareController
-	peers        PeerNetwork
-	pendingAsks  sync.Map // bbunit.AccountID -> bool: accounts whose home is being called
-	unansweredAt sync.Map // bbunit.InstanceID -> time.Time: last call that a peer did not answer
+	shares        *shareController
+	peers         PeerNetwork
+	pendingAsks   sync.Map // bbunit.AccountID -> bool: accounts whose home is being called
+	pendingOffers sync.Map // bbunit.AccountID -> bool: accounts whose home is being offered tokens
+	unansweredAt  sync.Map // bbunit.InstanceID -> time.Time: last call that a peer did not answer
+
+	overdueAt sync.Map // bbunit.InstanceID -> time.Time: last word of a home that its write is overdue
 
 	// The rest is guarded by shares.mu.
 	uncovered   map[bbunit.AccountID]uncoveredLoan
@@ -54,6 +57,9 @@
 	view      *bbmember.View
 	plan      *bbplan.Plan
 	byAccount map[bbunit.AccountID]bbmember.Member
+	// next has the instances that replace the homes while these do not answer or are
+	// not ready.
+	next map[bbunit.AccountID]bbmember.Member
 }
 
 func newPeerLoans(shares *shareController, peers PeerNetwork) *peerLoans {
@@ -63,22 +69,81 @@
 }
 
 // handleLoanAsk lends a peer what it asks for, as far as it is available here.
-func (l *peerLoans) handleLoanAsk(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
+func (l *peerLoans) handleLoanAsk(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
 	ask := e.GetLoanask()
 	l.shares.mu.Lock()
 	defer l.shares.mu.Unlock()
 	share := l.shares.allocator.Account(bbunit.AccountID(ask.Account))
 	need := bbunit.Tokens(max(ask.Tokens, 0))
-	var n bbunit.Tokens
-	if ask.Home {
-		n = share.GrantLoan(bbshare.LoanRequest{Need: need, Prefetch: bbunit.Tokens(max(ask.Ahead, 0))}, l.shares.allocator.Holder)
-		l.shares.wake()
-	} else {
-		n = share.LendUpTo(need)
+	if !ask.Home {
+		return loanTell(share, share.LendUpTo(need), 0)
+	}
+	if state := l.homeState(share, need); state != 0 {
+		return loanTell(share, 0, state)
+	}
+	if ask.Ahead < 0 {
+		go l.collect(from, share.ID, bbunit.Tokens(-ask.Ahead))
+		return loanTell(share, 0, 0)
+	}
+	n := share.GrantLoan(bbshare.LoanRequest{Need: need, Prefetch: bbunit.Tokens(max(ask.Ahead, 0))}, l.shares.allocator.Holder)
+	l.shares.wake()
+	tell := loanTell(share, n, 0)
+	if n < need {
+		tell.GetLoantell().Covered = l.mayCover(share, need, n)
+	}
+	return tell
+}
+
+// homeState returns 0 if this instance can serve as the home of an account now, or
+// notReady or writeOverdue. The caller holds shares.mu.
+func (l *peerLoans) homeState(share *bbshare.AccountShare, need bbunit.Tokens) int64 {
+	shares := l.shares
+	lacks := share.Balance.Available() < need
+	switch {
+	case shares.board.Plan.Load() == nil || !shares.rowsRead:
+		return notReady
+	case shares.board.Leaving.Load() && share.UsesRemoteHome() && (lacks || need == 0):
+		return notReady
+	case lacks && shares.writing && shares.now().Sub(shares.lastWriteAt) > overdueWrite:
+		return writeOverdue
+	}
+	return 0
+}
+
+// mayCover reports whether the account may have need, of which n has been lent. If the
+// row is too old to tell, it is read again; if only homes of other failure domains have
+// the rest, they are asked. The caller holds shares.mu.
+func (l *peerLoans) mayCover(share *bbshare.AccountShare, need, n bbunit.Tokens) bool {
+	if !share.RowLoaded() || share.UsesRemoteHome() {
+		return true
+	}
+	if !share.Covers(need, l.shares.allocator.Holder) {
+		if l.shares.isFresh(share.ID) {
+			return false
+		}
+		share.AwaitRow(need)
+		return true
 	}
-	tell := &bbwire.LoanTell{
-		Account: ask.Account, Tokens: int64(n), Free: int64(max(share.Remaining(), 0)),
-		Covered: n >= need || !share.RowLoaded() || share.Covers(need, l.shares.allocator.Holder),
+	if account := l.shares.board.Plan.Load().Accounts[share.ID]; account != nil && share.Remaining() < need-n {
+		go l.borrowFromPeers(account, need-n)
+	}
+	return true
+}
+
+// Values of LoanTell.Free by which an instance says that it can't serve as a home now.
+const (
+	// notReady means that it has not yet read its plan and the rows, or stops.
+	notReady = -1
+	// writeOverdue means that its write of the rows is not answered.
+	writeOverdue = -2
+)
+
+// loanTell returns the reply of an instance that has lent n tokens of an account. State is
+// 0 or the value of LoanTell.Free that says why it can't serve.
+func loanTell(share *bbshare.AccountShare, n bbunit.Tokens, state int64) *bbwire.Envelope {
+	tell := &bbwire.LoanTell{Account: string(share.ID), Tokens: int64(n), Free: int64(max(share.Remaining(), 0)), Covered: true}
+	if state != 0 {
+		tell.Free = state
 	}
 	return &bbwire.Envelope{Body: &bbwire.Envelope_Loantell{Loantell: tell}}
 }
@@ -102,8 +167,8 @@
 		l.homes = homeMap{}
 	}
 	for id := range plan.Accounts {
-		home, ok := l.homes.byAccount[id]
-		local := !ok || home.ID == view.Self.ID || view.Self.Leaving
+		home, ok := l.home(id)
+		local := !ok || home.ID == view.Self.ID
 		shares.allocator.SetHome(id, local, !l.unresponsive(home.ID))
 	}
 	return holders
@@ -114,20 +179,33 @@
 	if l.homes.view == view && l.homes.plan == plan {
 		return
 	}
-	l.homes = homeMap{view: view, plan: plan, byAccount: make(map[bbunit.AccountID]bbmember.Member, len(plan.Accounts))}
+	l.homes = homeMap{view: view, plan: plan, byAccount: make(map[bbunit.AccountID]bbmember.Member, len(plan.Accounts)), next: make(map[bbunit.AccountID]bbmember.Member, len(plan.Accounts))}
+	ranks := map[uint64][]bbmember.Member{}
 	for id := range plan.Accounts {
-		if home, ok := homeOf(view, id); ok {
-			l.homes.byAccount[id] = home
+		group := homeGroup(id)
+		if _, ok := ranks[group]; !ok {
+			ranks[group] = view.Rank(sharesPrefix+strconv.FormatUint(group, 10), view.Self.Domain, 2)
+		}
+		if rank := ranks[group]; len(rank) > 0 {
+			l.homes.byAccount[id], l.homes.next[id] = rank[0], rank[len(rank)-1]
 		}
 	}
 }
 
-// homeOf returns the home of an account in this instance's failure domain.
-// Accounts are hashed into accountHomeGroups groups that share a home, so that
-// one write serves several of them.
-func homeOf(view *bbmember.View, id bbunit.AccountID) (bbmember.Member, bool) {
-	group := xxhash.Sum64String(string(id)) % accountHomeGroups
-	return view.Home(sharesPrefix+strconv.FormatUint(group, 10), view.Self.Domain)
+// home returns the home of an account, or the instance that replaces it while it does
+// not answer or is not ready. The caller holds shares.mu.
+func (l *peerLoans) home(id bbunit.AccountID) (bbmember.Member, bool) {
+	home, ok := l.homes.byAccount[id]
+	if ok && home.ID != l.homes.view.Self.ID && (l.unresponsive(home.ID) || l.isRecent(&l.overdueAt, home.ID)) {
+		return l.homes.next[id], true
+	}
+	return home, ok
+}
+
+// homeGroup returns the group of an account. Accounts are hashed into accountHomeGroups
+// groups that share a home, so that one write serves several of them.
+func homeGroup(id bbunit.AccountID) uint64 {
+	return xxhash.Sum64String(string(id)) % accountHomeGroups
 }
 
 // countDomains returns the number of failure domains with live instances, at
@@ -145,7 +223,7 @@
 // shares.mu.
 func (l *peerLoans) borrowFromHomes(requests []bbshare.LoanRequest) {
 	for _, request := range requests {
-		home, ok := l.homes.byAccount[request.Account]
+		home, ok := l.home(request.Account)
 		if _, pending := l.pendingAsks.LoadOrStore(request.Account, true); !ok || pending {
 			continue
 		}
@@ -166,7 +244,15 @@
 		lent: bbunit.Tokens(reply.GetTokens()), free: bbunit.Tokens(reply.GetFree()),
 	}
 	l.shares.mu.Unlock()
-	if reply == nil || reply.Tokens < 0 || reply.Tokens > msg.Tokens+msg.Ahead {
+	switch reply.GetFree() {
+	case notReady:
+		l.unansweredAt.Store(home, l.shares.now())
+		l.shares.wake()
+	case writeOverdue:
+		l.overdueAt.Store(home, l.shares.now())
+		l.shares.wake()
+	}
+	if reply == nil || reply.Tokens < 0 || reply.Tokens > msg.Tokens+msg.Ahead || reply.Free < 0 {
 		return
 	}
 	l.shares.mu.Lock()
@@ -197,7 +283,7 @@
 // logFields returns where the account's tokens are borrowed and what the home last
 // said, as far as it was asked. The caller holds shares.mu.
 func (l *peerLoans) logFields(id bbunit.AccountID) logrus.Fields {
-	home, ok := l.homes.byAccount[id]
+	home, ok := l.home(id)
 	if !ok {
 		return logrus.Fields{}
 	}
@@ -215,7 +301,12 @@
 // unresponsive reports whether a peer left a call unanswered within
 // unresponsivePeriod.
 func (l *peerLoans) unresponsive(peer bbunit.InstanceID) bool {
-	at, ok := l.unansweredAt.Load(peer)
+	return l.isRecent(&l.unansweredAt, peer)
+}
+
+// isRecent reports whether a peer's time in times is less than unresponsivePeriod ago.
+func (l *peerLoans) isRecent(times *sync.Map, peer bbunit.InstanceID) bool {
+	at, ok := times.Load(peer)
 	return ok && l.shares.now().Sub(at.(time.Time)) < unresponsivePeriod
 }
 
--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -48,6 +48,8 @@
 	rowAt       map[bbunit.AccountID]time.Time // when it last told an account's row
 	plan        *bbplan.Plan                   // whose payments have been applied
 	lastWriteAt time.Time                      // when the last write was begun
+	writing     bool                           // it has not ended, or writes pause after it
+	rowsRead    bool                           // readAll has ended
 	backoff     time.Duration                  // pause after the last write, 0 if it succeeded
 
 	lostAt   atomic.Int64 // when the store stopped answering, in ns of the monotonic clock; 0 while it answers
@@ -129,6 +131,9 @@
 		}
 		c.mu.Unlock()
 		c.writeShares(ctx)
+		c.mu.Lock()
+		c.loans.offerToHomes(c.allocator.Offers())
+		c.mu.Unlock()
 	}
 }
 
@@ -150,12 +155,13 @@
 // readAll reads all rows once, so that the first writes do not conflict.
 func (c *shareController) readAll(ctx context.Context) {
 	entries, _, err := c.store.List(ctx, sharesPrefix)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rowsRead = true
 	if err != nil {
 		c.log.WithError(err).Warn("account rows not read; the first write reads them")
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.logBadRows(c.allocator.ApplyRows(entries))
 }
 
@@ -174,14 +180,18 @@
 		}
 		rowWrite := c.allocator.NextWrite(holders, now.Sub(c.lastWriteAt) >= interval)
 		if rowWrite != nil {
-			c.lastWriteAt = now
+			c.lastWriteAt, c.writing = now, true
 		}
 		c.mu.Unlock()
 		if rowWrite == nil {
 			c.notifyWaiters()
 			return
 		}
-		if !errors.Is(c.write(ctx, rowWrite), bbstore.ErrConflict) {
+		err := c.write(ctx, rowWrite)
+		c.mu.Lock()
+		c.writing = false
+		c.mu.Unlock()
+		if !errors.Is(err, bbstore.ErrConflict) {
 			return
 		}
 	}
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -59,6 +59,8 @@
 	lent bbunit.Tokens
 	// surplus is what a share with a remote home gives back with the next write.
 	surplus bbunit.Tokens
+	// offer is what a share with a remote home has for the home to collect.
+	offer bbunit.Tokens
 	// refresh means that the row is written unchanged if nothing else is to change, to
 	// learn its present state.
 	refresh bool
--- a/shared/bbshare/home.go
+++ b/shared/bbshare/home.go
@@ -62,9 +62,37 @@
 		if need > 0 || float64(available) < policy.RefillBelow*desired {
 			out = append(out, LoanRequest{Account: s.ID, Need: bbunit.Tokens(need), Prefetch: bbunit.Tokens(max(int64(desired)-available, 0))})
 		}
-		s.surplus = 0
-		if most := max(surplusFactor*desired, float64(s.paid)*maxBorrowedUnused); need == 0 && float64(available) > most {
-			s.surplus = bbunit.Tokens(available - int64(desired))
+		s.planReturn(need, available, desired, a.draining)
+	}
+	return out
+}
+
+// planReturn decides what of the available tokens goes back to the home, which collects
+// it, and what to the row, if the home has not answered yet or has left an offer where
+// it was. A stopping instance writes what is left with Close.
+func (s *AccountShare) planReturn(need, available int64, desired float64, draining bool) {
+	offered := s.offer
+	s.surplus, s.offer = 0, 0
+	excess := available - int64(desired)
+	if need > 0 || excess <= 0 {
+		return
+	}
+	if float64(available) > keptFactor*desired {
+		s.offer = bbunit.Tokens(excess)
+	}
+	if most := max(surplusFactor*desired, float64(s.paid)*maxBorrowedUnused); !draining && (offered > 0 || !s.homeAsked) && float64(available) > most {
+		s.surplus = bbunit.Tokens(excess)
+	}
+}
+
+// Offers returns what this instance has of accounts with a remote home beyond what it
+// desires, as LoanRequests last found. The home collects it by a loan: an offer moves
+// no tokens.
+func (a *Allocator) Offers() []LoanRequest {
+	var out []LoanRequest
+	for _, s := range a.shares {
+		if s.remoteHome && s.offer > 0 {
+			out = append(out, LoanRequest{Account: s.ID, Prefetch: s.offer})
 		}
 	}
 	return out
@@ -72,8 +100,11 @@
 
 // What an instance that borrows keeps and assumes, as fractions of what the account
 // has paid: what it keeps unused beyond surplusFactor times what it desires, and what
-// its home may have at hand beside the free tokens.
+// its home may have at hand beside the free tokens. It offers its home what it has
+// beyond keptFactor times what it desires.
 const (
+	keptFactor        = 1.25
+	borrowedPart      = 0.5
 	maxBorrowedUnused = 0.05
 	homeShareGuess    = 0.05
 )
@@ -97,8 +128,9 @@
 }
 
 // desiredLoanShare returns how many tokens an instance that is not the home should
-// have: its demand over the horizon, but at most a part of the free tokens that is
-// proportional to what the instance has spent.
+// have: its demand over the horizon, but at most a part of the free tokens: a half of that
+// is the same for all instances, so that a new life has one, a half is proportional to
+// what the instance has spent.
 func (a *Allocator) desiredLoanShare(s *AccountShare, policy HomePolicy, instances int) float64 {
 	desired := s.demand * policy.Horizon.Seconds()
 	if s.demand > 0 {
@@ -110,7 +142,9 @@
 	if allSpent <= 0 {
 		return 0
 	}
-	return min(desired, a.policy.MaxHeld*float64(s.homeFree)*(ownSpent+prior/float64(max(instances, 1)))/allSpent)
+	equal := 1 / float64(max(instances, 1))
+	weight := (equal + (ownSpent+prior*equal)/allSpent) / 2
+	return min(desired, a.policy.MaxHeld*borrowedPart*float64(s.homeFree)*weight)
 }
 
 // SetHomeRemaining sets the free amount of the account as last reported by its home:
--- a/shared/bbshare/unmet.go
+++ b/shared/bbshare/unmet.go
@@ -1,6 +1,10 @@
 package bbshare
 
-import "sync"
+import (
+	"sync"
+
+	"bluebellport.example/shared/bbunit"
+)
 
 // unmetRequests are the requests that wait for tokens of one account, each counted
 // once however often it is tried. The zero value has none.
@@ -73,3 +77,9 @@
 		s.largest = max(s.largest, n)
 	}
 }
+
+// AwaitRow makes the next write learn the present state of the row for a loan of n.
+func (s *AccountShare) AwaitRow(n bbunit.Tokens) {
+	s.refresh = true
+	s.Balance.unmet.addLoan(int64(n))
+}
