proxy: a request in a large fleet waits for a share by time, not by rounds

A request waited for three rounds. In a large fleet a round ended with any write or loan of any account, or with a check that wrote nothing, so three of them passed within 100 ms, and a request was refused that the next call would have served. It now waits up to shareTimeout, asks peers once on the way as before, and, while this instance's own write of other accounts has no answer, borrows without waiting for it.

--- a/bluebellport/proxy/reserve.go
+++ b/bluebellport/proxy/reserve.go
@@ -16,7 +16,7 @@
 // for a share up to shareTimeout or the deadline, and less if the client leaves
 // or the store does not answer. A request that is larger than all that was paid is
 // refused at once.
-func (c *shareController) reserve(account *bbplan.Account, n bbunit.Tokens, deadline time.Time, clientGone <-chan struct{}) (_ *bbshare.Balance, refusal *Refusal) {
+func (c *shareController) reserve(account *bbplan.Account, n bbunit.Tokens, deadline time.Time, clientGone <-chan struct{}) (*bbshare.Balance, *Refusal) {
 	balance := c.balance(account.ID)
 	if balance.Reserve(n) {
 		return balance, nil
@@ -25,47 +25,65 @@
 		return nil, c.refuseBalance(account, n)
 	}
 	defer balance.Await(n)()
-	timeout := time.NewTimer(min(shareTimeout, time.Until(deadline)))
+	w := shareWait{until: c.now().Add(min(shareTimeout, time.Until(deadline)))}
+	if refusal := c.awaitShare(&w, account, n, balance, clientGone); refusal != nil {
+		if refusal.LogFields != nil {
+			refusal.LogFields["ended"], refusal.LogFields["rounds"] = w.ended, w.rounds
+		}
+		return nil, refusal
+	}
+	return balance, nil
+}
+
+// shareWait is the wait of one request for a share.
+type shareWait struct {
+	until  time.Time
+	rounds int    // writes or loans that it has waited for
+	ended  string // why it ended without a share
+}
+
+// awaitShare waits until n tokens are reserved, or returns why they can't be. A large
+// fleet's writes and loans are of any of its accounts, so there the time limits the wait
+// and not their number.
+func (c *shareController) awaitShare(w *shareWait, account *bbplan.Account, n bbunit.Tokens, balance *bbshare.Balance, clientGone <-chan struct{}) *Refusal {
+	timeout := time.NewTimer(w.until.Sub(c.now()))
 	defer timeout.Stop()
-	ended, rounds := "rounds", 0
-	defer func() {
-		if refusal != nil && refusal.LogFields != nil {
-			refusal.LogFields["ended"], refusal.LogFields["rounds"] = ended, rounds
+	for w.ended = "rounds"; w.rounds < maxShareRounds || c.board.UsesHomes() && c.now().Before(w.until); w.rounds++ {
+		if w.rounds == maxShareRounds && c.borrow(account, n, balance, timeout.C) {
+			return nil
 		}
-	}()
-	for ; rounds < maxShareRounds; rounds++ {
 		written, remoteHome, more := c.awaitsWrite(account, n)
 		if !more {
-			ended = "no write helps"
+			w.ended = "no write helps"
 			break
 		}
 		c.wake()
 		select {
 		case <-written:
 		case <-clientGone:
-			return nil, refuseNotRun("caller left", 0)
+			return refuseNotRun("caller left", 0)
 		case <-timeout.C:
-			ended = "timeout"
-			return nil, c.refuseNoShare(account, n)
+			w.ended = "timeout"
+			return c.refuseNoShare(account, n)
 		}
 		if balance.Reserve(n) {
-			return balance, nil
+			return nil
 		}
-		if remoteHome {
-			if c.uncoveredByHome(account, n) {
-				ended = "home says not covered"
-				break
-			}
+		if remoteHome && c.uncoveredByHome(account, n) {
+			w.ended = "home says not covered"
+			break
+		}
+		if remoteHome || c.board.UsesHomes() {
 			time.Sleep(shareTimeout / maxShareRounds / 4) // the account's home writes meanwhile
 		}
 	}
 	if c.borrow(account, n, balance, timeout.C) {
-		return balance, nil
+		return nil
 	}
 	if refusal := c.refuseUncovered(account, n); refusal != nil {
-		return nil, refusal
+		return refusal
 	}
-	return nil, c.refuseNoShare(account, n)
+	return c.refuseNoShare(account, n)
 }
 
 // awaitsWrite reports whether the next write, or loan of the account's home, may
@@ -76,6 +94,9 @@
 	share := c.allocator.Account(account.ID)
 	switch {
 	case share.UsesRemoteHome():
+		if c.writing { // of other accounts; run borrows after that
+			c.loans.borrowFromHomes(c.allocator.LoanRequests(bbshare.DefaultHomePolicy(), int(c.board.Instances.Load())))
+		}
 		return c.written, true, true
 	case c.outage() > 0:
 		return nil, false, false
