bbshare: the close of many accounts takes several writes

A stop returned the shares of all accounts in one write. The store takes 32 entries at most, so an instance with shares of more accounts got 400 for each try, and all that it held counted as spent. TestCloseOfManyAccountsTakesSeveralWrites: 100 rows in one write before, 4 writes of at most 32 now.

--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -252,21 +252,19 @@
 
 // close returns all that is unspent to the store. It tries until ctx ends.
 func (c *shareController) close(ctx context.Context) {
-	for tries := 1; ; tries++ {
+	for tries, returned := 1, 0; ; tries++ {
 		c.mu.Lock()
 		rowWrite, held := c.allocator.Close(), c.activeAccounts()
 		c.mu.Unlock()
 		if rowWrite == nil {
-			c.log.WithField("event", "money-closed").Info("no shares to return")
+			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": returned, "held": held, "tries": tries}).Info("shares returned, as far as there were any")
 			return
 		}
 		err := c.write(ctx, rowWrite)
 		if err == nil {
-			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": len(rowWrite.Rows), "held": held, "tries": tries}).Info("shares returned")
-			return
-		}
-		if ctx.Err() != nil {
-			c.log.WithError(err).WithFields(logrus.Fields{"event": "money-stuck", "held": held, "tries": tries}).Warn("shares not returned; they count as spent")
+			returned += len(rowWrite.Rows)
+		} else if ctx.Err() != nil {
+			c.log.WithError(err).WithFields(logrus.Fields{"event": "money-stuck", "accounts": returned, "held": held, "tries": tries}).Warn("shares not returned; they count as spent")
 			return
 		}
 	}
--- a/shared/bbshare/write.go
+++ b/shared/bbshare/write.go
@@ -137,9 +137,9 @@
 // unmet requests need.
 func (a *Allocator) Drain() { a.draining = true }
 
-// Close returns the write that removes this holder from all rows and gives back
-// what it has not spent, or nil if no row needs a change. Nothing may be reserved
-// after Close.
+// Close returns a write that removes this holder from rows and gives back what it has
+// not spent, or nil if no row needs a change. It has at most Policy.MaxRowsPerWrite rows,
+// so it is called until it returns nil. Nothing may be reserved after Close.
 func (a *Allocator) Close() *RowWrite {
 	w := &RowWrite{}
 	for _, s := range a.shares {
@@ -147,6 +147,9 @@
 		if s.fenced || !hasGrant && !s.reassert && s.Balance.Available() == 0 {
 			continue
 		}
+		if len(w.Rows) == a.policy.MaxRowsPerWrite {
+			break
+		}
 		s.granted -= bbunit.Tokens(s.Balance.takeUpTo(1 << 62))
 		w.add(a, s, s.row.withClosed(a.Holder, s.granted), s.granted)
 		w.changes[len(w.changes)-1].closes = true
