bbshare: a close without an answer is tried again

A stopping instance that only borrowed has no grant in the row. After a first close without an answer nothing was at hand any more, so it took itself for done and logged that there was nothing to return, though the write might never take effect. It now writes the same close again, over the same revision, so that one of them counts.

--- a/shared/bbshare/close_test.go
+++ b/shared/bbshare/close_test.go
@@ -45,3 +45,26 @@
 		is.Equal(row.TotalGranted(), bbunit.Tokens(0))
 	}
 }
+
+// TestCloseIsTriedAgainAfterALostAnswer guards against borrowed tokens that count as
+// spent because the write that gave them back was lost once.
+func TestCloseIsTriedAgainAfterALostAnswer(t *testing.T) {
+	for _, outcome := range []int{1, 3} { // the write took effect, or never does
+		is := is.New(t)
+		s := newSimulation(2, 1000)
+		is.True(s.reserve(0, 1))
+		borrower := s.instances[1].allocator
+		lent := s.instances[0].allocator.Account(account).LendUpTo(100)
+		is.True(lent > 0)
+		borrower.Account(account).AddLoan(lent)
+		is.Equal(len(borrower.ApplyRows([]bbstore.Entry{s.store.rows["m/"+string(account)]})), 0)
+		s.write(1, borrower.Close(), outcome)
+		for range 3 {
+			s.write(1, borrower.Close(), 0)
+		}
+		is.True(borrower.Close() == nil)
+		row, err := ParseRow(s.store.rows["m/"+string(account)].Value)
+		is.NoErr(err)
+		is.Equal(row.Closed, -lent)
+	}
+}
--- a/shared/bbshare/write.go
+++ b/shared/bbshare/write.go
@@ -144,7 +144,7 @@
 	w := &RowWrite{}
 	for _, s := range a.shares {
 		_, hasGrant := s.row.Holders[a.Holder]
-		if s.fenced || !hasGrant && !s.reassert && s.Balance.Available() == 0 {
+		if s.fenced || !hasGrant && !s.reassert && !s.uncertain.any && s.Balance.Available() == 0 {
 			continue
 		}
 		if len(w.Rows) == a.policy.MaxRowsPerWrite {
