--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -48,6 +48,8 @@
 	rowAt       map[bbunit.AccountID]time.Time // when it last told an account's row
 	plan        *bbplan.Plan                   // whose payments have been applied
 	lastWriteAt time.Time                      // when the last write was begun
+	writing     bool                           // it has not ended, or writes pause after it
+	rowsRead    bool                           // readAll has ended
 	backoff     time.Duration                  // pause after the last write, 0 if it succeeded
 
 	lostAt   atomic.Int64 // when the store stopped answering, in ns of the monotonic clock; 0 while it answers
@@ -129,6 +131,9 @@
 		}
 		c.mu.Unlock()
 		c.writeShares(ctx)
+		c.mu.Lock()
+		c.loans.offerToHomes(c.allocator.Offers())
+		c.mu.Unlock()
 	}
 }
 
@@ -150,12 +155,13 @@
 // readAll reads all rows once, so that the first writes do not conflict.
 func (c *shareController) readAll(ctx context.Context) {
 	entries, _, err := c.store.List(ctx, sharesPrefix)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rowsRead = true
 	if err != nil {
 		c.log.WithError(err).Warn("account rows not read; the first write reads them")
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.logBadRows(c.allocator.ApplyRows(entries))
 }
 
@@ -174,14 +180,18 @@
 		}
 		rowWrite := c.allocator.NextWrite(holders, now.Sub(c.lastWriteAt) >= interval)
 		if rowWrite != nil {
-			c.lastWriteAt = now
+			c.lastWriteAt, c.writing = now, true
 		}
 		c.mu.Unlock()
 		if rowWrite == nil {
 			c.notifyWaiters()
 			return
 		}
-		if !errors.Is(c.write(ctx, rowWrite), bbstore.ErrConflict) {
+		err := c.write(ctx, rowWrite)
+		c.mu.Lock()
+		c.writing = false
+		c.mu.Unlock()
+		if !errors.Is(err, bbstore.ErrConflict) {
 			return
 		}
 	}
@@ -242,21 +252,19 @@
 
 // close returns all that is unspent to the store. It tries until ctx ends.
 func (c *shareController) close(ctx context.Context) {
-	for {
+	for tries, returned := 1, 0; ; tries++ {
 		c.mu.Lock()
-		rowWrite := c.allocator.Close()
+		rowWrite, held := c.allocator.Close(), c.activeAccounts()
 		c.mu.Unlock()
 		if rowWrite == nil {
-			c.log.WithField("event", "money-closed").Info("no shares to return")
+			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": returned, "held": held, "tries": tries}).Info("shares returned, as far as there were any")
 			return
 		}
 		err := c.write(ctx, rowWrite)
 		if err == nil {
-			c.log.WithFields(logrus.Fields{"event": "money-closed", "accounts": len(rowWrite.Rows)}).Info("shares returned")
-			return
-		}
-		if ctx.Err() != nil {
-			c.log.WithError(err).WithField("event", "money-stuck").Warn("shares not returned; they count as spent")
+			returned += len(rowWrite.Rows)
+		} else if ctx.Err() != nil {
+			c.log.WithError(err).WithFields(logrus.Fields{"event": "money-stuck", "accounts": returned, "held": held, "tries": tries}).Warn("shares not returned; they count as spent")
 			return
 		}
 	}
