--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -102,7 +102,7 @@
 	<-ctx.Done()
 	times := bbstop.NewTimes(p.pulse.OrderedAt(p.now(), settings.GracePeriod), settings.GracePeriod)
 	p.drain(clientListener, times)
-	p.shares.handOver(times.SharesUntil())
+	p.shares.handOver(times.SharesUntil(p.now()))
 	stopBackground()
 	_ = readyListener.Close()
 	_ = clientListener.Close()
