Let no request wait that is read after the end of a stop

A client that has sent several requests behind one another got an answer to the first and then a closed connection, as the stop of the instance ended and their route was in a newer plan that was still on its way: endRequest had run before they were read, so nothing ended their wait for the plan, and the connection was closed at the last time for answers. Requests whose exchange began between the read and endRequest had the same gap.

An exchange that begins after the end of the stop now begins as given up, so each such request gets its refusal.

--- a/bluebellport/proxy/change_wait_test.go
+++ b/bluebellport/proxy/change_wait_test.go
@@ -78,6 +78,32 @@
 	}
 }
 
+// TestRequestsBehindOneThatWaitsForAPlanAreAnsweredAsAStopEnds guards against a wait for a
+// newer plan that begins after the end of the stop and outlasts the connection.
+func TestRequestsBehindOneThatWaitsForAPlanAreAnsweredAsAStopEnds(t *testing.T) {
+	is := is.New(t)
+	network := newFakeNetwork()
+	p := &lagPlay{harness: newHarness(t, 1_000_000), peer: network.newPeer("other", "gavle")}
+	p.peers, p.settings.GracePeriod = network.newPeer("i1", "uppsala"), 700*time.Millisecond
+	target := p.startTarget(testTarget)
+	p.startTarget(bbplatformstand.TargetOptions{ID: "llm", Service: "llm", Engine: true, EventCount: 3})
+	p.startWithVersions()
+	newerPlan(p, target)
+	text, statuses := "", make([]int, 4)
+	for i := range statuses {
+		text += rawRequest("/added/1", fmt.Sprint("b", i), "x")
+	}
+	conn := p.sendPart(text)
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	time.Sleep(100 * time.Millisecond)
+	p.stop()
+	br := bufio.NewReader(conn)
+	for i := range statuses {
+		statuses[i], _ = nextStatus(br)
+	}
+	is.Equal(statuses, []int{503, 503, 503, 503})
+}
+
 // newerPlan lets the instance know of a newer plan that does not come.
 func newerPlan(p *lagPlay, _ *bbplatformstand.Target) { p.tellNewer() }
 
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -118,6 +118,9 @@
 	x := &exchange{proxy: c.proxy, client: c, req: req, gone: gone}
 	stopAbort := x.abortOnceGone()
 	c.current.Store(x)
+	if c.proxy.stop.Ended() {
+		gone.set() // read too late for endRequest, so it must not wait for anything
+	}
 	keepConn := x.serve()
 	c.current.Store(nil)
 	stopAbort()
