Take no informational head that goes on as another response

A target that broke off within the head of a 1xx response and went on with another response left the request waiting: the head, which held both, was skipped as informational, and the rest was read as the start of a head that never ended.

The head is now checked as it is read, before it is skipped, and the connection is given up.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -202,9 +202,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.isJoined() {
-			return nil, errors.Annotate(ErrMalformed, "two responses in one head")
-		}
 		x.heard.origin = originOf(resp.Fields, x.req.AttemptID, conn.onlyRequest())
 		if resp.saysNotRun() {
 			if end := x.proxy.unnamed.record(x.service, x.heard.origin, x.proxy.now()); end != 0 {
--- a/bluebellport/proxy/cut_test.go
+++ b/bluebellport/proxy/cut_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -263,3 +264,19 @@
 		is.True(h.call("POST", "/book/large", "").err != nil)
 	}
 }
+
+// TestInterimAnswerThatRunsOnIsNotAwaited guards against a request that waits until its time
+// is over for an answer that an informational head has taken in.
+func TestInterimAnswerThatRunsOnIsNotAwaited(t *testing.T) {
+	for _, interim := range []string{"HTTP/1.1 103 Early Hints\r\nLink: </a", "HTTP/1.1 100 Cont"} {
+		is := is.New(t)
+		h := newHarness(t, 0)
+		target := h.startCutTarget("desk", "t1")
+		h.start()
+		h.callGood(target, cutAnswer{text: cutOK + cutID + cutSign + "Content-Length: 4\r\n\r\ngood"})
+		target.set(func(*http.Request) cutAnswer { return cutAnswer{text: interim + cutEndings[2].more} })
+		begin := time.Now()
+		is.Equal(h.call("POST", "/book/interim", "").status, http.StatusBadGateway)
+		is.True(time.Since(begin) < time.Second)
+	}
+}
--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -21,7 +21,8 @@
 }
 
 // readResponseHead reads the head of a response. It skips informational (1xx)
-// responses, up to maxInformational. All heads together may have maxHead bytes.
+// responses, up to maxInformational. All heads together may have maxHead bytes. None
+// may go on as another response.
 func (c *targetConn) readResponseHead() (*Response, error) {
 	left := maxHead
 	for range maxInformational + 1 {
@@ -35,14 +36,16 @@
 		if err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0" {
 			return nil, errors.Annotatef(ErrMalformed, "status line %.60q", line)
 		}
+		resp := &Response{Status: int(status), Reason: reason, Fields: fields}
+		if resp.isJoined() {
+			return nil, errors.Annotate(ErrMalformed, "two responses in one head")
+		}
 		if status >= 100 && status < 200 {
 			continue
 		}
-		f, err := bodyFraming(fields)
-		if err != nil {
+		if resp.framing, err = bodyFraming(fields); err != nil {
 			return nil, err
 		}
-		resp := &Response{Status: int(status), Reason: reason, Fields: fields, framing: f}
 		c.reusable = version == "HTTP/1.1" && !fields.hasToken("Connection", "close")
 		return resp, nil
 	}
