Close no idle connection before its client has the last response

A client that had not read the last response whole when its connection was closed as idle (the idle timeout, or late in a stop) lost the rest of it, if it had sent its next request by then: an idle connection is just closed since, bytes that come to a closed connection reset it, and a reset drops what was still to be sent. That an answer was written does not mean that the client has it.

An idle connection is now closed at once only if all that was written is acknowledged. Else its sending side ends and nothing is read until the client has the response, so that a request that crosses the close still stays unread; only if that takes closeReadTimeout is it read, as before, since a reset would cost an answer to a request that ran.

The set-up of the plan's idle timeout moves to a function that both tests use.

--- a/bluebellport/proxy/change_crossing_test.go
+++ b/bluebellport/proxy/change_crossing_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -33,11 +35,7 @@
 			is := is.New(t)
 			h := newHarness(t, 1000)
 			if !c.stop {
-				entry, err := h.mem.Get(t.Context(), bbplatform.KeyPlan)
-				is.NoErr(err)
-				text := strings.Replace(string(entry.Value), `"idle-timeout-ms":5000`, `"idle-timeout-ms":300`, 1)
-				_, err = h.mem.CAS(t.Context(), bbplatform.KeyPlan, []byte(strings.Replace(text, `"version":1`, `"version":2`, 1)), entry.Rev, 0)
-				is.NoErr(err)
+				h.shortenIdleTimeout()
 			}
 			target := h.startTarget(testTarget)
 			h.start()
@@ -65,3 +63,44 @@
 		})
 	}
 }
+
+// TestRequestThatCrossesAnIdleCloseLeavesTheAnswerBeforeItWhole guards against an answer
+// that its client has not read whole and that is lost with a connection closed as idle.
+func TestRequestThatCrossesAnIdleCloseLeavesTheAnswerBeforeItWhole(t *testing.T) {
+	const size = 96 << 10
+	for _, buffer := range []int{4 << 10, 16 << 10} { // the first takes over closeReadTimeout to read
+		is := is.New(t)
+		h := newHarness(t, 1000)
+		h.shortenIdleTimeout()
+		h.startCutTarget("desk", "t1").set(func(*http.Request) cutAnswer {
+			return cutAnswer{text: fmt.Sprintf("%s%s%sContent-Length: %d\r\n\r\n%s", cutOK, cutID, cutSign, size, strings.Repeat("x", size))}
+		})
+		h.start()
+		conn := h.sendPart("").(*net.TCPConn)
+		is.NoErr(conn.SetReadBuffer(buffer))
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		_, err := io.WriteString(conn, rawRequest("/book/1", "slow", "body"))
+		is.NoErr(err)
+		time.Sleep(500 * time.Millisecond)
+		_, err = io.WriteString(conn, rawRequest("/book/1", "crossing", "body"))
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond)
+		begin := time.Now()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		n, err := io.Copy(io.Discard, resp.Body)
+		t.Log(buffer, n, time.Since(begin))
+		is.NoErr(err)
+		is.Equal(n, int64(size))
+	}
+}
+
+// shortenIdleTimeout lets the plan close connections that are idle for 300 ms.
+func (h *harness) shortenIdleTimeout() {
+	is := is.New(h.t)
+	entry, err := h.mem.Get(h.t.Context(), bbplatform.KeyPlan)
+	is.NoErr(err)
+	text := strings.Replace(string(entry.Value), `"idle-timeout-ms":5000`, `"idle-timeout-ms":300`, 1)
+	_, err = h.mem.CAS(h.t.Context(), bbplatform.KeyPlan, []byte(strings.Replace(text, `"version":1`, `"version":2`, 1)), entry.Rev, 0)
+	is.NoErr(err)
+}
--- a/bluebellport/proxy/clientconn.go
+++ b/bluebellport/proxy/clientconn.go
@@ -189,16 +189,26 @@
 
 // closeGracefully ends the sending side and reads what still comes. A connection
 // closed with unread bytes would be reset, and the client could lose the last
-// response. A client that had the connection to itself again has got that; a request
-// that it sends now stays unread, so that it can be sent elsewhere.
+// response. A request that is sent to a connection that waited for one stays unread, so
+// that it can be sent elsewhere, if the client has the last response in time.
 func (c *clientConn) closeGracefully() {
-	if c.isIdle() {
+	idle := c.isIdle()
+	if idle && c.isDelivered() {
 		c.logCrossing()
 		return
 	}
-	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = t.CloseWrite()
-		c.becomeClosing()
-		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxBody))
+	t, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return
+	}
+	_ = t.CloseWrite()
+	until := c.becomeClosing()
+	for idle && time.Until(until) > deliveryCheck {
+		if c.isDelivered() {
+			c.logCrossing()
+			return
+		}
+		time.Sleep(deliveryCheck)
 	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxBody))
 }
--- a/bluebellport/proxy/clientleft.go
+++ b/bluebellport/proxy/clientleft.go
@@ -5,6 +5,7 @@
 	"syscall"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"bluebellport.example/platform"
 )
@@ -41,6 +42,26 @@
 	return ok && (n == 0 && err == nil || err == syscall.ECONNRESET)
 }
 
+// isDelivered reports whether the client's system has acknowledged all that was written,
+// or that can't be known.
+func (c *clientConn) isDelivered() bool {
+	conn, isSocket := c.socket.(syscall.Conn)
+	if !isSocket {
+		return true
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true
+	}
+	unacknowledged := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); ioctlErr == nil {
+			unacknowledged = n
+		}
+	})
+	return err != nil || unacknowledged == 0
+}
+
 // logCrossing logs a request that has come as an idle connection is closed: its client
 // gets no answer to it.
 func (c *clientConn) logCrossing() {
--- a/bluebellport/proxy/connphase.go
+++ b/bluebellport/proxy/connphase.go
@@ -53,8 +53,8 @@
 }
 
 // becomeClosing lets the connection be read for closeReadTimeout, but not beyond
-// the stop.
-func (c *clientConn) becomeClosing() {
+// the stop. It returns until when.
+func (c *clientConn) becomeClosing() time.Time {
 	c.phase.mu.Lock()
 	defer c.phase.mu.Unlock()
 	c.phase.closing = true
@@ -63,6 +63,7 @@
 		until = bbclock.Earlier(until, times.AnswersUntil(time.Now()))
 	}
 	_ = c.SetReadDeadline(until)
+	return until
 }
 
 // readBy sets the read deadline, zero for none. Once the stop has ended nothing
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -217,6 +217,8 @@
 	discardTimeout = 100 * time.Millisecond
 	// closeReadTimeout is how long a connection is read after its last response.
 	closeReadTimeout = 500 * time.Millisecond
+	// deliveryCheck is the time between two looks whether a client has its last response.
+	deliveryCheck = 5 * time.Millisecond
 	// lastLookPeriod is how long an idle connection whose time is over is looked at for
 	// a request that has come.
 	lastLookPeriod = 5 * time.Millisecond
