Look for joined answers on the other HTTP connections too

A report of load, the answer to an order, the list of instances, or an answer of the key-value service of `serve` that broke off in its head and went on as another one was taken for a whole one: an order for acknowledged, a key for absent, a list for empty, a write for done at revision 0.

The list of instances has no test of its own for this.

--- a/bluebellport/src/cut_test.go
+++ b/bluebellport/src/cut_test.go
@@ -21,6 +21,7 @@
 	mu    sync.Mutex // guards the fields below
 	cut   string     // empty for none; $id stands for the id of the request
 	reset bool       // after the cut, instead of closing
+	every bool       // request gets the cut, not only the next one
 	good  string
 	kept  int // cuts on connections that had carried a request
 }
@@ -53,9 +54,12 @@
 	}
 	c.mu.Lock()
 	text, cut, reset := c.good, c.cut, c.reset
-	if c.cut = ""; cut != "" {
+	if cut != "" {
 		c.kept += min(carried, 1)
 	}
+	if !c.every {
+		c.cut = ""
+	}
 	c.mu.Unlock()
 	if cut != "" {
 		text = strings.TrimPrefix(cut, cutMark)
--- a/bluebellport/src/load.go
+++ b/bluebellport/src/load.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"bluebellport.example/shared/bbhead"
 	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbticket"
 	"bluebellport.example/shared/bbunit"
@@ -52,6 +53,7 @@
 
 func newHTTPLoadFetcher(now func() time.Time) *httpLoadFetcher {
 	return &httpLoadFetcher{now: now, client: fasthttp.Client{
+		Dial:                bbhead.Dial,
 		MaxConnsPerHost:     2,
 		MaxResponseBodySize: maxLoadResponseBytes,
 	}}
--- a/bluebellport/src/membership.go
+++ b/bluebellport/src/membership.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
+	"bluebellport.example/shared/bbhead"
 	"bluebellport.example/shared/bbmember"
 	"bluebellport.example/shared/bbunit"
 	"bluebellport.example/shared/bbwire"
@@ -41,7 +42,7 @@
 	fleetConfig := bbmember.DefaultConfig(deps.Opts.Peer.GossipPeriod, deps.Opts.Peer.SuspicionTimeout)
 	m := &membership{
 		peers: peers, deps: deps,
-		client:      &fasthttp.Client{MaxResponseBodySize: maxListBytes, ReadTimeout: listTimeout, WriteTimeout: listTimeout},
+		client:      &fasthttp.Client{Dial: bbhead.Dial, MaxResponseBodySize: maxListBytes, ReadTimeout: listTimeout, WriteTimeout: listTimeout},
 		fleet:       bbmember.NewFleet(self, fleetConfig, deps.Now(), rng),
 		memberCount: metrics.GetOrRegisterGauge("peer.members", deps.Metrics),
 		listErrors:  metrics.GetOrRegisterCounter("peer.list.bad", deps.Metrics),
--- a/bluebellport/src/order.go
+++ b/bluebellport/src/order.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"bluebellport.example/shared/bbhead"
 	"bluebellport.example/shared/bbroute"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbticket"
@@ -58,7 +59,7 @@
 // NewOrderManager returns a running OrderManager and a function that stops it. In each
 // failure domain, the home instance of the orders sends unfinished ones again.
 func NewOrderManager(deps Deps) (*OrderManager, func()) {
-	o := newOrders(deps, &httpOrderSender{client: fasthttp.Client{MaxConnsPerHost: 2, MaxResponseBodySize: maxOrderResponseBytes}})
+	o := newOrders(deps, newHTTPOrderSender())
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() {
@@ -223,6 +224,10 @@
 	client fasthttp.Client
 }
 
+func newHTTPOrderSender() *httpOrderSender {
+	return &httpOrderSender{client: fasthttp.Client{Dial: bbhead.Dial, MaxConnsPerHost: 2, MaxResponseBodySize: maxOrderResponseBytes}}
+}
+
 // Send posts the order and waits for the response.
 func (h *httpOrderSender) Send(t bbticket.Target, intent bbroute.Intent, deadline time.Time) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/shared/bbstore/client.go
+++ b/shared/bbstore/client.go
@@ -12,6 +12,8 @@
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbhead"
 )
 
 const (
@@ -82,7 +84,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
-	return conn, nil
+	return &bbhead.Conn{Conn: conn}, nil
 }
 
 // Get returns the entry, with Rev 0 and no error when the key is absent.
