serve: hold a whole answer from another instance until it has come whole

A caller whose request was passed on to its home got a 200 of which the body was a part of the answer, or all of it, and then the event of a stream that tells of an error, framed as whole, when the home or the session with it broke off after the first part of the answer.

Cause: the head was copied as soon as it came, and what broke off later was ended as a stream is. A caller of an answer that is no stream gets head and body together and can't see that.

Head and body of an answer that is no stream with status 200 are held until its last part, up to maxResponseBytes, as the home has held them too.

--- a/bluebellport/src/forwarder.go
+++ b/bluebellport/src/forwarder.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -88,17 +89,18 @@
 	if _, err := protodelim.MarshalTo(conn, runMessage(ctx, req)); err != nil {
 		return errors.WithType(err, errHomeUnavailable)
 	}
-	started, err := copyParts(ctx, bufio.NewReader(conn), answer)
+	parts := partCopier{answer: answer, isStream: req.chat != nil && req.chat.Stream}
+	err = parts.copy(ctx, bufio.NewReader(conn))
 	switch {
 	case err == nil:
-	case !started:
+	case !parts.begun:
 		return errors.WithType(err, errHomeUnavailable)
 	default:
 		outcome := bbunit.OutcomeFailed
 		if !req.idempotent {
 			outcome = bbunit.OutcomeUnknown
 		}
-		newRefusalResponse(errors.WithType(err, errTargetFailed), outcome).writeTo(req.id, answer, true)
+		newRefusalResponse(errors.WithType(err, errTargetFailed), outcome).writeTo(req.id, answer, parts.headSent)
 	}
 	return nil
 }
@@ -135,9 +137,19 @@
 	return out
 }
 
-// copyParts copies an answer from a stream until its end. started is set once
-// the answer's head was copied.
-func copyParts(ctx context.Context, r *bufio.Reader, answer *Answer) (started bool, err error) {
+// partCopier copies an answer from another instance. One that is no stream is held until
+// it has come whole, as its caller could not see that it broke off.
+type partCopier struct {
+	answer   *Answer
+	isStream bool
+	begun    bool // the head has come
+	headSent bool // the head was copied
+	held     ResponseHead
+	body     []byte
+}
+
+// copy copies an answer until its end.
+func (p *partCopier) copy(ctx context.Context, r *bufio.Reader) error {
 	opts := protodelim.UnmarshalOptions{MaxSize: maxResponseBytes + maxHeaderBytes}
 	for {
 		part := &bbwire.Part{}
@@ -145,29 +157,57 @@
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return started, errors.Trace(err)
+			return errors.Trace(err)
 		}
 		if part.Error != "" {
-			return started, errors.New(part.Error)
+			return errors.New(part.Error)
 		}
-		if part.Status > 0 && !started {
-			started = true
-			answer.SetHead(&ResponseHead{Status: int(part.Status), Fields: fieldsFromWire(part.Fields)})
-		}
-		if len(part.Data) > 0 {
-			if err := answer.Write(ctx, part.Data); err != nil {
-				return started, err
-			}
+		if err := p.add(ctx, part); err != nil {
+			return err
 		}
 		if part.End {
-			outcome, err := bbunit.OutcomeString(part.Outcome)
-			if err != nil {
-				outcome = bbunit.OutcomeUnknown
-			}
-			answer.Finish(outcome)
-			return started, nil
+			return p.finish(ctx, part.Outcome)
+		}
+	}
+}
+
+// add copies a part, or holds it.
+func (p *partCopier) add(ctx context.Context, part *bbwire.Part) error {
+	if part.Status > 0 && !p.begun {
+		p.begun = true
+		p.held = ResponseHead{Status: int(part.Status), Fields: fieldsFromWire(part.Fields)}
+		if p.isStream && p.held.Status == http.StatusOK {
+			p.headSent = true
+			p.answer.SetHead(&p.held)
 		}
 	}
+	switch {
+	case len(part.Data) == 0:
+		return nil
+	case p.headSent:
+		return p.answer.Write(ctx, part.Data)
+	case len(p.body)+len(part.Data) > maxResponseBytes:
+		return errors.Errorf("answer above %d bytes", maxResponseBytes)
+	}
+	p.body = append(p.body, part.Data...)
+	return nil
+}
+
+// finish ends the answer with an outcome, after what was held of it.
+func (p *partCopier) finish(ctx context.Context, name string) error {
+	if p.begun && !p.headSent {
+		p.headSent = true
+		p.answer.SetHead(&p.held)
+		if err := p.answer.Write(ctx, p.body); err != nil {
+			return err
+		}
+	}
+	outcome, err := bbunit.OutcomeString(name)
+	if err != nil {
+		outcome = bbunit.OutcomeUnknown
+	}
+	p.answer.Finish(outcome)
+	return nil
 }
 
 // serve runs a request that another instance forwarded.
