Give the target of a test of notices its state

TestOnlyTheTargetsOwnAnswerSaysThatItLeaves panicked since: the reader of notices now also records that a target has taken a request, in the state that every target outside this test has. Its rows and checks are unchanged.

--- a/bluebellport/proxy/notice_test.go
+++ b/bluebellport/proxy/notice_test.go
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	var heard heardLeavings
 	notices := newNoticeReader(&heard, nil, metrics.NewRegistry())
-	target := &Target{Target: bbplace.Target{Target: bbplan.Target{ID: "t1", StartedAtMillis: 7}}}
+	target := &Target{Target: bbplace.Target{Target: bbplan.Target{ID: "t1", StartedAtMillis: 7}, State: &bbplace.TargetState{}}}
 	signature, own := Field{"Server-Signature", "s"}, Field{"Attempt-Id", "a"}
 	for _, c := range []struct {
 		name        string
