--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -19,15 +19,7 @@
 	now := p.now()
 	switch result.kind {
 	case resultDone:
-		target.State.Circuit.RecordSuccess()
-		target.State.RecordResult(!result.targetFailed)
-		p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
-		p.recordAnswer(x, target, result)
-		if !result.targetFailed {
-			p.retryBudget(x.service).Earn(p.retryPolicy())
-		}
-		p.metrics.recordServed(x.req.ReceivedAt, x.stream.firstEventAt)
-		p.logServed(x, target)
+		p.recordDone(x, target, result)
 		return
 	case resultGone:
 		p.watchForCrash(x, target, result)
@@ -42,15 +34,7 @@
 		target.State.BackOffUntil(now.Add(unprovenBackoff))
 		p.watchForCrash(x, target, result)
 	case resultUnsent:
-		if p.board.LinkSaturated.Load() {
-			break // this instance's own link is as likely the cause
-		}
-		if errors.Is(result.err, syscall.ECONNREFUSED) {
-			p.crashWatch.targetDown(target.Run())
-		}
-		for range circuitPolicy.FailureThreshold {
-			target.State.Circuit.RecordFailure(now, &circuitPolicy)
-		}
+		p.recordUnreachable(target, result.err, now)
 	case resultBroken, resultLate:
 		if !result.isTargetsFault() {
 			break
@@ -65,6 +49,32 @@
 	p.log.WithFields(x.logFields(target, result)).Info("attempt failed")
 }
 
+// recordDone is recordResult for a response that was passed to the client.
+func (p *Proxy) recordDone(x *exchange, target *Target, result *attemptResult) {
+	target.State.Circuit.RecordSuccess()
+	target.State.RecordResult(!result.targetFailed)
+	p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
+	p.recordAnswer(x, target, result)
+	if !result.targetFailed {
+		p.retryBudget(x.service).Earn(p.retryPolicy())
+	}
+	p.metrics.recordServed(x.req.ReceivedAt, x.stream.firstEventAt)
+	p.logServed(x, target)
+}
+
+// recordUnreachable keeps requests from a target that could not be connected to, for err.
+func (p *Proxy) recordUnreachable(target *Target, err error, now time.Time) {
+	if p.board.LinkSaturated.Load() {
+		return // this instance's own link is as likely the cause
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.crashWatch.targetDown(target.Run())
+	}
+	for range circuitPolicy.FailureThreshold {
+		target.State.Circuit.RecordFailure(now, &circuitPolicy)
+	}
+}
+
 // recordAnswer clears a request that a target answered with success, if the answer
 // shows that it is whole. One that ended with its connection does not.
 func (p *Proxy) recordAnswer(x *exchange, target *Target, result *attemptResult) {
--- a/bluebellport/spread/fetch.go
+++ b/bluebellport/spread/fetch.go
@@ -80,6 +80,19 @@
 // wantsAbove returns the revision above which a version is wanted.
 func (s *Spreader) wantsAbove() bbstore.Revision { return max(s.cfg.Seen(), s.newest) }
 
+// dropUseless forgets holders of nothing newer than have, and a transfer of that or of
+// a difference to another version than the one with digest.
+func (f *fetch) dropUseless(have bbstore.Revision, digest Digest) {
+	for id, h := range f.holders {
+		if h.rev <= have {
+			delete(f.holders, id)
+		}
+	}
+	if f.transfer != nil && (f.transfer.rev <= have || f.transfer.base != Digest{} && f.transfer.base != digest) {
+		f.transfer = nil
+	}
+}
+
 // advance forgets what is no longer wanted, and asks a peer for the next piece, or
 // reads the store if none has sent anything for some time.
 func (s *Spreader) advance(now time.Time) []outgoing {
@@ -88,14 +101,7 @@
 		return nil
 	}
 	have := s.wantsAbove()
-	for id, h := range f.holders {
-		if h.rev <= have {
-			delete(f.holders, id)
-		}
-	}
-	if f.transfer != nil && (f.transfer.rev <= have || f.transfer.base != Digest{} && f.transfer.base != s.digest) {
-		f.transfer = nil
-	}
+	f.dropUseless(have, s.digest)
 	if f.applying {
 		return nil
 	}
--- a/bluebellport/src/forwarder.go
+++ b/bluebellport/src/forwarder.go
@@ -231,6 +231,11 @@
 		_, _ = io.Copy(io.Discard, conn)
 		cancel()
 	})
+	return sendParts(ctx, answer, conn)
+}
+
+// sendParts sends an answer over conn, as it comes, until it has ended.
+func sendParts(ctx context.Context, answer *Answer, conn io.Writer) error {
 	head, err := answer.Head(ctx)
 	if err != nil || head == nil {
 		return errors.WithType(errors.New("no answer"), errHomeUnavailable)
--- a/bluebellport/src/sse.go
+++ b/bluebellport/src/sse.go
@@ -120,7 +120,16 @@
 		}
 		return r.rewriteChunk(event.data, chunk)
 	}
-	empty := true
+	if empty := r.readChoices(&chunk); empty && r.continuations > 0 {
+		return nil, nil
+	}
+	return r.rewriteChunk(event.data, chunk)
+}
+
+// readChoices keeps what the choices of a chunk add to the answer, and reports whether
+// that is nothing.
+func (r *chatRelay) readChoices(chunk *chatChunk) (empty bool) {
+	empty = true
 	for _, choice := range chunk.Choices {
 		if choice.Index > 0 {
 			r.multipleChoices = true
@@ -134,10 +143,7 @@
 			empty, r.finished = false, true
 		}
 	}
-	if empty && r.continuations > 0 {
-		return nil, nil
-	}
-	return r.rewriteChunk(event.data, chunk)
+	return empty
 }
 
 // rewriteChunk gives a chunk of a later attempt the id of the first attempt and
