stop: close no listener early because an order counts from a beat

Callers that sent requests 3.4 to 3.5 s after SIGTERM, whose own time limits end before the stop, found the listener closed: since an order counts from 40 to 80 ms before it is noticed, and the accept period with it.

The end of accepting now counts from when the order was noticed, by at most the 80 ms by which a running process counts too early; what may outlast the stop is still decided by the earlier time.

--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -100,7 +100,9 @@
 	log.WithFields(logrus.Fields{"event": "start", "listen": settings.FrontendAddress, "domain": settings.Domain}).Info("serving")
 
 	<-ctx.Done()
-	times := bbstop.NewTimes(p.pulse.OrderedAt(p.now(), settings.GracePeriod), settings.GracePeriod)
+	noticedAt := p.now()
+	times := bbstop.NewTimes(p.pulse.OrderedAt(noticedAt, settings.GracePeriod), settings.GracePeriod)
+	times.NoticedAt(noticedAt)
 	p.drain(clientListener, times)
 	p.shares.handOver(times.SharesUntil(p.now()))
 	stopBackground()
--- a/bluebellport/stop/pulse_test.go
+++ b/bluebellport/stop/pulse_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// TestOrderThatCountsFromABeatClosesNoListenerEarly guards against connections that are
+// refused within the accept period, since an order counts from before it was given.
+func TestOrderThatCountsFromABeatClosesNoListenerEarly(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, frozen := range []time.Duration{0, 2 * time.Second} {
+		for ordered := time.Duration(0); ordered < 2*PulseInterval; ordered += time.Millisecond {
+			counted, noticed := playPulse(frozen, ordered, 0, grace)
+			times := NewTimes(begin.Add(counted), grace)
+			times.NoticedAt(begin.Add(noticed))
+			accepted := times.AcceptUntil.Sub(begin.Add(ordered))
+			if frozen == 0 && accepted < maxAcceptPeriod || accepted > maxAcceptPeriod+PulseInterval+noticeTime {
+				t.Errorf("frozen for %s, ordered at %s: accepts for %s", frozen, ordered, accepted)
+			}
+		}
+	}
+}
+
 // TestRequestAfterAFreezeWaitsForAnOrderGivenMeanwhile guards against requests that
 // are taken in the moment before an order given long ago is noticed.
 func TestRequestAfterAFreezeWaitsForAnOrderGivenMeanwhile(t *testing.T) {
--- a/bluebellport/stop/stop.go
+++ b/bluebellport/stop/stop.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// NoticedAt is told when the order was noticed. An order counts from before that, but the
+// listener is not closed sooner than if it had been given only then, unless the process
+// stood still.
+func (t *Times) NoticedAt(now time.Time) {
+	t.AcceptUntil = t.AcceptUntil.Add(max(min(now.Sub(t.Begin), PulseInterval+noticeTime), 0))
+}
+
 // AnswersUntil is until when the last answers to clients are written. A process that
 // stood still takes a short time for them also if it is later than that.
 func (t *Times) AnswersUntil(now time.Time) time.Time {
