--- a/bluebellport/proxy/money_restarts_test.go
+++ b/bluebellport/proxy/money_restarts_test.go
@@ -129,10 +129,13 @@
 // TestUnansweredWritesRefuseNoMoney guards against requests that are refused for money
 // that their account has because the write of a home has no answer.
 func TestUnansweredWritesRefuseNoMoney(t *testing.T) {
+	quiet := int64(0)
+	playMoney(t, moneyCase{balance: moneyAsked}, func(_ *is.I, p *moneyPlay) { quiet = p.calls.Load() })
 	playMoney(t, moneyCase{balance: moneyAsked, step: *moneyStep, killEvery: 12, loss: 0.002, lateWrites: 0.002}, func(is *is.I, p *moneyPlay) {
 		worst, _, _ := p.worst()
 		is.True(worst < maxRefusedMoney)
 		is.True(p.leastLeft() >= 0)
+		is.True(float64(p.calls.Load()) <= maxMoreCalls*float64(quiet))
 	})
 }
 
