path: end polls of the store that an outage has lost

Callers were answered 404, or by old routes, for 2 to 3 s after a plan had been acknowledged, behind an outage of the store in which calls hang.

Cause: a poll for plans waits 4 s and is given up after 4.7 s. One that was sent in the outage is lost, and nobody looks for plans until then, though all other calls are answered again.

Change: package path learns how all calls to the store end. A call without an answer ends the polls that may be lost with it; looks, which do not wait, follow each 0.3 s until one is answered. A poll whose answer arrives is never ended.

--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/bluebellport/crash"
+	"bluebellport.example/bluebellport/path"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbplan"
@@ -71,8 +72,14 @@
 	// stopPoll ends the poll for a newer plan that is under way, nil while none is.
 	stopPoll       atomic.Pointer[context.CancelCauseFunc]
 	invalidEntries metrics.Counter
-	// isWatcher reports whether this instance watches the store.
+	// isWatcher reports whether this instance watches the store, watchRank tells its rank
+	// among those of its failure domain that do.
 	isWatcher func() bool
+	watchRank func() int
+	// path is the path to the store. isArriving reports whether the answer to a poll that
+	// began at a time has begun to arrive.
+	path       *bbpath.Path
+	isArriving func(prefix string, since time.Time) bool
 }
 
 func newFollower(store WatchStore, board *Board, log logrus.FieldLogger, now func() time.Time, traffic *trafficMeter) *follower {
@@ -80,7 +87,13 @@
 		store: store, board: board, log: log, now: now,
 		targets: NewTargetSet(now, traffic), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
 		onPlan: func(bbstore.Entry) {}, onTargetsRead: func([]bbstore.Entry) {}, onTargetEnded: func(bbcrash.TargetRun) {},
-		onTargetLeaving: func(bbplan.TargetRun) {}, isWatcher: func() bool { return true },
+		onTargetLeaving: func(bbplan.TargetRun) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
+		path: &bbpath.Path{}, isArriving: func(string, time.Time) bool { return false },
+	}
+	if s, ok := store.(interface {
+		IsArriving(prefix string, since time.Time) bool
+	}); ok {
+		f.isArriving = s.IsArriving
 	}
 	f.invalidEntries = metrics.NewCounter()
 	f.onPlanHeard = func(rev bbstore.Revision) { board.PlanLag.hear(rev, now()) }
--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -24,8 +24,13 @@
 			continue
 		}
 		from, err := bbstore.Revision(f.planCurrent.Load()), error(nil)
-		if from == 0 {
+		switch {
+		case from == 0:
 			from, err = f.readPlan(ctx)
+		case f.path.IsBroken():
+			if from, err = f.lookForPlan(ctx); from == 0 && err == nil {
+				continue
+			}
 		}
 		if err == nil {
 			pause = minStoreBackoff
@@ -66,44 +71,70 @@
 			from = max(from, f.seenRevision())
 			continue
 		}
-		if errors.Is(err, bbstore.ErrCompacted) {
-			f.planCurrent.Store(0)
-			return nil
+		if errors.Is(err, errPollLost) {
+			from, err = f.lookForPlan(ctx)
+		} else {
+			from, err = f.applyPoll(from, events, rev, err)
 		}
-		if err != nil {
+		if err != nil || from == 0 || !f.isWatcher() {
 			return err
 		}
-		for _, e := range events {
-			if e.Key == bbplatform.KeyPlan {
-				f.applyPlan(e.Entry)
-			}
-		}
-		if rev < from {
-			f.planCurrent.Store(0)
-			return nil
-		}
-		from = rev
-		f.planLooked(rev)
-		if !f.isWatcher() {
-			return nil
+	}
+}
+
+// applyPoll applies what a poll for newer plans than those as of a revision returned. It
+// returns the revision to go on from, 0 if the plan has to be read again.
+func (f *follower) applyPoll(from bbstore.Revision, events []bbstore.Event, rev bbstore.Revision, err error) (bbstore.Revision, error) {
+	if err != nil && !errors.Is(err, bbstore.ErrCompacted) {
+		return 0, err
+	}
+	for _, e := range events {
+		if e.Key == bbplatform.KeyPlan {
+			f.applyPlan(e.Entry)
 		}
 	}
+	if err != nil || rev < from {
+		f.planCurrent.Store(0)
+		return 0, nil
+	}
+	f.planLooked(rev)
+	return rev, nil
 }
 
-// errPeersFaster ends a poll for a newer plan, as peers have one and send it sooner.
-const errPeersFaster = errors.ConstError("peers send the plan sooner than the store")
+// Causes that end a poll for a newer plan.
+const (
+	// errPeersFaster means that peers have one and send it sooner.
+	errPeersFaster = errors.ConstError("peers send the plan sooner than the store")
+	// errPollLost means that another call of this time got no answer.
+	errPollLost = errors.ConstError("the path to the store loses calls")
+)
 
 // pollPlan polls for a newer plan. It returns errPeersFaster if stopPlanWatch has ended
-// the poll and the plan has come from peers, or planTransferTime has passed.
+// the poll and the plan has come from peers, or planTransferTime has passed, and
+// errPollLost if the answer may have been lost.
 func (f *follower) pollPlan(ctx context.Context, from bbstore.Revision, wait time.Duration) ([]bbstore.Event, bbstore.Revision, error) {
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.stopPoll.Store(&cancel)
+	began := time.Now()
+	waiting := f.path.BeginWait(func() { cancel(errPollLost) }, func() bool { return f.isArriving(bbplatform.PrefixOperator, began) })
 	events, rev, err := f.store.Poll(pollCtx, bbplatform.PrefixOperator, from, wait)
+	f.path.EndWait(waiting)
 	f.stopPoll.Store(nil)
+	if err != nil && errors.Is(context.Cause(pollCtx), errPollLost) {
+		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": time.Since(began).Milliseconds()}).Info("poll for a newer plan ended: another call of this time got no answer")
+		return nil, 0, errPollLost
+	}
 	if err == nil || !errors.Is(context.Cause(pollCtx), errPeersFaster) {
 		return events, rev, err
 	}
+	f.awaitPeersPlan(ctx)
+	return nil, 0, errPeersFaster
+}
+
+// awaitPeersPlan waits until the newest plan heard of has come from peers, at most
+// planTransferTime.
+func (f *follower) awaitPeersPlan(ctx context.Context) {
 	begin := f.now()
 	for ctx.Err() == nil && f.now().Sub(begin) < planTransferTime {
 		if _, _, behind := f.board.PlanLag.behind(f.now()); !behind {
@@ -112,7 +143,6 @@
 		bbclock.Wait(ctx, watcherCheckInterval)
 	}
 	f.log.WithFields(logrus.Fields{"event": "watch-stopped", "revision": f.planSeen.Load(), "ms": f.now().Sub(begin).Milliseconds()}).Info("peers had a newer plan sooner than the store has sent it")
-	return nil, 0, errPeersFaster
 }
 
 // stopPlanWatch ends the poll for a newer plan that is under way.
--- a/bluebellport/proxy/metrics.go
+++ b/bluebellport/proxy/metrics.go
@@ -80,6 +80,11 @@
 	})
 }
 
+// registerStorePath registers how many calls that wait for the store were ended as lost.
+func (m *proxyMetrics) registerStorePath(lost func() int64) {
+	metrics.NewRegisteredFunctionalGauge("door.store.lost-waits", m.registry, lost)
+}
+
 // recordDispatch records the first attempt of a request.
 func (m *proxyMetrics) recordDispatch(receivedAt time.Time) {
 	m.dispatchTime.Update(time.Since(receivedAt).Microseconds())
--- a/bluebellport/proxy/relay.go
+++ b/bluebellport/proxy/relay.go
@@ -53,6 +53,7 @@
 func newRelay(peers PeerNetwork, f *follower, spreader *bbspread.Spreader) *relay {
 	r := &relay{peers: peers, follower: f, spreader: spreader, askSlot: make(chan struct{}, 1)}
 	f.onPlan, f.onPlanHeard, f.onTargetsRead, f.isWatcher = r.holdPlan, r.hearPlan, r.tellDomain, r.isWatcher
+	f.watchRank = func() int { return r.watchRank(peers.View()) }
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newsask{}}, r.handleNewsAsk)
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newstell{}}, r.handleNewsTell)
 	spreader.Listen()
@@ -65,15 +66,21 @@
 // the third, and so on.
 func (r *relay) isWatcher() bool {
 	view := r.peers.View()
-	rank := view.RankByLink(watchKey, view.Self.Domain, maxWatcherRanks)
-	index := slices.IndexFunc(rank, func(m bbmember.Member) bool { return m.ID == view.Self.ID })
-	if index < 0 {
-		index = len(rank)
-	}
-	if index == 0 || view.Self.Leaving {
+	rank := r.watchRank(view)
+	if rank == 0 || view.Self.Leaving {
 		return true
 	}
-	return r.follower.now().Sub(time.Unix(0, r.watcherSeenAt.Load())) > watcherSilence+time.Duration(index)*watcherSilenceStep
+	return r.follower.now().Sub(time.Unix(0, r.watcherSeenAt.Load())) > watcherSilence+time.Duration(rank)*watcherSilenceStep
+}
+
+// watchRank returns the rank of this instance as a watcher of its failure domain, from 0;
+// all from maxWatcherRanks on have that one.
+func (r *relay) watchRank(view *bbmember.View) int {
+	rank := view.RankByLink(watchKey, view.Self.Domain, maxWatcherRanks)
+	if i := slices.IndexFunc(rank, func(m bbmember.Member) bool { return m.ID == view.Self.ID }); i >= 0 {
+		return i
+	}
+	return len(rank)
 }
 
 // watchKey is the rendezvous hash key that ranks a failure domain's instances as
