proxy: end polls for the list of instances that an outage has lost

An instance that joined behind an outage of the store was unknown to the watchers of its peers for up to 20.7 s.

Cause: the same class as with plans: a poll for the list waits 20 s, and one that an outage has lost is not sent anew before. Change: it goes by package path, as the poll for plans; what both do stands in pollUntilLost.

--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -76,10 +76,7 @@
 	// among those of its failure domain that do.
 	isWatcher func() bool
 	watchRank func() int
-	// path is the path to the store. isArriving reports whether the answer to a poll that
-	// began at a time has begun to arrive.
-	path       *bbpath.Path
-	isArriving func(prefix string, since time.Time) bool
+	path      *bbpath.Path // to the store
 }
 
 func newFollower(store WatchStore, board *Board, log logrus.FieldLogger, now func() time.Time, traffic *trafficMeter) *follower {
@@ -88,12 +85,7 @@
 		targets: NewTargetSet(now, traffic), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
 		onPlan: func(bbstore.Entry) {}, onTargetsRead: func([]bbstore.Entry) {}, onTargetEnded: func(bbcrash.TargetRun) {},
 		onTargetLeaving: func(bbplan.TargetRun) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
-		path: &bbpath.Path{}, isArriving: func(string, time.Time) bool { return false },
-	}
-	if s, ok := store.(interface {
-		IsArriving(prefix string, since time.Time) bool
-	}); ok {
-		f.isArriving = s.IsArriving
+		path: &bbpath.Path{},
 	}
 	f.invalidEntries = metrics.NewCounter()
 	f.onPlanHeard = func(rev bbstore.Revision) { board.PlanLag.hear(rev, now()) }
--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -101,13 +101,8 @@
 	return rev, nil
 }
 
-// Causes that end a poll for a newer plan.
-const (
-	// errPeersFaster means that peers have one and send it sooner.
-	errPeersFaster = errors.ConstError("peers send the plan sooner than the store")
-	// errPollLost means that another call of this time got no answer.
-	errPollLost = errors.ConstError("the path to the store loses calls")
-)
+// errPeersFaster ends a poll for a newer plan, as peers have one and send it sooner.
+const errPeersFaster = errors.ConstError("peers send the plan sooner than the store")
 
 // pollPlan polls for a newer plan. It returns errPeersFaster if stopPlanWatch has ended
 // the poll and the plan has come from peers, or planTransferTime has passed, and
@@ -116,14 +111,12 @@
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.stopPoll.Store(&cancel)
-	began := time.Now()
-	waiting := f.path.BeginWait(func() { cancel(errPollLost) }, func() bool { return f.isArriving(bbplatform.PrefixOperator, began) })
-	events, rev, err := f.store.Poll(pollCtx, bbplatform.PrefixOperator, from, wait)
-	f.path.EndWait(waiting)
+	began := f.now()
+	events, rev, err := pollUntilLost(pollCtx, f.store, f.path, bbplatform.PrefixOperator, from, wait)
 	f.stopPoll.Store(nil)
-	if err != nil && errors.Is(context.Cause(pollCtx), errPollLost) {
-		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": time.Since(began).Milliseconds()}).Info("poll for a newer plan ended: another call of this time got no answer")
-		return nil, 0, errPollLost
+	if errors.Is(err, errPollLost) {
+		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": f.now().Sub(began).Milliseconds()}).Info("poll for a newer plan ended: another call of this time got no answer")
+		return nil, 0, err
 	}
 	if err == nil || !errors.Is(context.Cause(pollCtx), errPeersFaster) {
 		return events, rev, err
--- a/bluebellport/proxy/lookplan.go
+++ b/bluebellport/proxy/lookplan.go
@@ -37,7 +37,7 @@
 	}()
 	answers := make(chan planLook, 1)
 	for began := time.Now(); ctx.Err() == nil && f.isWatcher(); {
-		if !f.isArriving(bbplatform.PrefixOperator, began) {
+		if !isArriving(f.store, bbplatform.PrefixOperator, began) {
 			looks.Go(func() { f.look(lookCtx, answers) })
 		}
 		next := time.NewTimer(bbpath.LookInterval(f.watchRank()))
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -139,6 +139,7 @@
 		Network: peers, Store: store, StoreKey: splitKey, LogPrefix: streamLogPrefix, Now: p.now, Slots: p.slotsByVersion, IsWatcher: r.isWatcher, Log: p.log, Metrics: p.metrics.registry,
 	})
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
+	instances.path = f.path
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { r.run(ctx) })
--- a/bluebellport/proxy/registry.go
+++ b/bluebellport/proxy/registry.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/bluebellport/path"
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbmember"
@@ -42,6 +43,7 @@
 	settings  bbplatform.Settings
 	isWatcher func() bool                   // reports whether this instance watches the store
 	instances map[string]bbmember.ListEntry // by address
+	path      *bbpath.Path                  // to the store
 }
 
 // instanceJSON is the value of an entry in the list of instances.
@@ -50,7 +52,7 @@
 }
 
 func newInstanceRegistry(store InstanceStore, peers PeerNetwork, board *Board, log logrus.FieldLogger, settings bbplatform.Settings, isWatcher func() bool) *instanceRegistry {
-	r := &instanceRegistry{store: store, peers: peers, board: board, log: log, settings: settings, isWatcher: isWatcher, instances: map[string]bbmember.ListEntry{}}
+	r := &instanceRegistry{store: store, peers: peers, board: board, log: log, settings: settings, isWatcher: isWatcher, instances: map[string]bbmember.ListEntry{}, path: &bbpath.Path{}}
 	var seeds []bbmember.ListEntry
 	for _, address := range settings.SeedAddresses {
 		if address != settings.PeerAddress {
@@ -143,7 +145,10 @@
 // pollChanges applies changes. It returns when the list has to be read again.
 func (r *instanceRegistry) pollChanges(ctx context.Context, from bbstore.Revision) {
 	for {
-		events, rev, err := r.store.Poll(ctx, instancesPrefix, from, instanceListWait)
+		events, rev, err := pollUntilLost(ctx, r.store, r.path, instancesPrefix, from, instanceListWait)
+		if errors.Is(err, errPollLost) {
+			events, rev, err = nil, from, nil // polls anew from there
+		}
 		if err != nil || rev < from {
 			return
 		}
--- /dev/null
+++ b/bluebellport/proxy/storepoll.go
@@ -0,0 +1,38 @@
+package bbproxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"bluebellport.example/bluebellport/path"
+	"bluebellport.example/shared/bbstore"
+)
+
+// errPollLost ends a poll during which another call got no answer.
+const errPollLost = errors.ConstError("the path to the store loses calls")
+
+// pollUntilLost polls a store for changes under a prefix. It ends with errPollLost once the
+// path to the store may have lost the poll.
+func pollUntilLost(ctx context.Context, store WatchStore, path *bbpath.Path, prefix string, after bbstore.Revision, wait time.Duration) ([]bbstore.Event, bbstore.Revision, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	began := time.Now()
+	waiting := path.BeginWait(func() { cancel(errPollLost) }, func() bool { return isArriving(store, prefix, began) })
+	defer path.EndWait(waiting)
+	events, rev, err := store.Poll(ctx, prefix, after, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errPollLost) {
+		return nil, 0, errPollLost
+	}
+	return events, rev, err
+}
+
+// isArriving reports whether the answer to a poll that began at or after a time has begun
+// to arrive, as far as the store can tell.
+func isArriving(store WatchStore, prefix string, since time.Time) bool {
+	s, ok := store.(interface {
+		IsArriving(prefix string, since time.Time) bool
+	})
+	return ok && s.IsArriving(prefix, since)
+}
