--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -79,10 +79,10 @@
 	path      *bbpath.Path // to the store
 }
 
-func newFollower(store WatchStore, board *Board, log logrus.FieldLogger, now func() time.Time, traffic *trafficMeter) *follower {
+func newFollower(store WatchStore, board *Board, log logrus.FieldLogger, now func() time.Time, ways *targetWays) *follower {
 	f := &follower{
 		store: store, board: board, log: log, now: now,
-		targets: NewTargetSet(now, traffic), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
+		targets: NewTargetSet(now, ways), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
 		onPlan: func(bbstore.Entry) {}, onTargetsRead: func([]bbstore.Entry) {}, onTargetEnded: func(bbcrash.TargetRun) {},
 		onTargetLeaving: func(bbplan.TargetRun) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
 		path: &bbpath.Path{},
--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -57,6 +57,7 @@
 	timeout  time.Duration // of the plan's routes
 	logs     logBuffer
 	peers    PeerNetwork
+	dial     targetDialer // over the instance's own path
 }
 
 // logBuffer collects the proxy's log lines.
@@ -89,7 +90,7 @@
 // many tokens. The proxy is started by start.
 func newHarness(t *testing.T, paid int64) *harness {
 	is := is.New(t)
-	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second}
+	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, dial: dialTCP}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -193,7 +194,7 @@
 	ctx, h.stop = context.WithCancel(context.Background())
 	h.serveErr = make(chan error, 1)
 	done := h.serveErr
-	go func() { done <- Serve(ctx, h.settings, h.peers, metrics.NewRegistry(), log) }()
+	go func() { done <- serve(ctx, h.settings, h.peers, metrics.NewRegistry(), log, h.dial) }()
 	stop := h.stop
 	h.t.Cleanup(func() {
 		stop()
--- a/bluebellport/proxy/pool.go
+++ b/bluebellport/proxy/pool.go
@@ -78,7 +78,7 @@
 	idleTimeout    time.Duration
 	hasIdleTimeout bool
 	closed         bool
-	meter          *trafficMeter
+	ways           *targetWays
 	onLoad         func(running, waiting, slots int) // called with the load that a response reports
 }
 
@@ -108,14 +108,10 @@
 
 // dial opens a connection.
 func (p *connPool) dial(ctx context.Context) (*targetConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
-	conn, err := d.DialContext(ctx, "tcp4", p.address)
+	conn, err := p.ways.connect(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
-	conn = p.meter.count(conn)
 	c := &targetConn{Conn: conn, pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	p.mu.Lock()
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -41,6 +41,7 @@
 	board    *Board
 	log      logrus.FieldLogger
 	shares   *shareController
+	ways     *targetWays
 	prefills *prefillNotifier
 	hints    *hintReader
 	unnamed  unnamedRefusals
@@ -74,10 +75,16 @@
 // Serve runs a proxy until ctx ends, then drains it: requests in flight have
 // until the end of the grace period. It registers its metrics in registry.
 func Serve(ctx context.Context, settings bbplatform.Settings, peers PeerNetwork, registry metrics.Registry, log logrus.FieldLogger) error {
+	return serve(ctx, settings, peers, registry, log, dialTCP)
+}
+
+// serve is Serve with a dialer for this instance's own path to targets.
+func serve(ctx context.Context, settings bbplatform.Settings, peers PeerNetwork, registry metrics.Registry, log logrus.FieldLogger, dial targetDialer) error {
 	p := &Proxy{settings: settings, domain: settings.Domain, board: &Board{}, log: log, metrics: newProxyMetrics(registry), startedAt: time.Now(), conns: map[*clientConn]bool{}}
 	p.requestMemory = newMemoryBudget(settings.MemoryMB, requestMemoryDivisor)
 	p.responseMemory = newMemoryBudget(settings.MemoryMB, responseMemoryDivisor)
 	p.board.Instances.Store(defaultInstances)
+	p.ways = newTargetWays(dial, &p.traffic)
 	clientListener, err := net.Listen("tcp4", settings.FrontendAddress)
 	if err != nil {
 		return errors.Annotate(err, "listen for clients")
@@ -115,7 +122,7 @@
 // startControllers starts the goroutines that follow the store, exchange
 // messages with peers and write shares. They end with ctx.
 func (p *Proxy) startControllers(ctx context.Context, wg *conc.WaitGroup, store *bbplatform.Store, peers PeerNetwork) {
-	f := newFollower(store, p.board, p.log, p.now, &p.traffic)
+	f := newFollower(store, p.board, p.log, p.now, p.ways)
 	f.invalidEntries = p.metrics.invalidEntries
 	observeStore(store, f.path)
 	p.metrics.registerStorePath(f.path.LostWaits)
--- a/bluebellport/proxy/relay_test.go
+++ b/bluebellport/proxy/relay_test.go
@@ -121,7 +121,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	begin := time.Now()
-	f := newFollower(store, &Board{}, log, func() time.Time { return begin.Add(time.Since(begin)) }, &trafficMeter{})
+	f := newFollower(store, &Board{}, log, func() time.Time { return begin.Add(time.Since(begin)) }, newTargetWays(dialTCP, &trafficMeter{}))
 	if s, ok := store.(*bbplatform.Store); ok {
 		observeStore(s, f.path)
 	}
--- a/bluebellport/proxy/target.go
+++ b/bluebellport/proxy/target.go
@@ -20,13 +20,13 @@
 // TargetSet holds the targets by id. The follower owns it.
 type TargetSet struct {
 	now     func() time.Time
-	traffic *trafficMeter
+	ways    *targetWays
 	targets map[bbunit.TargetID]*Target
 }
 
 // NewTargetSet returns an empty set.
-func NewTargetSet(now func() time.Time, traffic *trafficMeter) *TargetSet {
-	return &TargetSet{now: now, traffic: traffic, targets: map[bbunit.TargetID]*Target{}}
+func NewTargetSet(now func() time.Time, ways *targetWays) *TargetSet {
+	return &TargetSet{now: now, ways: ways, targets: map[bbunit.TargetID]*Target{}}
 }
 
 // Put adds or updates a target, and reports whether anything changed. A target
@@ -48,7 +48,7 @@
 	}
 	state := &bbplace.TargetState{}
 	target := &Target{Target: bbplace.Target{Target: entry, State: state}}
-	target.conns = &connPool{address: entry.Address, meter: set.traffic, onLoad: func(running, waiting, slots int) { state.ReportLoad(running, waiting, slots, set.now()) }}
+	target.conns = &connPool{address: entry.Address, ways: set.ways, onLoad: func(running, waiting, slots int) { state.ReportLoad(running, waiting, slots, set.now()) }}
 	set.targets[entry.ID] = target
 	return true
 }
