--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -34,6 +34,7 @@
 	c.registerCalls(func() map[string]int64 { return nil })
 	bbversion.New(bbversion.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	c.registerPlan(&Board{}, time.Now)
+	c.registerStorePath(func() int64 { return 0 })
 	bbspread.New(bbspread.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	registered := map[string]bool{}
 	c.registry.Each(func(name string, _ any) {
