proxy: connect to targets through a peer where the own path is lost

Callers of instances that had lost their path to all targets got 504 in the first second of the cut and 503 for the rest of it: 5 of 170 first attempts were served, 691 of 695 elsewhere.

Cause: an instance sent to targets over its own path or refused; what it could not reach counted as a target that had failed. Class: what one instance sees of a path taken for the state of what is behind it.

Change: a peer opens the connection and copies its bytes (package carry); all decisions stay where the client is. Package reach decides which way a connection takes, from what connections over both ways show. Ruled out: a peer that takes the request over (two instances that know half each), news of paths (an asked peer answers within a round trip).

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"bluebellport.example/bluebellport/carry"
 	"bluebellport.example/shared/bbclock"
 )
 
@@ -51,6 +52,9 @@
 	// timedOut reports that the target did not respond in time, connBroken that
 	// the connection to it broke.
 	timedOut, connBroken bool
+	// pathLost reports that this instance's own path to the target, or the peer that
+	// carried the connection, was lost: nothing is known of the target.
+	pathLost bool
 	// sentAt is when the request was sent, zero if it was not. connOpenedAt is when
 	// the connection was opened.
 	sentAt, connOpenedAt time.Time
@@ -63,8 +67,8 @@
 }
 
 // isTargetsFault reports whether a failed attempt speaks against the target. What
-// this instance had no memory for does not.
-func (r *attemptResult) isTargetsFault() bool { return !errors.Is(r.err, ErrNoMemory) }
+// this instance had no memory for does not, nor does a lost path.
+func (r *attemptResult) isTargetsFault() bool { return !errors.Is(r.err, ErrNoMemory) && !r.pathLost }
 
 // attempt sends the request to one target and passes the response to the
 // client.
@@ -121,6 +125,7 @@
 	sentAt := time.Now()
 	result := x.roundTrip(target, conn)
 	result.sentAt, result.connOpenedAt = sentAt, conn.openedAt
+	result.pathLost = errors.Is(result.err, bbcarry.ErrStreamLost) || result.err != nil && !conn.carried && x.proxy.ways.usesPeer(target.Address)
 	x.setConn(nil)
 	if result.kind != resultDone && x.isAborted() {
 		result.kind = resultGone
@@ -159,6 +164,9 @@
 	}
 	head := x.req.forwardHead(opts)
 	x.sentAt = x.proxy.now()
+	if !conn.carried {
+		x.proxy.ways.sent(target.Address, x.headTimeout())
+	}
 	x.open.Store(&openAttempt{route: x.route.ID, sentAt: x.sentAt, size: x.expectedEvents()})
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true // until the target rules it out
 	if len(x.req.Body) <= maxInlineBody {
--- a/bluebellport/proxy/board.go
+++ b/bluebellport/proxy/board.go
@@ -77,3 +77,26 @@
 	}
 	return (*services)[id]
 }
+
+// forEachTarget calls fn for each target that is known.
+func (b *Board) forEachTarget(fn func(*Target)) {
+	services := b.Services.Load()
+	if services == nil {
+		return
+	}
+	for _, service := range *services {
+		for _, target := range service.Targets {
+			fn(target)
+		}
+	}
+}
+
+// poolOf returns the connections to the target at an address, nil if none is known there.
+func (b *Board) poolOf(address string) (pool *connPool) {
+	b.forEachTarget(func(target *Target) {
+		if target.Address == address {
+			pool = target.conns
+		}
+	})
+	return pool
+}
--- a/bluebellport/proxy/cut_path_play_test.go
+++ b/bluebellport/proxy/cut_path_play_test.go
@@ -75,26 +75,31 @@
 type cutCount struct {
 	sent, served, refused, failed int
 	lied                          int // told not run, and ran
+	slowest                       time.Duration
 }
 
 // call sends requests of all kinds to the instances for a time and counts them by group of
-// instances.
+// instances; those of a negative group get none.
 func (p *cutPlay) call(d time.Duration, tag string, group func(instance int) int) (counts [2]cutCount) {
 	var mu sync.Mutex
 	results := map[string]clientResult{}
-	of := map[string]int{}
+	of, took := map[string]int{}, map[string]time.Duration{}
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for i, h := range p.instances {
+		if group(i) < 0 {
+			continue
+		}
 		for caller := range cutCallers {
 			wg.Go(func() {
 				transport := &http.Transport{}
 				defer transport.CloseIdleConnections()
 				for n := 0; time.Now().Before(end); n++ {
 					id := fmt.Sprintf("%s-%d-%d-%d", tag, i, caller, n)
+					begin := time.Now()
 					r := h.callOver(transport, []string{"/read/1", "/book/1", "/draft/1"}[(n+caller)%3], id)
 					mu.Lock()
-					results[id], of[id] = r, group(i)
+					results[id], of[id], took[id] = r, group(i), time.Since(begin)
 					mu.Unlock()
 					time.Sleep(cutCallPause)
 				}
@@ -106,6 +111,7 @@
 	for id, r := range results {
 		c := &counts[of[id]]
 		c.sent++
+		c.slowest = max(c.slowest, took[id])
 		switch {
 		case r.err == nil && r.status == http.StatusOK:
 			c.served++
@@ -212,3 +218,56 @@
 		})
 	}
 }
+
+// atFirst is the group of the instances in a play in which only the first one is called.
+func atFirst(instance int) int {
+	if instance == 0 {
+		return 0
+	}
+	return -1
+}
+
+// cutAll cuts the first instances from all targets.
+func (p *cutPlay) cutAll(instances int) {
+	for _, path := range p.paths[:instances] {
+		path.set(cutSilent, func(string) bool { return true })
+	}
+}
+
+// TestCarryingPeerThatStopsCutsNothing guards against requests that are cut, or fail, since
+// the peer that carries them stops.
+func TestCarryingPeerThatStopsCutsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newCutPlay(t)
+	p.call(500*time.Millisecond, "before", atFirst)
+	p.cutAll(1)
+	p.call(cutNoticeTime, "begin", atFirst)
+	stopped := time.AfterFunc(cutPlayTime/4, func() { p.instances[2].stop() }) // the other one of its failure domain
+	defer stopped.Stop()
+	counts := p.call(cutPlayTime, "stop", atFirst)
+	p.judge(counts)
+	is.Equal(counts[0].failed, 0)
+	is.Equal(counts[0].served, counts[0].sent)
+}
+
+// TestFleetWithoutPathsToTargetsRefusesAtOnce guards against callers that are held while
+// instances ask each other for paths that none of them has.
+func TestFleetWithoutPathsToTargetsRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := newCutPlay(t)
+	p.call(500*time.Millisecond, "before", atFirst)
+	p.cutAll(len(p.instances))
+	p.call(2*cutNoticeTime, "begin", atFirst)
+	counts := p.call(cutNoticeTime, "cut", atFirst)
+	t.Logf("%+v", counts[0])
+	is.Equal(counts[0].served+counts[0].lied, 0)
+	is.True(counts[0].refused > 0)
+	is.True(counts[0].slowest <= connectTimeout+dialTimeout)
+	for _, path := range p.paths {
+		path.set(cutNone, func(string) bool { return true })
+	}
+	p.call(cutNoticeTime, "return", atFirst)
+	p.judge(p.call(cutNoticeTime, "after", atFirst))
+}
--- a/bluebellport/proxy/era_test.go
+++ b/bluebellport/proxy/era_test.go
@@ -124,7 +124,7 @@
 	target := h.startTarget(testTarget)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := newFollower(h.mem, &Board{}, log, time.Now, newTargetWays(dialTCP, &trafficMeter{}))
+	f := newFollower(h.mem, &Board{}, log, time.Now, newTestWays())
 	key, ready := target.Entry("ready")
 	tell := func(era bbstore.Era, counter int64, value []byte) {
 		f.applyEvents([]bbstore.Event{{Entry: bbstore.Entry{Key: key, Value: value, Rev: bbstore.NewRevision(era, counter)}}}, wayWatcher)
--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -46,6 +46,12 @@
 
 func (noPeers) UpdateList([]bbmember.ListEntry) {}
 
+func (noPeers) OpenStream(context.Context, bbunit.InstanceID, string) (net.Conn, error) {
+	return nil, io.EOF
+}
+
+func (noPeers) HandleStream(string, func(bbunit.InstanceID, net.Conn)) {}
+
 // harness runs a platform store, targets and one proxy on loopback.
 type harness struct {
 	t        *testing.T
@@ -58,6 +64,7 @@
 	logs     logBuffer
 	peers    PeerNetwork
 	dial     targetDialer // over the instance's own path
+	registry metrics.Registry
 }
 
 // logBuffer collects the proxy's log lines.
@@ -90,7 +97,7 @@
 // many tokens. The proxy is started by start.
 func newHarness(t *testing.T, paid int64) *harness {
 	is := is.New(t)
-	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, dial: dialTCP}
+	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, dial: dialTCP, registry: metrics.NewRegistry()}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -194,7 +201,7 @@
 	ctx, h.stop = context.WithCancel(context.Background())
 	h.serveErr = make(chan error, 1)
 	done := h.serveErr
-	go func() { done <- serve(ctx, h.settings, h.peers, metrics.NewRegistry(), log, h.dial) }()
+	go func() { done <- serve(ctx, h.settings, h.peers, h.registry, log, h.dial) }()
 	stop := h.stop
 	h.t.Cleanup(func() {
 		stop()
--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"bluebellport.example/bluebellport/carry"
 	"bluebellport.example/bluebellport/leave"
 	"bluebellport.example/bluebellport/limit"
 	"bluebellport.example/bluebellport/spread"
@@ -36,6 +37,8 @@
 	c.registerPlan(&Board{}, time.Now)
 	c.registerStorePath(func() int64 { return 0 })
 	bbspread.New(bbspread.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
+	newTargetWays(dialTCP, noPeers{}, &Board{}, &trafficMeter{}, time.Now, nil, c.registry)
+	bbcarry.NewServer(bbcarry.ServerConfig{Metrics: c.registry})
 	registered := map[string]bool{}
 	c.registry.Each(func(name string, _ any) {
 		name = strings.Replace(name, "refused.404", "refused.STATUS", 1)
--- a/bluebellport/proxy/money_fakes_test.go
+++ b/bluebellport/proxy/money_fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -120,6 +121,13 @@
 func (p *moneyPeer) View() *bbmember.View            { return p.view.Load() }
 func (p *moneyPeer) UpdateList([]bbmember.ListEntry) {}
 
+// OpenStream and HandleStream do nothing: the play has no targets.
+func (p *moneyPeer) OpenStream(context.Context, bbunit.InstanceID, string) (net.Conn, error) {
+	return nil, io.EOF
+}
+
+func (p *moneyPeer) HandleStream(string, func(bbunit.InstanceID, net.Conn)) {}
+
 // learn tells the peer the state of a member, which is gone if it is nil.
 func (p *moneyPeer) learn(id bbunit.InstanceID, m *bbmember.Member) {
 	p.mu.Lock()
--- a/bluebellport/proxy/pool.go
+++ b/bluebellport/proxy/pool.go
@@ -30,6 +30,8 @@
 	// requests is how many requests the connection has carried, strays how many
 	// responses that were not its latest request's.
 	requests, strays int
+	// carried reports that a peer carries the connection, for one request.
+	carried bool
 	// onSilence decides whether to read on after awaitBytes was not answered in time.
 	onSilence func() bool
 }
@@ -39,6 +41,9 @@
 func (c *targetConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if n > 0 && !c.carried {
+			c.pool.ways.heard(c.pool.address)
+		}
 		var netErr net.Error
 		if n > 0 || c.onSilence == nil || !errors.As(err, &netErr) || !netErr.Timeout() || !c.onSilence() {
 			return n, err
@@ -86,7 +91,11 @@
 // has carried no request, a new one in place of the idle connection that was used
 // last.
 func (p *connPool) get(ctx context.Context, unused bool) (*targetConn, error) {
-	for c := p.popIdle(); c != nil; c = p.popIdle() {
+	for !p.ways.usesPeer(p.address) {
+		c := p.popIdle()
+		if c == nil {
+			break
+		}
 		usable := time.Since(c.idleSince) < c.idleTimeout && openAndQuiet(c.Conn) && c.br.Buffered() == 0
 		if usable && (!unused || c.requests == 0) {
 			return c, nil
@@ -108,18 +117,23 @@
 
 // dial opens a connection.
 func (p *connPool) dial(ctx context.Context) (*targetConn, error) {
-	conn, err := p.ways.connect(ctx, p.address)
+	conn, carried, err := p.ways.connect(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
-	c := &targetConn{Conn: conn, pool: p, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
+	return p.wrap(conn, carried), nil
+}
+
+// wrap returns a new connection as one of the pool.
+func (p *connPool) wrap(conn net.Conn, carried bool) *targetConn {
+	c := &targetConn{Conn: conn, pool: p, carried: carried, openedAt: time.Now(), idleTimeout: defaultPoolIdle}
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.hasIdleTimeout {
 		c.idleTimeout = p.idleTimeout
 	}
-	return c, nil
+	return c
 }
 
 // popIdle removes and returns the idle connection that was used last, nil if
@@ -141,7 +155,7 @@
 // also closes connections that have been idle for too long.
 func (c *targetConn) release() {
 	c.idleSince = time.Now()
-	if !c.reusable || c.strays > 0 || c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+	if !c.reusable || c.carried || c.strays > 0 || c.br.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
 	}
@@ -162,8 +176,15 @@
 // close closes the idle connections, and makes release close the others.
 func (p *connPool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+// closeIdle closes the idle connections.
+func (p *connPool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -84,7 +84,7 @@
 	p.requestMemory = newMemoryBudget(settings.MemoryMB, requestMemoryDivisor)
 	p.responseMemory = newMemoryBudget(settings.MemoryMB, responseMemoryDivisor)
 	p.board.Instances.Store(defaultInstances)
-	p.ways = newTargetWays(dial, &p.traffic)
+	p.ways = newTargetWays(dial, peers, p.board, &p.traffic, p.now, log, registry)
 	clientListener, err := net.Listen("tcp4", settings.FrontendAddress)
 	if err != nil {
 		return errors.Annotate(err, "listen for clients")
@@ -147,11 +147,13 @@
 	})
 	instances := newInstanceRegistry(store, peers, p.board, p.log, p.settings, r.isWatcher)
 	instances.path = f.path
+	p.serveCarried(peers, p.metrics.registry)
 	wg.Go(func() { f.followPlan(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { r.run(ctx) })
 	wg.Go(func() { spreader.Run(ctx) })
 	wg.Go(func() { p.monitorLink(ctx) })
+	wg.Go(func() { p.ways.run(ctx) })
 	wg.Go(func() { p.beat(ctx) })
 	wg.Go(func() { p.crashes.Run(ctx) })
 	wg.Go(func() { p.limits.Run(ctx) })
--- a/bluebellport/proxy/relay.go
+++ b/bluebellport/proxy/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,10 @@
 	Call(ctx context.Context, to bbunit.InstanceID, e *bbwire.Envelope) (*bbwire.Envelope, error)
 	Handle(sample *bbwire.Envelope, fn func(from bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope)
 	View() *bbmember.View
+	// OpenStream opens a stream of a kind to an instance, HandleStream sets the function
+	// that serves such streams.
+	OpenStream(ctx context.Context, to bbunit.InstanceID, kind string) (net.Conn, error)
+	HandleStream(kind string, fn func(from bbunit.InstanceID, conn net.Conn))
 	// UpdateList passes on the instances that the platform's store lists.
 	UpdateList(list []bbmember.ListEntry)
 }
--- a/bluebellport/proxy/relay_test.go
+++ b/bluebellport/proxy/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"reflect"
 	"sync"
 	"testing"
@@ -34,6 +35,7 @@
 	self     bbmember.Member
 	link     *instanceLink
 	handlers map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope
+	streams  map[string]func(bbunit.InstanceID, net.Conn) // by kind
 }
 
 func newFakeNetwork() *fakeNetwork {
@@ -41,7 +43,7 @@
 }
 
 func (n *fakeNetwork) newPeer(id bbunit.InstanceID, domain bbunit.DomainID) *fakePeer {
-	peer := &fakePeer{network: n, self: bbmember.Member{ID: id, Domain: domain}, link: newInstanceLink(0), handlers: map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope{}}
+	peer := &fakePeer{network: n, self: bbmember.Member{ID: id, Domain: domain}, link: newInstanceLink(0), handlers: map[reflect.Type]func(bbunit.InstanceID, *bbwire.Envelope) *bbwire.Envelope{}, streams: map[string]func(bbunit.InstanceID, net.Conn){}}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers[id] = peer
@@ -102,6 +104,36 @@
 
 func (p *fakePeer) UpdateList([]bbmember.ListEntry) {}
 
+// OpenStream opens a stream in memory.
+func (p *fakePeer) OpenStream(_ context.Context, to bbunit.InstanceID, kind string) (net.Conn, error) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	peer := p.network.peers[to]
+	if peer == nil || peer.streams[kind] == nil || p.network.silent[to] || p.network.silent[p.self.ID] {
+		return nil, io.EOF
+	}
+	fn := peer.streams[kind]
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		fn(p.self.ID, far)
+	}()
+	return near, nil
+}
+
+func (p *fakePeer) HandleStream(kind string, fn func(bbunit.InstanceID, net.Conn)) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	p.streams[kind] = fn
+}
+
+// newTestWays returns the ways of an instance without peers.
+func newTestWays() *targetWays {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return newTargetWays(dialTCP, noPeers{}, &Board{}, &trafficMeter{}, time.Now, log, metrics.NewRegistry())
+}
+
 // setSilent cuts an instance off from its peers, or ends that.
 func (n *fakeNetwork) setSilent(id bbunit.InstanceID, silent bool) {
 	n.mu.Lock()
@@ -121,7 +153,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	begin := time.Now()
-	f := newFollower(store, &Board{}, log, func() time.Time { return begin.Add(time.Since(begin)) }, newTargetWays(dialTCP, &trafficMeter{}))
+	f := newFollower(store, &Board{}, log, func() time.Time { return begin.Add(time.Since(begin)) }, newTestWays())
 	if s, ok := store.(*bbplatform.Store); ok {
 		observeStore(s, f.path)
 	}
--- a/bluebellport/proxy/ways.go
+++ b/bluebellport/proxy/ways.go
@@ -2,7 +2,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"bluebellport.example/bluebellport/carry"
+	"bluebellport.example/bluebellport/reach"
+	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbunit"
 )
 
 // targetDialer opens a connection to a target over this instance's own path.
@@ -14,25 +26,323 @@
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-// targetWays connects to targets.
+// errNoCarrier means that there is no peer that could carry a connection.
+const errNoCarrier = errors.ConstError("no peer can carry the connection")
+
+// targetWays connects to targets: over this instance's own path, or through a peer where
+// that is lost.
 type targetWays struct {
-	dialOwn targetDialer
-	meter   *trafficMeter
+	dialOwn  targetDialer
+	peers    PeerNetwork
+	board    *Board
+	meter    *trafficMeter
+	now      func() time.Time
+	log      logrus.FieldLogger
+	tracker  bbreach.Tracker
+	carriers bbreach.Carriers
+	// asked counts the connections that peers were asked for, carried those that they
+	// carried, looks the connections that were opened to look at a path.
+	asked, carried, looks metrics.Counter
+}
+
+// newTargetWays returns the ways to the targets that a board has.
+func newTargetWays(dialOwn targetDialer, peers PeerNetwork, board *Board, meter *trafficMeter, now func() time.Time, log logrus.FieldLogger, registry metrics.Registry) *targetWays {
+	w := &targetWays{
+		dialOwn: dialOwn, peers: peers, board: board, meter: meter, now: now, log: log,
+		asked: metrics.GetOrRegisterCounter("door.carry.asked", registry), carried: metrics.GetOrRegisterCounter("door.carry.used", registry), looks: metrics.GetOrRegisterCounter("door.reach.looks", registry),
+	}
+	metrics.NewRegisteredFunctionalGauge("door.reach.lost", registry, func() int64 { return int64(w.tracker.Lost()) })
+	metrics.NewRegisteredFunctionalGauge("door.reach.cut", registry, func() int64 {
+		if w.tracker.IsCut() {
+			return 1
+		}
+		return 0
+	})
+	return w
+}
+
+// usesPeer reports whether new connections to an address go through a peer.
+func (w *targetWays) usesPeer(address string) bool { return w.tracker.UsesPeer(address) }
+
+// heard records that something came from an address over the own path.
+func (w *targetWays) heard(address string) { w.tracker.Heard(address, w.now()) }
+
+// sent records that a request was sent over the own path, which may go without an answer
+// for patience.
+func (w *targetWays) sent(address string, patience time.Duration) {
+	w.tracker.Sent(address, patience, w.now())
+}
+
+// connect opens a connection to an address, and reports whether a peer carries it. It
+// blocks until ctx ends, for connectTimeout at most.
+func (w *targetWays) connect(ctx context.Context, address string) (conn net.Conn, carried bool, err error) {
+	limit := defaultCarryTime
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline) + carryMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if w.usesPeer(address) {
+		conn, err = w.askPeers(ctx, address, limit)
+		return conn, true, err
+	}
+	own := make(chan dialed, 1)
+	go func() { own <- w.dial(address) }()
+	head := time.NewTimer(carryDelay)
+	defer head.Stop()
+	select {
+	case d := <-own:
+		return w.afterOwn(ctx, address, d, limit)
+	case <-head.C:
+	}
+	return w.race(ctx, address, own, limit)
 }
 
-// newTargetWays returns ways whose bytes are counted.
-func newTargetWays(dialOwn targetDialer, meter *trafficMeter) *targetWays {
-	return &targetWays{dialOwn: dialOwn, meter: meter}
+// dialed is the result of opening a connection.
+type dialed struct {
+	conn net.Conn
+	err  error
 }
 
-// connect opens a connection to an address. It blocks until ctx ends, for dialTimeout at
-// most.
-func (w *targetWays) connect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+// dial opens a connection over the own path, however soon its request ends: what it shows
+// of the path counts.
+func (w *targetWays) dial(address string) dialed {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := w.dialOwn(ctx, address)
 	if err != nil {
-		return nil, err
+		return dialed{err: err}
 	}
-	return w.meter.count(conn), nil
+	return dialed{conn: w.meter.count(conn)}
+}
+
+// afterOwn returns the connection of an own dial that has ended soon. If it failed, it asks
+// peers: a path can be refused, too.
+func (w *targetWays) afterOwn(ctx context.Context, address string, d dialed, limit time.Duration) (net.Conn, bool, error) {
+	if d.err == nil {
+		w.looked(address, true, false)
+		return d.conn, false, nil
+	}
+	if w.board.LinkSaturated.Load() {
+		return nil, false, d.err
+	}
+	conn, err := w.askPeers(ctx, address, limit)
+	w.compared(address, d.err, err)
+	if err != nil {
+		return nil, false, d.err
+	}
+	return conn, true, nil
+}
+
+// compared records that the own path to an address failed, for a reason, and what came of
+// asking peers. That nothing listens there was heard over the path.
+func (w *targetWays) compared(address string, own, peer error) {
+	if peer == nil || !errors.Is(own, syscall.ECONNREFUSED) {
+		w.looked(address, false, peer == nil)
+	}
+}
+
+// race asks peers while an own dial is under way, and returns the first connection.
+func (w *targetWays) race(ctx context.Context, address string, own <-chan dialed, limit time.Duration) (net.Conn, bool, error) {
+	peer := make(chan dialed, 1)
+	if w.board.LinkSaturated.Load() {
+		peer <- dialed{err: errNoCarrier} // this instance's own link is as likely the cause
+	} else {
+		go func() {
+			conn, err := w.askPeers(ctx, address, limit)
+			peer <- dialed{conn, err}
+		}()
+	}
+	select {
+	case d := <-own:
+		if d.err == nil {
+			w.looked(address, true, false)
+			go closeDialed(peer)
+			return d.conn, false, nil
+		}
+		other := <-peer
+		w.compared(address, d.err, other.err)
+		if other.err != nil {
+			return nil, false, d.err
+		}
+		return other.conn, true, nil
+	case d := <-peer:
+		if d.err == nil {
+			go func() {
+				o := <-own
+				w.looked(address, o.err == nil, true)
+				closeConn(o.conn)
+			}()
+			return d.conn, true, nil
+		}
+		o := <-own
+		if o.err == nil {
+			w.looked(address, true, false)
+		} else {
+			w.compared(address, o.err, d.err)
+		}
+		return o.conn, false, o.err
+	}
+}
+
+func closeDialed(c <-chan dialed) { closeConn((<-c).conn) }
+
+// closeConn closes a connection that may be nil.
+func closeConn(conn net.Conn) {
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// askPeers asks peers to connect to an address, until ctx ends: the next one once the one
+// before has declined, or has not answered for carryDelay. The first connection is used; it
+// lasts for limit at most.
+func (w *targetWays) askPeers(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	ids := w.carriers.Choose(w.peers.View(), w.now(), rand.IntN)
+	if len(ids) == 0 {
+		return nil, errNoCarrier
+	}
+	answers := make(chan dialed, len(ids))
+	open, asked := 0, 0
+	var err error
+	for open > 0 || asked < len(ids) {
+		if asked < len(ids) && ctx.Err() == nil {
+			id := ids[asked]
+			go func() { answers <- w.askOne(ctx, id, address, limit) }()
+			open, asked = open+1, asked+1
+		}
+		hedge := time.NewTimer(carryDelay)
+		select {
+		case d := <-answers:
+			open--
+			if d.err == nil || errors.Is(d.err, syscall.ECONNREFUSED) {
+				go func(open int) {
+					for range open {
+						closeDialed(answers)
+					}
+				}(open)
+				return d.conn, d.err
+			}
+			err = d.err
+		case <-hedge.C:
+		case <-ctx.Done():
+			asked = len(ids) // what is open ends with ctx
+		}
+		hedge.Stop()
+	}
+	return nil, err
+}
+
+// askOne asks one peer, and does not ask it again soon if it does not carry. That it
+// cannot reach the target is no reason.
+func (w *targetWays) askOne(ctx context.Context, id bbunit.InstanceID, address string, limit time.Duration) dialed {
+	conn, err := w.ask(ctx, id, address, limit)
+	if err == nil {
+		w.carried.Inc(1)
+		return dialed{conn: &meteredConn{Conn: conn, meter: w.meter}}
+	}
+	if ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, bbcarry.ErrUnreachable) {
+		w.carriers.Declined(id, w.now())
+	}
+	return dialed{err: err}
+}
+
+// ask asks one peer to connect to an address. It returns as soon as ctx ends.
+func (w *targetWays) ask(ctx context.Context, id bbunit.InstanceID, address string, limit time.Duration) (net.Conn, error) {
+	w.asked.Inc(1)
+	deadline, _ := ctx.Deadline()
+	result := make(chan dialed, 1)
+	go func() {
+		stream, err := w.peers.OpenStream(ctx, id, bbcarry.StreamKind)
+		if err != nil {
+			result <- dialed{err: err}
+			return
+		}
+		conn, err := bbcarry.Dial(stream, address, limit, deadline)
+		result <- dialed{conn, err}
+	}()
+	select {
+	case d := <-result:
+		return d.conn, d.err
+	case <-ctx.Done():
+		go closeDialed(result)
+		return nil, ctx.Err()
+	}
+}
+
+// run looks at the paths that may be lost, or may be back, until ctx ends.
+func (w *targetWays) run(ctx context.Context) {
+	for bbclock.Wait(ctx, reachInterval) {
+		for _, address := range w.tracker.Due(w.now()) {
+			go w.look(address)
+		}
+	}
+}
+
+// look tries the own path to an address, and a peer's if it fails and was not known to.
+// A connection is kept for the next request.
+func (w *targetWays) look(address string) {
+	w.looks.Inc(1)
+	wasLost := w.usesPeer(address)
+	d := w.dial(address)
+	if d.err == nil {
+		w.looked(address, true, false)
+		if pool := w.board.poolOf(address); pool != nil {
+			conn := pool.wrap(d.conn, false)
+			conn.reusable = true
+			conn.release()
+			return
+		}
+		closeConn(d.conn)
+		return
+	}
+	if wasLost || w.board.LinkSaturated.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	conn, err := w.askPeers(ctx, address, connectTimeout)
+	closeConn(conn)
+	w.compared(address, d.err, err)
+}
+
+// looked records what a try to connect to an address has shown, and what follows for its
+// target, or for all: connections over a lost path carry nothing, and what failed over it
+// is not the target's failure.
+func (w *targetWays) looked(address string, own, peer bool) {
+	event := w.tracker.Looked(address, own, peer, w.now())
+	if event == bbreach.EventNone {
+		return
+	}
+	w.log.WithFields(logrus.Fields{"event": "path-" + event.String(), "address": address, "lost": w.tracker.Lost()}).Info("own path to targets changed")
+	all := event == bbreach.EventCut || event == bbreach.EventCutEnded
+	w.board.forEachTarget(func(target *Target) {
+		if !all && target.Address != address {
+			return
+		}
+		target.State.Circuit.RecordSuccess()
+		if w.usesPeer(target.Address) {
+			target.conns.closeIdle()
+		}
+	})
+}
+
+// meteredConn is a connection whose bytes are counted.
+type meteredConn struct {
+	net.Conn
+	meter *trafficMeter
+}
+
+// Read reads and counts the bytes.
+func (c *meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.meter.in.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts the bytes.
+func (c *meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.meter.out.Add(int64(n))
+	return n, err
 }
