proxy: end the search for a way to a target with its request

Change: the search returns when its request ends, with an error; what is still opened is noted and closed.

Measured: TestConnectEndsWithItsRequest, 72 rows: 26 fail before, none now; TestLateConnectionIsClosed fails before.

--- a/bluebellport/proxy/ways.go
+++ b/bluebellport/proxy/ways.go
@@ -94,8 +94,11 @@
 	case d := <-own:
 		return w.afterOwn(ctx, address, d, limit)
 	case <-head.C:
+		return w.race(ctx, address, own, limit)
+	case <-ctx.Done():
+		go w.settle(address, own)
+		return nil, false, ctx.Err()
 	}
-	return w.race(ctx, address, own, limit)
 }
 
 // dialed is the result of opening a connection.
@@ -175,13 +178,35 @@
 			}()
 			return d.conn, true, nil
 		}
-		o := <-own
-		if o.err == nil {
+		return w.awaitOwn(ctx, address, own, d.err)
+	case <-ctx.Done():
+		go closeDialed(peer)
+		go w.settle(address, own)
+		return nil, false, ctx.Err()
+	}
+}
+
+// awaitOwn returns the connection of an own dial after peers have failed, for a reason.
+func (w *targetWays) awaitOwn(ctx context.Context, address string, own <-chan dialed, peerErr error) (net.Conn, bool, error) {
+	select {
+	case d := <-own:
+		if d.err == nil {
 			w.looked(address, true, false)
 		} else {
-			w.compared(address, o.err, d.err)
+			w.compared(address, d.err, peerErr)
 		}
-		return o.conn, false, o.err
+		return d.conn, false, d.err
+	case <-ctx.Done():
+		go w.settle(address, own)
+		return nil, false, ctx.Err()
+	}
+}
+
+// settle takes note of an own dial that its request does not wait for any more.
+func (w *targetWays) settle(address string, own <-chan dialed) {
+	if d := <-own; d.err == nil {
+		w.looked(address, true, false)
+		closeConn(d.conn)
 	}
 }
 
@@ -204,7 +229,7 @@
 	}
 	answers := make(chan dialed, len(ids))
 	open, asked := 0, 0
-	var err error
+	err := ctx.Err()
 	for open > 0 || asked < len(ids) {
 		if asked < len(ids) && ctx.Err() == nil {
 			id := ids[asked]
@@ -226,7 +251,7 @@
 			err = d.err
 		case <-hedge.C:
 		case <-ctx.Done():
-			asked = len(ids) // what is open ends with ctx
+			asked, err = len(ids), ctx.Err() // what is open ends with ctx
 		}
 		hedge.Stop()
 	}
