proxy: ask no peers while the instance gets no processor time

Cause: an instance with 0.2 cores opens connections late in a rush; a connection that was late was asked for at four peers, for which sessions had to be opened, which made the next ones later. Class: its own slowness taken for the state of what is behind a path. Change: peers are asked, and paths looked at, only while the instance's timers are in time (package reach, Pulse) and its link is not full; at most four questions at a time while no path is known to be lost; 120 ms instead of 60 before the first.

--- a/bluebellport/proxy/carrier.go
+++ b/bluebellport/proxy/carrier.go
@@ -22,7 +22,7 @@
 // beginCarry reports whether a connection to an address may be carried for a peer. The
 // stop of this instance then waits for its end.
 func (p *Proxy) beginCarry(address string) bool {
-	if p.board.Leaving.Load() || p.board.LinkSaturated.Load() || p.ways.usesPeer(address) || p.board.poolOf(address) == nil {
+	if p.board.Leaving.Load() || p.ways.isStrained() || p.ways.usesPeer(address) || p.board.poolOf(address) == nil {
 		return false
 	}
 	p.mu.Lock()
@@ -38,7 +38,7 @@
 // instance's own path, too. It asks nobody: a question never leads to another one.
 func (p *Proxy) connectForPeer(address string) (net.Conn, error) {
 	d := p.ways.dial(address)
-	if !errors.Is(d.err, syscall.ECONNREFUSED) {
+	if d.err == nil || !errors.Is(d.err, syscall.ECONNREFUSED) && !p.ways.isStrained() {
 		p.ways.looked(address, d.err == nil, false)
 	}
 	return d.conn, d.err
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -65,7 +65,10 @@
 	connectTimeout = 500 * time.Millisecond
 	// carryDelay is how long a connection over the own path may take to open before a
 	// peer is asked as well.
-	carryDelay = 60 * time.Millisecond
+	carryDelay = 120 * time.Millisecond
+	// maxComparing is how many connections peers are asked for at a time while the own
+	// path is not known to be lost.
+	maxComparing = 4
 	// carryMargin is how much longer than its request a connection may last that a peer
 	// carries, defaultCarryTime how long one without a request may.
 	carryMargin      = time.Second
--- a/bluebellport/proxy/ways.go
+++ b/bluebellport/proxy/ways.go
@@ -26,8 +26,14 @@
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-// errNoCarrier means that there is no peer that could carry a connection.
-const errNoCarrier = errors.ConstError("no peer can carry the connection")
+// Errors of ways that were not tried.
+const (
+	// errNoCarrier means that there is no peer that could carry a connection.
+	errNoCarrier = errors.ConstError("no peer can carry the connection")
+	// errStrained means that peers were not asked, as this instance's own link or processor
+	// is used up, or others are being asked.
+	errStrained = errors.ConstError("peers are not asked now")
+)
 
 // targetWays connects to targets: over this instance's own path, or through a peer where
 // that is lost.
@@ -40,6 +46,10 @@
 	log      logrus.FieldLogger
 	tracker  bbreach.Tracker
 	carriers bbreach.Carriers
+	pulse    bbreach.Pulse
+	// comparing holds a token for each question to peers while the own path is not known
+	// to be lost.
+	comparing chan struct{}
 	// asked counts the connections that peers were asked for, carried those that they
 	// carried, looks the connections that were opened to look at a path.
 	asked, carried, looks metrics.Counter
@@ -48,7 +58,7 @@
 // newTargetWays returns the ways to the targets that a board has.
 func newTargetWays(dialOwn targetDialer, peers PeerNetwork, board *Board, meter *trafficMeter, now func() time.Time, log logrus.FieldLogger, registry metrics.Registry) *targetWays {
 	w := &targetWays{
-		dialOwn: dialOwn, peers: peers, board: board, meter: meter, now: now, log: log,
+		dialOwn: dialOwn, peers: peers, board: board, meter: meter, now: now, log: log, comparing: make(chan struct{}, maxComparing),
 		asked: metrics.GetOrRegisterCounter("door.carry.asked", registry), carried: metrics.GetOrRegisterCounter("door.carry.used", registry), looks: metrics.GetOrRegisterCounter("door.reach.looks", registry),
 	}
 	metrics.NewRegisteredFunctionalGauge("door.reach.lost", registry, func() int64 { return int64(w.tracker.Lost()) })
@@ -126,10 +136,7 @@
 		w.looked(address, true, false)
 		return d.conn, false, nil
 	}
-	if w.board.LinkSaturated.Load() {
-		return nil, false, d.err
-	}
-	conn, err := w.askPeers(ctx, address, limit)
+	conn, err := w.tryPeers(ctx, address, limit)
 	w.compared(address, d.err, err)
 	if err != nil {
 		return nil, false, d.err
@@ -137,9 +144,37 @@
 	return conn, true, nil
 }
 
+// tryPeers is askPeers while it is not known whether the own path is lost. It asks only if
+// what it finds would show that: neither this instance's own link nor its processor may be as
+// likely the cause, and further work would make these worse.
+func (w *targetWays) tryPeers(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
+	if w.isStrained() {
+		return nil, errStrained
+	}
+	select {
+	case w.comparing <- struct{}{}:
+	default:
+		return nil, errStrained
+	}
+	defer func() { <-w.comparing }()
+	conn, err := w.askPeers(ctx, address, limit)
+	if err != nil && w.isStrained() {
+		return nil, errStrained
+	}
+	return conn, err
+}
+
+// isStrained reports whether this instance's link or processor is used up.
+func (w *targetWays) isStrained() bool {
+	return w.board.LinkSaturated.Load() || w.pulse.IsLate(w.now())
+}
+
 // compared records that the own path to an address failed, for a reason, and what came of
 // asking peers. That nothing listens there was heard over the path.
 func (w *targetWays) compared(address string, own, peer error) {
+	if errors.Is(peer, errStrained) || w.isStrained() {
+		return
+	}
 	if peer == nil || !errors.Is(own, syscall.ECONNREFUSED) {
 		w.looked(address, false, peer == nil)
 	}
@@ -148,14 +183,10 @@
 // race asks peers while an own dial is under way, and returns the first connection.
 func (w *targetWays) race(ctx context.Context, address string, own <-chan dialed, limit time.Duration) (net.Conn, bool, error) {
 	peer := make(chan dialed, 1)
-	if w.board.LinkSaturated.Load() {
-		peer <- dialed{err: errNoCarrier} // this instance's own link is as likely the cause
-	} else {
-		go func() {
-			conn, err := w.askPeers(ctx, address, limit)
-			peer <- dialed{conn, err}
-		}()
-	}
+	go func() {
+		conn, err := w.tryPeers(ctx, address, limit)
+		peer <- dialed{conn, err}
+	}()
 	select {
 	case d := <-own:
 		if d.err == nil {
@@ -173,7 +204,11 @@
 		if d.err == nil {
 			go func() {
 				o := <-own
-				w.looked(address, o.err == nil, true)
+				if o.err == nil {
+					w.looked(address, true, false)
+				} else {
+					w.compared(address, o.err, nil)
+				}
 				closeConn(o.conn)
 			}()
 			return d.conn, true, nil
@@ -297,7 +332,12 @@
 
 // run looks at the paths that may be lost, or may be back, until ctx ends.
 func (w *targetWays) run(ctx context.Context) {
+	w.pulse.Beat(w.now(), reachInterval)
 	for bbclock.Wait(ctx, reachInterval) {
+		w.pulse.Beat(w.now(), reachInterval)
+		if w.isStrained() {
+			continue
+		}
 		for _, address := range w.tracker.Due(w.now()) {
 			go w.look(address)
 		}
@@ -321,12 +361,12 @@
 		closeConn(d.conn)
 		return
 	}
-	if wasLost || w.board.LinkSaturated.Load() {
+	if wasLost {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	conn, err := w.askPeers(ctx, address, connectTimeout)
+	conn, err := w.tryPeers(ctx, address, connectTimeout)
 	closeConn(conn)
 	w.compared(address, d.err, err)
 }
--- a/bluebellport/proxy/ways_test.go
+++ b/bluebellport/proxy/ways_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"bluebellport.example/bluebellport/carry"
 	"bluebellport.example/shared/bbunit"
@@ -79,3 +80,37 @@
 	_, err = conn.Read(make([]byte, 1))
 	is.Equal(err.Error(), "EOF")
 }
+
+// TestInstanceWithoutProcessorTimeAsksNoPeers guards against an instance that takes its own
+// slowness for lost paths, and gets slower by what it then does.
+func TestInstanceWithoutProcessorTimeAsksNoPeers(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		t.Run(fmt.Sprintf("late %v", late), func(t *testing.T) {
+			is := is.New(t)
+			network := newFakeNetwork()
+			self, peer := network.newPeer("self", "uppsala"), network.newPeer("peer", "uppsala")
+			server := bbcarry.NewServer(bbcarry.ServerConfig{
+				Begin: func(string) bool { return true }, End: func() {}, Metrics: metrics.NewRegistry(),
+				Connect: func(string) (net.Conn, error) {
+					near, _ := net.Pipe()
+					return near, nil
+				},
+			})
+			peer.HandleStream(bbcarry.StreamKind, func(_ bbunit.InstanceID, stream net.Conn) { server.Serve(stream) })
+			w := newTestWays()
+			w.peers, w.dialOwn = self, func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			if late {
+				w.pulse.Beat(time.Now().Add(-time.Second), reachInterval)
+			}
+			conn, carried, err := w.connect(t.Context(), "10.0.0.1:80")
+			is.Equal(err == nil && carried, !late)
+			closeConn(conn)
+			time.Sleep(dialTimeout) // until the own dial has failed
+			is.Equal(w.usesPeer("10.0.0.1:80"), !late)
+			is.Equal(w.asked.Count() == 0, late)
+		})
+	}
+}
