reach: look at a path only if more than one slow target can be the cause

Change: with nothing heard for 0.2 s, paths are looked at only if two targets owe an answer; one alone has 0.5 s at least; an instance that leaves looks no more.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -165,7 +165,7 @@
 	head := x.req.forwardHead(opts)
 	x.sentAt = x.proxy.now()
 	if !conn.carried {
-		x.proxy.ways.sent(target.Address, x.headTimeout())
+		x.proxy.ways.sent(target.Address, max(x.headTimeout(), minPathPatience))
 	}
 	x.open.Store(&openAttempt{route: x.route.ID, sentAt: x.sentAt, size: x.expectedEvents()})
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true // until the target rules it out
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -73,6 +73,9 @@
 	// carries, defaultCarryTime how long one without a request may.
 	carryMargin      = time.Second
 	defaultCarryTime = 10 * time.Second
+	// minPathPatience is the least time for which a target may not answer before the path
+	// to it is looked at, while others answer.
+	minPathPatience = 500 * time.Millisecond
 	// reachInterval is the time between two checks of the paths to targets.
 	reachInterval = 100 * time.Millisecond
 	// maxBodyTime is how long a client may take for a body, however long it would
--- a/bluebellport/proxy/ways.go
+++ b/bluebellport/proxy/ways.go
@@ -335,7 +335,7 @@
 	w.pulse.Beat(w.now(), reachInterval)
 	for bbclock.Wait(ctx, reachInterval) {
 		w.pulse.Beat(w.now(), reachInterval)
-		if w.isStrained() {
+		if w.isStrained() || w.board.Leaving.Load() {
 			continue
 		}
 		for _, address := range w.tracker.Due(w.now()) {
--- a/bluebellport/reach/tracker.go
+++ b/bluebellport/reach/tracker.go
@@ -17,9 +17,10 @@
 //go:generate enumer -type=Event -trimprefix=Event -transform=kebab -output=event_enumer.go
 
 const (
-	// quietTime is how long nothing comes over any own path, though a request was sent,
-	// before the paths are looked at.
-	quietTime = 200 * time.Millisecond
+	// quietTime is how long nothing comes over any own path, though requests were sent to
+	// quietTargets, before the paths are looked at. One target alone may just be slow.
+	quietTime    = 200 * time.Millisecond
+	quietTargets = 2
 	// lookInterval is the least time between two looks at the path to one target.
 	lookInterval = 500 * time.Millisecond
 	// probeInterval is the time between two rounds of looks while all paths are lost; it
@@ -151,7 +152,7 @@
 		}
 		t.probedAt = now
 	}
-	quiet := !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= quietTime
+	quiet := !t.waitingSince.IsZero() && now.Sub(t.waitingSince) >= quietTime && t.waiting() >= quietTargets
 	type candidate struct {
 		address string
 		*path
@@ -183,6 +184,14 @@
 	return addresses
 }
 
+// waiting returns from how many targets an answer is awaited. The caller holds the lock.
+func (t *Tracker) waiting() (n int) {
+	for _, p := range t.paths {
+		n += count(!p.waitingSince.IsZero())
+	}
+	return n
+}
+
 // isDue reports whether a path is to be looked at. The caller holds the lock.
 func (t *Tracker) isDue(p *path, quiet bool, now time.Time) bool {
 	if t.cut {
