brittle: limit targets that fall over when they have to refuse too many

Targets that said Server-Brittle fell over under the requests that they had to refuse, came back, got everything at once and fell again.

Cause: nothing read the field; all instances together refuse their way to the bound within 20 ms. Class: a bound on a sum, kept by nobody.

Ruled out: a budget of refusals for each instance, which adds up with the fleet.

Plain targets only; larger fleets and engines were not played.

--- a/bluebellport/limit/decision_test.go
+++ b/bluebellport/limit/decision_test.go
@@ -180,3 +180,19 @@
 	is.True(h.accounts.isHeavy(1, now))
 	is.True(!h.accounts.isHeavy(2, now))
 }
+
+// TestEvenLineGrantsFewAtOnce guards against a burst of permits for a target that has no room
+// for requests that come at once.
+func TestEvenLineGrantsFewAtOnce(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1e9, 0)
+	l := newLine(100, start)
+	l.even = true
+	granted := 0
+	for now := start.Add(10 * time.Second); now.Before(start.Add(10*time.Second + 100*time.Millisecond)); now = now.Add(time.Millisecond) {
+		n, _ := l.grant(now, maxCount, 0, 0)
+		is.True(n <= minBurst)
+		granted += n
+	}
+	is.True(granted <= 100/10+minBurst)
+}
--- a/bluebellport/limit/line.go
+++ b/bluebellport/limit/line.go
@@ -10,6 +10,7 @@
 // value is not usable.
 type line struct {
 	limit float64
+	even  bool // no more than minBurst permits come at once
 	// next is when the line is empty, and a permit more than that each interval
 	// after it keeps the rate.
 	next time.Time
@@ -30,6 +31,9 @@
 
 // burst is how many permits may come at once.
 func (l *line) burst() int {
+	if l.even {
+		return minBurst
+	}
 	return max(minBurst, int(l.limit*burstPeriod.Seconds()))
 }
 
--- a/bluebellport/limit/message.go
+++ b/bluebellport/limit/message.go
@@ -17,7 +17,7 @@
 // ages.
 func encodeEntry(run bbplan.TargetRun, s Statement, now time.Time) *bbwire.LimitEntry {
 	return &bbwire.LimitEntry{
-		Target: string(run.ID), Born: run.StartedAtMillis, Limit: s.Limit, Ended: s.Ended,
+		Target: string(run.ID), Born: run.StartedAtMillis, Limit: s.Limit, Ended: s.Ended, Even: s.Even,
 		Sent: micros(now.Sub(s.SentAt)), Heard: micros(now.Sub(s.HeardAt)),
 	}
 }
@@ -30,7 +30,7 @@
 	if !valid {
 		return run, Statement{}, errMalformed
 	}
-	s := Statement{Limit: m.Limit, Ended: m.Ended, SentAt: now.Add(-fromMicros(m.Sent)), HeardAt: now.Add(-fromMicros(m.Heard))}
+	s := Statement{Limit: m.Limit, Ended: m.Ended, Even: m.Even, SentAt: now.Add(-fromMicros(m.Sent)), HeardAt: now.Add(-fromMicros(m.Heard))}
 	return run, s, nil
 }
 
--- a/bluebellport/limit/question.go
+++ b/bluebellport/limit/question.go
@@ -102,6 +102,7 @@
 	if e.home == nil {
 		e.home = newHome(e.statement.Limit, now)
 	}
+	e.home.line.even = e.statement.Even
 	return e.home.answer(a, e.statement.Limit, now, k.cfg.Rand)
 }
 
--- a/bluebellport/limit/statement.go
+++ b/bluebellport/limit/statement.go
@@ -8,6 +8,9 @@
 	// Limit is in requests a second. If it is Ended, the target names none.
 	Limit float64
 	Ended bool
+	// Even means that the requests have to come evenly spread: the target can't let
+	// several wait that come at once.
+	Even bool
 	// SentAt is when the request was sent, HeardAt when the head of the answer
 	// came. The target said so at some time in between.
 	SentAt, HeardAt time.Time
--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -66,6 +66,9 @@
 	// onTargetLeaving is called with the lock held when an entry says that its target
 	// leaves.
 	onTargetLeaving func(run bbplan.TargetRun)
+	// onTargetStarted is called with the lock held when an entry names a run that was not
+	// known.
+	onTargetStarted func(target bbplan.Target)
 	// onPlanHeard is called when the store returns or a peer sends a plan that may be newer,
 	// before it is parsed.
 	onPlanHeard func(rev bbstore.Revision)
@@ -84,7 +87,7 @@
 		store: store, board: board, log: log, now: now,
 		targets: NewTargetSet(now, ways), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
 		onPlan: func(bbstore.Entry) {}, onTargetsRead: func([]bbstore.Entry) {}, onTargetEnded: func(bbcrash.TargetRun) {},
-		onTargetLeaving: func(bbplan.TargetRun) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
+		onTargetLeaving: func(bbplan.TargetRun) {}, onTargetStarted: func(bbplan.Target) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
 		path: &bbpath.Path{},
 	}
 	f.invalidEntries = metrics.NewCounter()
@@ -258,9 +261,13 @@
 	f.entries[id] = e.Entry
 	delete(f.missingUntil, id)
 	delete(f.left.lost, id)
-	if old := f.targets.targets[id]; old != nil && old.StartedAtMillis != target.StartedAtMillis {
+	old := f.targets.targets[id]
+	if old != nil && old.StartedAtMillis != target.StartedAtMillis {
 		f.onTargetEnded(old.Run())
 	}
+	if old == nil || old.Run() != target.Run() {
+		f.onTargetStarted(target)
+	}
 	if target.Leaving {
 		f.left.add(target.Run(), e.Rev, false, f.now())
 		f.onTargetLeaving(target.Run())
--- a/bluebellport/proxy/hints.go
+++ b/bluebellport/proxy/hints.go
@@ -8,8 +8,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/bluebellport/brittle"
 	"bluebellport.example/bluebellport/limit"
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbplace"
 	"bluebellport.example/shared/bbplan"
 )
 
@@ -27,6 +29,8 @@
 	limits             limitObserver
 	log                logrus.FieldLogger
 	unknown, malformed metrics.Counter
+	brittle            bbbrittle.Services
+	brittleAnswers     metrics.Counter
 
 	mu    sync.Mutex // guards names
 	names map[string]bool
@@ -36,7 +40,7 @@
 	return &hintReader{
 		limits: limits, log: log, names: map[string]bool{},
 		unknown:   metrics.GetOrRegisterCounter("door.fields.unknown", registry),
-		malformed: metrics.GetOrRegisterCounter("limit.malformed", registry),
+		malformed: metrics.GetOrRegisterCounter("limit.malformed", registry), brittleAnswers: metrics.GetOrRegisterCounter("limit.brittle", registry),
 	}
 }
 
@@ -64,25 +68,66 @@
 	h.log.WithFields(logrus.Fields{"event": "field", "field": name, "target": target.ID, "service": target.Service}).Warn("a target's answer has a field that is not known")
 }
 
-// recordLimit passes on what the answer says of the target's limit. Only a
-// complete head of the target itself tells that there is none; another server at
-// the address (421) says nothing of it.
+// recordLimit passes on what the answer says of the target's limit, or of the refusals that
+// it bears. Only a complete head of the target itself tells that there is none; another
+// server at the address (421) says nothing of it.
 func (h *hintReader) recordLimit(target *Target, resp *Response, attemptID string, s bblimit.Statement) {
-	text, n := resp.Fields.Get(bbplatform.HeaderTargetLimit)
-	switch {
-	case resp.Status == statusMisdirected:
+	if resp.Status == statusMisdirected {
 		return
-	case n == 0:
-		if !resp.isSigned() || !resp.belongsTo(attemptID) {
-			return
+	}
+	limit, named := h.read(resp, bbplatform.HeaderTargetLimit, bbplatform.ParseTargetLimit)
+	refusals, brittle := h.read(resp, bbplatform.HeaderTargetBrittle, bbplatform.ParseTargetBrittle)
+	s.Limit = limit
+	if brittle == hintValid {
+		h.brittleAnswers.Inc(1)
+		if h.brittle.Said(target.Service, refusals, s.HeardAt) {
+			h.log.WithFields(logrus.Fields{"event": "brittle", "service": target.Service, "target": target.ID, "refusals": refusals}).Info("targets of a service say that they are brittle")
 		}
-		s.Ended = true
-	default:
-		var ok bool
-		if s.Limit, ok = bbplatform.ParseTargetLimit(text); !ok || n > 1 {
-			h.malformed.Inc(1)
-			return
+		able, known := h.brittle.Limit(target.Service, bbplace.SlotsOf(&target.Target), s.HeardAt)
+		s.Even = known
+		switch {
+		case known && named == hintValid:
+			s.Limit = min(limit, able)
+		case known:
+			s.Limit, named = able, hintValid
+		case named == hintAbsent:
+			return // nothing follows yet
 		}
 	}
+	if named == hintMalformed || named == hintAbsent && (!resp.isSigned() || !resp.belongsTo(attemptID)) {
+		return
+	}
+	s.Ended = named == hintAbsent
 	h.limits.Observe(target.Run(), s)
 }
+
+// hintState tells what a field of an answer says.
+type hintState int
+
+const (
+	hintAbsent hintState = iota
+	hintValid
+	hintMalformed
+)
+
+// read returns the number in a field of an answer, and counts one that is malformed.
+func (h *hintReader) read(resp *Response, field string, parse func(string) (float64, bool)) (float64, hintState) {
+	text, n := resp.Fields.Get(field)
+	if n == 0 {
+		return 0, hintAbsent
+	}
+	if v, ok := parse(text); ok && n == 1 {
+		return v, hintValid
+	}
+	h.malformed.Inc(1)
+	return 0, hintMalformed
+}
+
+// targetStarted limits a target that has just started like the others of its service, if
+// these are brittle: it would fall over before its first answer.
+func (h *hintReader) targetStarted(target bbplan.Target, now time.Time) {
+	slots := bbplace.SlotsOf(&bbplace.Target{Target: target})
+	if limit, ok := h.brittle.Limit(target.Service, slots, now); ok {
+		h.limits.Observe(target.Run(), bblimit.Statement{Limit: limit, Even: true, SentAt: now, HeardAt: now})
+	}
+}
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"bluebellport.example/bluebellport/stop"
 	"bluebellport.example/bluebellport/version"
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
 )
@@ -139,6 +140,7 @@
 	p.crashWatch.look = p.lookAt
 	p.crashWatch.answered = func(o bbcrash.Observation) { p.crashes.RecordAnswer(o.Fingerprint, o.Parts, o.SentAt) }
 	f.onTargetEnded, f.onTargetLeaving = p.crashWatch.targetEnded, p.leaving.HearEntry
+	f.onTargetStarted = func(target bbplan.Target) { p.hints.targetStarted(target, p.now()) }
 	spreader := newSpreader(ctx, f, peers, p.settings.LinkRate(), p.metrics.registry)
 	p.metrics.registerPlan(p.board, p.now)
 	r := newRelay(peers, f, spreader) // takes messages from here on
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -56,6 +56,7 @@
 	p.crashes.RecordTargetAnswer(target.Run(), result.connOpenedAt, result.sentAt)
 	p.recordAnswer(x, target, result)
 	if !result.targetFailed {
+		p.hints.brittle.RecordTime(x.service, p.now().Sub(x.sentAt))
 		p.retryBudget(x.service).Earn(p.retryPolicy())
 	}
 	p.metrics.recordServed(x.req.ReceivedAt, x.stream.firstEventAt)
