--- a/bluebellport/carry/carry.go
+++ b/bluebellport/carry/carry.go
@@ -69,7 +69,7 @@
 		return errors.Annotate(ErrStreamLost, err.Error())
 	}
 	tell := &bbwire.CarryTell{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(byteReader{stream}, tell); err != nil {
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(bbwire.Unbuffered{Reader: stream}, tell); err != nil {
 		return errors.Annotate(ErrStreamLost, err.Error())
 	}
 	switch tell.State {
@@ -135,14 +135,3 @@
 	}
 	return errors.Annotate(ErrStreamLost, err.Error())
 }
-
-// byteReader adds ReadByte to a reader, without buffering, so that nothing beyond the
-// current message is consumed.
-type byteReader struct{ io.Reader }
-
-// ReadByte reads a single byte.
-func (r byteReader) ReadByte() (byte, error) {
-	var b [1]byte
-	_, err := io.ReadFull(r.Reader, b[:])
-	return b[0], err
-}
--- a/bluebellport/carry/server.go
+++ b/bluebellport/carry/server.go
@@ -54,7 +54,7 @@
 func (s *Server) Serve(stream net.Conn) {
 	_ = stream.SetDeadline(time.Now().Add(askTimeout))
 	ask := &bbwire.CarryAsk{}
-	if (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(byteReader{stream}, ask) != nil {
+	if (protodelim.UnmarshalOptions{MaxSize: maxMessage}).UnmarshalFrom(bbwire.Unbuffered{Reader: stream}, ask) != nil {
 		return
 	}
 	if s.open.Add(1) > maxCarried || !s.cfg.Begin(ask.Address) {
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -61,23 +61,6 @@
 	defaultIdleTimeout = 15 * time.Second
 	// dialTimeout limits opening a connection to a target.
 	dialTimeout = 250 * time.Millisecond
-	// connectTimeout limits opening a connection to a target over all ways.
-	connectTimeout = 500 * time.Millisecond
-	// carryDelay is how long a connection over the own path may take to open before a
-	// peer is asked as well.
-	carryDelay = 120 * time.Millisecond
-	// maxComparing is how many connections peers are asked for at a time while the own
-	// path is not known to be lost.
-	maxComparing = 4
-	// carryMargin is how much longer than its request a connection may last that a peer
-	// carries, defaultCarryTime how long one without a request may.
-	carryMargin      = time.Second
-	defaultCarryTime = 10 * time.Second
-	// minPathPatience is the least time for which a target may not answer before the path
-	// to it is looked at, while others answer.
-	minPathPatience = 500 * time.Millisecond
-	// reachInterval is the time between two checks of the paths to targets.
-	reachInterval = 100 * time.Millisecond
 	// maxBodyTime is how long a client may take for a body, however long it would
 	// wait for the response.
 	maxBodyTime = 30 * time.Second
--- a/bluebellport/proxy/ways.go
+++ b/bluebellport/proxy/ways.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"bluebellport.example/bluebellport/carry"
 	"bluebellport.example/bluebellport/reach"
-	"bluebellport.example/shared/bbclock"
-	"bluebellport.example/shared/bbunit"
 )
 
 // targetDialer opens a connection to a target over this instance's own path.
@@ -144,42 +139,6 @@
 	return conn, true, nil
 }
 
-// tryPeers is askPeers while it is not known whether the own path is lost. It asks only if
-// what it finds would show that: neither this instance's own link nor its processor may be as
-// likely the cause, and further work would make these worse.
-func (w *targetWays) tryPeers(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-	if w.isStrained() {
-		return nil, errStrained
-	}
-	select {
-	case w.comparing <- struct{}{}:
-	default:
-		return nil, errStrained
-	}
-	defer func() { <-w.comparing }()
-	conn, err := w.askPeers(ctx, address, limit)
-	if err != nil && w.isStrained() {
-		return nil, errStrained
-	}
-	return conn, err
-}
-
-// isStrained reports whether this instance's link or processor is used up.
-func (w *targetWays) isStrained() bool {
-	return w.board.LinkSaturated.Load() || w.pulse.IsLate(w.now())
-}
-
-// compared records that the own path to an address failed, for a reason, and what came of
-// asking peers. That nothing listens there was heard over the path.
-func (w *targetWays) compared(address string, own, peer error) {
-	if errors.Is(peer, errStrained) || w.isStrained() {
-		return
-	}
-	if peer == nil || !errors.Is(own, syscall.ECONNREFUSED) {
-		w.looked(address, false, peer == nil)
-	}
-}
-
 // race asks peers while an own dial is under way, and returns the first connection.
 func (w *targetWays) race(ctx context.Context, address string, own <-chan dialed, limit time.Duration) (net.Conn, bool, error) {
 	peer := make(chan dialed, 1)
@@ -253,161 +212,3 @@
 		_ = conn.Close()
 	}
 }
-
-// askPeers asks peers to connect to an address, until ctx ends: the next one once the one
-// before has declined, or has not answered for carryDelay. The first connection is used; it
-// lasts for limit at most.
-func (w *targetWays) askPeers(ctx context.Context, address string, limit time.Duration) (net.Conn, error) {
-	ids := w.carriers.Choose(w.peers.View(), w.now(), rand.IntN)
-	if len(ids) == 0 {
-		return nil, errNoCarrier
-	}
-	answers := make(chan dialed, len(ids))
-	open, asked := 0, 0
-	err := ctx.Err()
-	for open > 0 || asked < len(ids) {
-		if asked < len(ids) && ctx.Err() == nil {
-			id := ids[asked]
-			go func() { answers <- w.askOne(ctx, id, address, limit) }()
-			open, asked = open+1, asked+1
-		}
-		hedge := time.NewTimer(carryDelay)
-		select {
-		case d := <-answers:
-			open--
-			if d.err == nil || errors.Is(d.err, syscall.ECONNREFUSED) {
-				go func(open int) {
-					for range open {
-						closeDialed(answers)
-					}
-				}(open)
-				return d.conn, d.err
-			}
-			err = d.err
-		case <-hedge.C:
-		case <-ctx.Done():
-			asked, err = len(ids), ctx.Err() // what is open ends with ctx
-		}
-		hedge.Stop()
-	}
-	return nil, err
-}
-
-// askOne asks one peer, and does not ask it again soon if it does not carry. That it
-// cannot reach the target is no reason.
-func (w *targetWays) askOne(ctx context.Context, id bbunit.InstanceID, address string, limit time.Duration) dialed {
-	conn, err := w.ask(ctx, id, address, limit)
-	if err == nil {
-		w.carried.Inc(1)
-		return dialed{conn: &meteredConn{Conn: conn, meter: w.meter}}
-	}
-	if ctx.Err() == nil && !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, bbcarry.ErrUnreachable) {
-		w.carriers.Declined(id, w.now())
-	}
-	return dialed{err: err}
-}
-
-// ask asks one peer to connect to an address. It returns as soon as ctx ends.
-func (w *targetWays) ask(ctx context.Context, id bbunit.InstanceID, address string, limit time.Duration) (net.Conn, error) {
-	w.asked.Inc(1)
-	deadline, _ := ctx.Deadline()
-	result := make(chan dialed, 1)
-	go func() {
-		stream, err := w.peers.OpenStream(ctx, id, bbcarry.StreamKind)
-		if err != nil {
-			result <- dialed{err: err}
-			return
-		}
-		conn, err := bbcarry.Dial(stream, address, limit, deadline)
-		result <- dialed{conn, err}
-	}()
-	select {
-	case d := <-result:
-		return d.conn, d.err
-	case <-ctx.Done():
-		go closeDialed(result)
-		return nil, ctx.Err()
-	}
-}
-
-// run looks at the paths that may be lost, or may be back, until ctx ends.
-func (w *targetWays) run(ctx context.Context) {
-	w.pulse.Beat(w.now(), reachInterval)
-	for bbclock.Wait(ctx, reachInterval) {
-		w.pulse.Beat(w.now(), reachInterval)
-		if w.isStrained() || w.board.Leaving.Load() {
-			continue
-		}
-		for _, address := range w.tracker.Due(w.now()) {
-			go w.look(address)
-		}
-	}
-}
-
-// look tries the own path to an address, and a peer's if it fails and was not known to.
-// A connection is kept for the next request.
-func (w *targetWays) look(address string) {
-	w.looks.Inc(1)
-	wasLost := w.usesPeer(address)
-	d := w.dial(address)
-	if d.err == nil {
-		w.looked(address, true, false)
-		if pool := w.board.poolOf(address); pool != nil {
-			conn := pool.wrap(d.conn, false)
-			conn.reusable = true
-			conn.release()
-			return
-		}
-		closeConn(d.conn)
-		return
-	}
-	if wasLost {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	conn, err := w.tryPeers(ctx, address, connectTimeout)
-	closeConn(conn)
-	w.compared(address, d.err, err)
-}
-
-// looked records what a try to connect to an address has shown, and what follows for its
-// target, or for all: connections over a lost path carry nothing, and what failed over it
-// is not the target's failure.
-func (w *targetWays) looked(address string, own, peer bool) {
-	event := w.tracker.Looked(address, own, peer, w.now())
-	if event == bbreach.EventNone {
-		return
-	}
-	w.log.WithFields(logrus.Fields{"event": "path-" + event.String(), "address": address, "lost": w.tracker.Lost()}).Info("own path to targets changed")
-	all := event == bbreach.EventCut || event == bbreach.EventCutEnded
-	w.board.forEachTarget(func(target *Target) {
-		if !all && target.Address != address {
-			return
-		}
-		target.State.Circuit.RecordSuccess()
-		if w.usesPeer(target.Address) {
-			target.conns.closeIdle()
-		}
-	})
-}
-
-// meteredConn is a connection whose bytes are counted.
-type meteredConn struct {
-	net.Conn
-	meter *trafficMeter
-}
-
-// Read reads and counts the bytes.
-func (c *meteredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.meter.in.Add(int64(n))
-	return n, err
-}
-
-// Write writes and counts the bytes.
-func (c *meteredConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.meter.out.Add(int64(n))
-	return n, err
-}
--- a/bluebellport/src/session.go
+++ b/bluebellport/src/session.go
@@ -120,7 +120,7 @@
 
 func (s *session) readHello(in *yamux.Stream) error {
 	e := &bbwire.Envelope{}
-	if err := envelopeDecodeOptions().UnmarshalFrom(byteReader{in}, e); err != nil {
+	if err := envelopeDecodeOptions().UnmarshalFrom(bbwire.Unbuffered{Reader: in}, e); err != nil {
 		return errors.Annotate(errBadHello, err.Error())
 	}
 	_ = in.SetReadDeadline(time.Time{})
@@ -250,19 +250,8 @@
 func readStreamKind(stream *yamux.Stream) (string, error) {
 	kind := &wrapperspb.StringValue{}
 	opts := protodelim.UnmarshalOptions{MaxSize: maxNameBytes}
-	if err := opts.UnmarshalFrom(byteReader{stream}, kind); err != nil {
+	if err := opts.UnmarshalFrom(bbwire.Unbuffered{Reader: stream}, kind); err != nil {
 		return "", err
 	}
 	return kind.Value, nil
 }
-
-// byteReader adds ReadByte to a reader, without buffering, so that nothing
-// beyond the current message is consumed.
-type byteReader struct{ io.Reader }
-
-// ReadByte reads a single byte.
-func (r byteReader) ReadByte() (byte, error) {
-	var b [1]byte
-	_, err := io.ReadFull(r.Reader, b[:])
-	return b[0], err
-}
--- a/bluebellport/src/session_test.go
+++ b/bluebellport/src/session_test.go
@@ -122,7 +122,7 @@
 	_ = s.in.SetReadDeadline(time.Now().Add(3 * time.Second))
 	for {
 		e := &bbwire.Envelope{}
-		if err := protodelim.UnmarshalFrom(byteReader{s.in}, e); err != nil {
+		if err := protodelim.UnmarshalFrom(bbwire.Unbuffered{Reader: s.in}, e); err != nil {
 			return false
 		}
 		if e.Reply && e.Seq == seq {
