proxy: leave the search for a peer at once when its request ends

Read in the diff: askPeers went round without a pause from the end of its request until the last peer had answered, and a target that is down was found so after 0.5 s instead of 0.25. Change: it returns and lets the rest be closed; all ways together have 0.4 s. Timers may be 80 ms late, not 40, before an instance counts as one without processor time: at load 23 on 8 cores the play of a cut failure domain failed once in one run with 40.

Measured: the plays of lost paths pass 3 of 3 with -race at load 23.

--- a/bluebellport/proxy/way_peers.go
+++ b/bluebellport/proxy/way_peers.go
@@ -42,36 +42,41 @@
 		return nil, errNoCarrier
 	}
 	answers := make(chan dialed, len(ids))
-	open, asked := 0, 0
-	err := ctx.Err()
-	for open > 0 || asked < len(ids) {
-		if asked < len(ids) && ctx.Err() == nil {
-			id := ids[asked]
+	open := 0
+	defer func() { go closeAll(answers, open) }()
+	err := error(errNoCarrier)
+	for next := 0; open > 0 || next < len(ids); {
+		if next < len(ids) {
+			id := ids[next]
 			go func() { answers <- w.askOne(ctx, id, address, limit) }()
-			open, asked = open+1, asked+1
+			open, next = open+1, next+1
 		}
 		hedge := time.NewTimer(carryDelay)
 		select {
 		case d := <-answers:
 			open--
 			if d.err == nil || errors.Is(d.err, syscall.ECONNREFUSED) {
-				go func(open int) {
-					for range open {
-						closeDialed(answers)
-					}
-				}(open)
+				hedge.Stop()
 				return d.conn, d.err
 			}
 			err = d.err
 		case <-hedge.C:
 		case <-ctx.Done():
-			asked, err = len(ids), ctx.Err() // what is open ends with ctx
+			hedge.Stop()
+			return nil, ctx.Err()
 		}
 		hedge.Stop()
 	}
 	return nil, err
 }
 
+// closeAll closes the connections that so many answers still bring.
+func closeAll(answers <-chan dialed, open int) {
+	for range open {
+		closeDialed(answers)
+	}
+}
+
 // askOne asks one peer, and does not ask it again soon if it does not carry. That it
 // cannot reach the target is no reason.
 func (w *targetWays) askOne(ctx context.Context, id bbunit.InstanceID, address string, limit time.Duration) dialed {
--- a/bluebellport/proxy/ways_constants.go
+++ b/bluebellport/proxy/ways_constants.go
@@ -4,8 +4,9 @@
 
 // Times and limits of the ways to targets.
 const (
-	// connectTimeout limits opening a connection to a target over all ways.
-	connectTimeout = 500 * time.Millisecond
+	// connectTimeout limits opening a connection to a target over all ways: a peer that is
+	// asked after carryDelay has its dialTimeout as well.
+	connectTimeout = 400 * time.Millisecond
 	// carryDelay is how long a connection over the own path may take to open before a
 	// peer is asked as well.
 	carryDelay = 120 * time.Millisecond
--- a/bluebellport/reach/pulse.go
+++ b/bluebellport/reach/pulse.go
@@ -7,9 +7,9 @@
 
 const (
 	// maxLateness is how late a beat may be of a process that gets the processor in time.
-	maxLateness = 40 * time.Millisecond
+	maxLateness = 80 * time.Millisecond
 	// lateMemory is how long a process counts as late after a beat that was.
-	lateMemory = 500 * time.Millisecond
+	lateMemory = 300 * time.Millisecond
 )
 
 // Pulse tells whether this process gets the processor in time. While it does not, a target
