e2e: play answers without end again, and fail if none is played

TestNativeInstanceServesOthersBesideAnswersWithoutEnd and ...StaysSmall... passed in 0.5 s with nothing played: the entry of their target names a negative start (the zero time), which rightly ignores, so all callers were told "no target of the service is known". The entry now has a start, and a play in which no request reaches the target fails.

--- a/e2e/native_endless_test.go
+++ b/e2e/native_endless_test.go
@@ -145,7 +145,7 @@
 	if strings.Contains(answer.begin, "event-stream") {
 		path, service = "/draft/1", "llm"
 	}
-	entry := &rawTarget{id: "endless", service: service, domain: "domain-0", ln: endless.ln, slots: make(chan struct{}, *endlessCallers)}
+	entry := &rawTarget{id: "endless", service: service, domain: "domain-0", ln: endless.ln, slots: make(chan struct{}, *endlessCallers), bornAt: time.Now()}
 	entry.write(t, r.memStore, "ready")
 	r.addTarget("press-0", "press", "domain-0", rawPlay{Work: time.Millisecond})
 	r.startInstances("domain-0")
@@ -177,6 +177,9 @@
 	r.wg.Wait()
 	run := &endlessRun{rawRun: r, peakMB: memoryMB(pid, "VmHWM")}
 	run.report(answer.name, before, endless)
+	if endless.arrived.Load() == 0 {
+		t.Fatal("no request reached the target that answers without end")
+	}
 	return run
 }
 
