--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -324,3 +324,6 @@
 	w.rec.line("operator", "manifest version %v acknowledged", m["version"])
 	return at
 }
+
+// local returns the address of a port for stand-ins.
+func (w *world) local(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -39,20 +39,6 @@
 	history []item
 	leases  map[int64]*lease
 	calls   map[string]int
-	// silent holds the calls of a kind whose channel has gone silent: they never get an
-	// answer, and their channel carries none after them.
-	silent func(r *http.Request) bool
-	// waits holds the polls that wait, by the caller's address.
-	waits map[string]*poll
-	// hold is called before a transaction is executed, without the lock.
-	hold func(r *http.Request, writes []string) (answer bool)
-}
-
-// poll is a watch call that waits for changes.
-type poll struct {
-	prefix string
-	began  time.Time
-	silent bool
 }
 
 // newStore starts a store on an address.
@@ -61,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: address, ln: ln, changed: make(chan struct{}), rev: 100, items: map[string]item{}, leases: map[int64]*lease{}, calls: map[string]int{}, waits: map[string]*poll{}}
+	s := &store{address: address, ln: ln, changed: make(chan struct{}), rev: 100, items: map[string]item{}, leases: map[int64]*lease{}, calls: map[string]int{}}
 	go func() { _ = (&http.Server{Handler: s}).Serve(ln) }()
 	go s.expire()
 	return s, nil
@@ -131,12 +117,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
-	silent := s.silent
 	s.mu.Unlock()
-	if silent != nil && silent(r) {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	switch {
 	case r.URL.Path == "/kv-key":
 		s.mu.Lock()
@@ -212,15 +193,6 @@
 	prefix := q.Get("path-prefix")
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
-	p := &poll{prefix: prefix, began: time.Now()}
-	s.mu.Lock()
-	s.waits[r.RemoteAddr] = p
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.waits, r.RemoteAddr)
-		s.mu.Unlock()
-	}()
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for over := wait == 0; ; {
@@ -231,12 +203,8 @@
 				events = append(events, it)
 			}
 		}
-		at, changed, silent := s.rev, s.changed, p.silent
+		at, changed := s.rev, s.changed
 		s.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
 		if len(events) > 0 || over {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -268,21 +236,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	var keys []string
 	for _, write := range in.Writes {
-		keys = append(keys, write.Key)
 		if strings.HasPrefix(write.Key, "op/") || strings.HasPrefix(write.Key, "servers/") {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
 	}
-	answer := true
-	s.mu.Lock()
-	hold := s.hold
-	s.mu.Unlock()
-	if hold != nil {
-		answer = hold(r, keys)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	met := true
@@ -311,42 +270,11 @@
 		}
 		s.change(writes, lease)
 	}
-	switch {
-	case !answer:
-		panic(http.ErrAbortHandler)
-	case met:
+	if met {
 		reply(w, http.StatusOK, map[string]int64{"revision": s.rev})
-	default:
-		reply(w, http.StatusPreconditionFailed, map[string]any{"items": items})
-	}
-}
-
-// silence makes the channels go silent of the polls for a prefix that wait now, and
-// reports how many there were.
-func (s *store) silence(prefix string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, p := range s.waits {
-		if p.prefix == prefix && !p.silent {
-			p.silent = true
-			n++
-		}
-	}
-	return n
-}
-
-// pollAges returns for how long the polls for a prefix have waited.
-func (s *store) pollAges(prefix string) []time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var ages []time.Duration
-	for _, p := range s.waits {
-		if p.prefix == prefix && !p.silent {
-			ages = append(ages, time.Since(p.began))
-		}
+		return
 	}
-	return ages
+	reply(w, http.StatusPreconditionFailed, map[string]any{"items": items})
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
