--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -54,10 +54,18 @@
 // ports are the ports of all machines of a case.
 type ports struct{ front, ready, control int }
 
+// Ports are looked for from a place that differs between scripts that run side by side, below
+// those that systems give to outgoing connections.
+const (
+	firstPort  = 11_000
+	portRange  = 10_000
+	portsApart = 64
+)
+
 // freePorts returns ports that are free on addresses.
 func freePorts(ips []string, n int) ([]int, error) {
 	var out []int
-	for p := 21000 + os.Getpid()%20000; p < 64000 && len(out) < n; p++ {
+	for p := firstPort + os.Getpid()*portsApart%portRange; p < firstPort+2*portRange && len(out) < n; p++ {
 		ok := true
 		for _, ip := range ips {
 			ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, p))
