--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -21,8 +21,9 @@
 // cases are the plays by name. Each returns 0 if the rule held, 1 if it was broken and 2 if
 // the case could not run.
 var cases = map[string]func(o *options) int{
-	"split": splitCase,
-	"entry": entryCase,
+	"split":   splitCase,
+	"lastend": lastEndCase,
+	"entry":   entryCase,
 }
 
 func main() {
