--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -22,6 +22,7 @@
 // the case could not run.
 var cases = map[string]func(o *options) int{
 	"split":   splitCase,
+	"added":   addedCase,
 	"killed":  killedCase,
 	"lastend": lastEndCase,
 	"entry":   entryCase,
--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -218,7 +218,7 @@
 	rn.deadline, _ = strconv.ParseInt(r.Header.Get("Deadline-Ms"), 10, 64)
 	s.w.ran(rn)
 	sig := fmt.Sprintf("%sServer-Signature: %s.%s\r\nServer-Load: 1,0,%d\r\n", idLine, s.id, attempt, s.slots)
-	if s.engine {
+	if s.engine && rn.usage != "" {
 		return s.stream(c, r, rn, sig, f), ""
 	}
 	work := time.Duration(5+rnd(40)) * time.Millisecond
