--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,6 @@
 if [ ! -x target/bluebellport ]; then
 	bash -c "$(sed -nE 's/^build = "(.*)"$/\1/p' deploy/system.toml)"
 fi
-(cd review/stand-2 && GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review-stand-2 .)
+for stand in stand-2 stand-3; do
+	(cd "review/$stand" && GOWORK=off GOFLAGS=-buildvcs=false go build -o "../../target/review-$stand" .)
+done
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,10 +28,6 @@
 const maxTime = 115 * time.Second
 
 func main() {
-	if len(os.Args) == 5 && os.Args[1] == "server" {
-		fmt.Fprintln(os.Stderr, serveChild(os.Args[2], os.Args[3], os.Args[4] == "true"))
-		os.Exit(exitNotRun)
-	}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
 		os.Exit(exitNotRun)
--- a/review/stand-3/case_lastend.go
+++ b/review/stand-3/case_lastend.go
@@ -8,7 +8,7 @@
 )
 
 // lastEndCase: three of five servers break off 5 in 100 of their streams behind the last event,
-// before the end of the answer. The route's streams may be resumed; the servers that resume
+// before the end of the answer, six times for 6.6 s. The route's streams may be resumed; the servers that resume
 // them are sound and answer with nothing more but the end.
 func lastEndCase(o *options) int {
 	w, done := o.world()
@@ -29,18 +29,11 @@
 		return 2
 	}
 	time.Sleep(3 * time.Second) // in touch from here on
-	broken := map[string]bool{}
-	if o.trouble {
-		for _, s := range w.servers[:3] {
-			s.faults.Store(&faults{lastEnd: .05})
-			broken[s.id] = true
-		}
-	}
 	var over atomic.Bool
 	var lost, refused, ended atomic.Int64
 	var wg sync.WaitGroup
 	go w.beats(&over)
-	for range 40 {
+	for range 50 {
 		wg.Go(func() {
 			var cn *conn
 			for !over.Load() {
@@ -97,7 +90,18 @@
 			}
 		})
 	}
-	time.Sleep(50 * time.Second)
+	for range 6 {
+		for _, s := range w.servers[:3] {
+			if o.trouble {
+				s.faults.Store(&faults{lastEnd: .05})
+			}
+		}
+		time.Sleep(6600 * time.Millisecond)
+		for _, s := range w.servers[:3] {
+			s.faults.Store(&faults{})
+		}
+		time.Sleep(2 * time.Second)
+	}
 	over.Store(true)
 	wg.Wait()
 	w.note("closed without the end: %d (three are allowed); resumed by the client: %d ended, %d refused", lost.Load(), ended.Load(), refused.Load())
--- a/review/stand-3/instance.go
+++ b/review/stand-3/instance.go
@@ -18,14 +18,11 @@
 	name, zone, front, ready string
 	peer                     string
 	door                     *door
-	extra                    string
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	calmAt  time.Time // since when nothing has been done to it
-	stopped time.Time // SIGTERM
-	want    bool
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+	want  bool
 }
 
 // taken are the ports that were given out.
@@ -54,7 +51,7 @@
 	return strings.Join([]string{
 		"node-name=" + i.name, "zone=" + i.zone, "listen-addresses.frontend=" + i.front, "listen-addresses.ready=" + i.ready, "listen-addresses.control-plane=" + i.peer,
 		"seed-nodes=" + strings.Join(seeds, ","), "platform.address=" + i.door.addr, "bounds.grace-period-s=8", "bounds.drain-timeout-ms=2000", "limits.memory-mb=284", "limits.file-descriptors=4100",
-		"limits.link-mbps=1000.0", "bounds.retry-budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-budget-extra=56", i.extra, "",
+		"limits.link-mbps=1000.0", "bounds.retry-budget-ratio=0.2", "bounds.budget-window-s=10", "bounds.retry-budget-extra=56", "",
 	}, "\n")
 }
 
@@ -80,13 +77,13 @@
 		panic(err)
 	}
 	_ = log.Close()
-	i.cmd, i.ended, i.calmAt, i.stopped = cmd, make(chan struct{}), time.Now(), time.Time{}
+	i.cmd, i.ended = cmd, make(chan struct{})
 	ended := i.ended
 	go func() {
 		err := cmd.Wait()
 		i.w.note("instance %s ended: %v", i.name, err)
 		i.mu.Lock()
-		if i.stopped.IsZero() && i.want {
+		if i.want {
 			i.w.breach("CRASH", "instance %s ended by itself: %v", i.name, err)
 		}
 		i.mu.Unlock()
@@ -95,62 +92,6 @@
 	i.want = true
 }
 
-// disturbed notes that something is done to the instance that excuses it.
-func (i *instance) disturbed() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.calmAt = time.Now()
-}
-
-// calmFor tells for how long nothing has been done to the instance.
-func (i *instance) calmFor() time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return time.Since(i.calmAt)
-}
-
-func (i *instance) signal(s syscall.Signal) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	_ = i.cmd.Process.Signal(s)
-}
-
-// kill ends the process at once and starts it again.
-func (i *instance) kill(down time.Duration) {
-	i.mu.Lock()
-	i.want, i.calmAt = false, time.Now()
-	_ = i.cmd.Process.Kill()
-	ended := i.ended
-	i.mu.Unlock()
-	<-ended
-	time.Sleep(down)
-	i.start()
-}
-
-// term stops the process as the platform does, and starts it again.
-func (i *instance) term(down time.Duration) {
-	i.mu.Lock()
-	i.want, i.stopped = false, time.Now()
-	_ = i.cmd.Process.Signal(syscall.SIGTERM)
-	ended, p := i.ended, i.cmd.Process
-	i.mu.Unlock()
-	select {
-	case <-ended:
-	case <-time.After(8 * time.Second):
-		i.w.note("instance %s killed at the end of its grace period", i.name)
-		_ = p.Kill()
-		<-ended
-	}
-	time.Sleep(down)
-	i.start()
-}
-
-func (i *instance) stoppedAt() time.Time {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.stopped
-}
-
 func (i *instance) end() {
 	i.mu.Lock()
 	if i.cmd == nil {
--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -88,29 +88,6 @@
 	}
 }
 
-// drain reports that the server leaves, and goes on serving.
-func (s *server) drain() {
-	s.mu.Lock()
-	s.state = "draining"
-	s.mu.Unlock()
-	s.beat()
-}
-
-// crash ends the server; its channels are reset.
-func (s *server) crash() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.up = false
-	_ = s.ln.Close()
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	s.conns = map[net.Conn]bool{}
-}
-
 func (s *server) accept(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -79,14 +79,6 @@
 	return s.rev
 }
 
-func (s *store) del(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
-	s.unset(key)
-	s.notify()
-}
-
 func (s *store) set(key string, value []byte, lease int64) {
 	created := s.rev
 	if old, ok := s.items[key]; ok {
@@ -131,22 +123,12 @@
 	s.notify()
 }
 
-// compact forgets the history.
-func (s *store) compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.rev
-	s.notify()
-}
-
 // door is one listener of the store.
 type door struct {
 	s    *store
 	addr string
 	mu   sync.Mutex
 	m    mode
-	prob float64
-	kind string // only calls whose path begins so; empty: all
 }
 
 func (d *door) setMode(m mode) {
