--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -54,7 +54,7 @@
 
 // harness runs a platform store, targets and one proxy on loopback.
 type harness struct {
-	t        *testing.T
+	t        testing.TB
 	mem      *bbstore.Mem
 	settings bbplatform.Settings
 	stop     context.CancelFunc
@@ -86,7 +86,7 @@
 }
 
 // freeAddress returns a loopback address with an unused port.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	address, err := bbserve.FreeAddress()
 	is.New(t).NoErr(err)
 	return address
@@ -95,7 +95,7 @@
 // newHarness starts a store and declares a plan with a plain service with a
 // route of each kind, an engine service, and one account that has paid for that
 // many tokens. The proxy is started by start.
-func newHarness(t *testing.T, paid int64) *harness {
+func newHarness(t testing.TB, paid int64) *harness {
 	is := is.New(t)
 	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, dial: dialTCP, registry: metrics.NewRegistry()}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
@@ -220,7 +220,7 @@
 }
 
 // await fails the test unless ok returns true in time.
-func await(t *testing.T, what string, within time.Duration, ok func() bool) {
+func await(t testing.TB, what string, within time.Duration, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
--- a/shared/bbhead/conn_test.go
+++ b/shared/bbhead/conn_test.go
@@ -50,3 +50,48 @@
 		}
 	}
 }
+
+// repeatedConn is a connection that answers each request with the same bytes.
+type repeatedConn struct {
+	net.Conn
+	answer []byte
+	left   int
+}
+
+func (c *repeatedConn) Write(b []byte) (int, error) {
+	c.left = len(c.answer)
+	return len(b), nil
+}
+
+func (c *repeatedConn) Read(b []byte) (int, error) {
+	n := copy(b, c.answer[len(c.answer)-c.left:])
+	c.left -= n
+	return n, nil
+}
+
+// BenchmarkConn measures what an answer costs on top of the reads.
+func BenchmarkConn(b *testing.B) {
+	head := "HTTP/1.1 200 OK\r\nServer: desk\r\nDate: Sun, 06 Dec 2026 12:00:00 GMT\r\nContent-Type: application/json\r\nX-Request-Id: i1-7-1\r\n"
+	for name, answer := range map[string]string{
+		"small":  head + "Content-Length: 64\r\n\r\n" + strings.Repeat("x", 64),
+		"large":  head + "Content-Length: 200000\r\n\r\n" + strings.Repeat("x", 200_000),
+		"chunks": head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("400\r\n"+strings.Repeat("x", 1024)+"\r\n", 200) + "0\r\n\r\n",
+	} {
+		b.Run(name, func(b *testing.B) {
+			c := &Conn{Conn: &repeatedConn{answer: []byte(answer)}}
+			request, buf := []byte("GET / HTTP/1.1\r\n\r\n"), make([]byte, 4096)
+			b.SetBytes(int64(len(answer)))
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = c.Write(request)
+				for read := 0; read < len(answer); {
+					n, err := c.Read(buf)
+					if err != nil {
+						b.Fatal(err)
+					}
+					read += n
+				}
+			}
+		})
+	}
+}
