native: take an answer with a status that is none of HTTP for broken

Callers got answers with the status 000, 001, 099, 600 and 999 as answers; the first line of the small ones had the number without its zeros (HTTP/1.1 0 OK). With the mark that the request did not run, the caller was told 503 not-run by an answer that is none.

Cause: a status line was checked for three digits, not for their range.

RFC 9110, section 15: statuses are 100 to 599; any other is invalid and is to be taken as a server error. Decided: 000 to 099 and 600 to 999 both make an answer broken. It is tried again where that may be, else told 502 with the outcome unknown; a mark in such a head counts for nothing, so it proves no "not run". 100 to 599 are passed on as before.

TestStatusOutOfRangeIsNoAnswer, ...IsRetried failed before: 133 calls (40 forms on four kinds of routes) got the answer, a false 503, or no retry. They pass now. TestStatusWithinRangeIsPassedOn held before and holds.

--- a/bluebellport/proxy/response.go
+++ b/bluebellport/proxy/response.go
@@ -23,7 +23,7 @@
 
 // readResponseHead reads the head of a response. It skips informational (1xx)
 // responses, up to maxInformational. All heads together may have maxHead bytes. None
-// may go on as another response.
+// may go on as another response, or have a status that is none of HTTP.
 func (c *targetConn) readResponseHead() (*Response, error) {
 	left := maxHead
 	for range maxInformational + 1 {
@@ -34,14 +34,14 @@
 		version, rest, _ := strings.Cut(line, " ")
 		code, reason, _ := strings.Cut(rest, " ")
 		status, err := parseDigits(code, 10)
-		if err != nil || len(code) != 3 || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		if err != nil || len(code) != 3 || !bbhead.IsStatus(status) || version != "HTTP/1.1" && version != "HTTP/1.0" {
 			return nil, errors.Annotatef(ErrMalformed, "status line %.60q", line)
 		}
 		resp := &Response{Status: int(status), Reason: reason, Fields: fields}
 		if resp.isJoined() {
 			return nil, errors.Annotate(ErrMalformed, "two responses in one head")
 		}
-		if status >= 100 && status < 200 {
+		if status < 200 {
 			continue
 		}
 		if resp.framing, err = bodyFraming(fields); err != nil {
--- a/shared/bbhead/statusline.go
+++ b/shared/bbhead/statusline.go
@@ -2,6 +2,15 @@
 
 import "strings"
 
+// The statuses of HTTP (RFC 9110, section 15). Any other makes a response invalid.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// IsStatus reports whether a number is one of the statuses of HTTP.
+func IsStatus(n int64) bool { return minStatus <= n && n <= maxStatus }
+
 // HoldsStatusLine reports whether a text holds the beginning of a status line, with its
 // status.
 func HoldsStatusLine(text string) bool {
