Take an answer with a status that is none of HTTP for broken where the HTTP library reads it

Callers of `serve` got an answer with the status 000 as a success, 200 with the body of the target, and 001, 099, 600 and 999 as those numbers. A read, a list, a watch, a write, a lease and a conflict of the platform's store were believed with 000, and so were a load report, the acknowledgement of an order, the list of instances, the calls of the other client of the key-value service, its watch, and what bluebellctl reads; a write answered 001 or 600 counted as not done.

Cause: the library takes any three digits for a status, and its StatusCode gives 200 for the number 0.

bbhead.Conn, over which all of these read, now parses each head (also one before the last, with bare line feeds, behind empty lines) and returns ErrMalformed for a status outside of 100 to 599. It finds the end of the head as the library does, which accepts more than CRLFCRLF; bluebellctl and the load generator of bluebellstand use such connections now. A write to the store is of unknown outcome then. The list is read by a function of its own (fetchList), so that a test can play it.

--- a/bluebellctl/src/order.go
+++ b/bluebellctl/src/order.go
@@ -49,7 +49,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + e.opts.Admins[0] + "/order")
 	req.SetBodyRaw(body)
-	if err := fasthttp.DoTimeout(req, resp, e.opts.Timeout); err != nil {
+	if err := adminClient.DoTimeout(req, resp, e.opts.Timeout); err != nil {
 		return errors.Annotate(err, e.opts.Admins[0])
 	}
 	var result orderResponse
--- a/bluebellctl/src/status.go
+++ b/bluebellctl/src/status.go
@@ -9,9 +9,13 @@
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 
+	"bluebellport.example/shared/bbhead"
 	"bluebellport.example/shared/bbunit"
 )
 
+// adminClient sends requests to instances.
+var adminClient = &fasthttp.Client{Dial: bbhead.Dial}
+
 // instanceStatus is the status of the instance at one admin address. Error is
 // set if no status could be read from it.
 type instanceStatus struct {
@@ -62,7 +66,7 @@
 // Error field of the result.
 func fetchStatus(admin string, timeout time.Duration) instanceStatus {
 	s := instanceStatus{Admin: admin}
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+admin+"/status", timeout)
+	code, body, err := adminClient.GetTimeout(nil, "http://"+admin+"/status", timeout)
 	switch {
 	case err != nil:
 		s.Error = err.Error()
--- a/bluebellport/src/membership.go
+++ b/bluebellport/src/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
@@ -42,7 +43,7 @@
 	fleetConfig := bbmember.DefaultConfig(deps.Opts.Peer.GossipPeriod, deps.Opts.Peer.SuspicionTimeout)
 	m := &membership{
 		peers: peers, deps: deps,
-		client:      &fasthttp.Client{Dial: bbhead.Dial, MaxResponseBodySize: maxListBytes, ReadTimeout: listTimeout, WriteTimeout: listTimeout},
+		client:      newListClient(),
 		fleet:       bbmember.NewFleet(self, fleetConfig, deps.Now(), rng),
 		memberCount: metrics.GetOrRegisterGauge("peer.members", deps.Metrics),
 		listErrors:  metrics.GetOrRegisterCounter("peer.list.bad", deps.Metrics),
@@ -165,13 +166,30 @@
 	}
 }
 
+// newListClient returns an HTTP client for the platform's list.
+func newListClient() *fasthttp.Client {
+	return &fasthttp.Client{Dial: bbhead.Dial, MaxResponseBodySize: maxListBytes, ReadTimeout: listTimeout, WriteTimeout: listTimeout}
+}
+
+// fetchList returns the platform's list, as it is encoded. It blocks for up to listTimeout.
+func fetchList(client *fasthttp.Client, address string) ([]byte, error) {
+	code, body, err := client.GetTimeout(nil, "http://"+address+"/v1/instances", listTimeout)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if code != fasthttp.StatusOK {
+		return nil, errors.Errorf("list of instances answered with status %d", code)
+	}
+	return body, nil
+}
+
 // readList reads the list once and returns its size in bytes, or 0 if it is not
 // available.
 func (m *membership) readList() int {
-	code, body, err := m.client.GetTimeout(nil, "http://"+m.deps.Opts.Self.ListAddress+"/v1/instances", listTimeout)
-	if err != nil || code != fasthttp.StatusOK {
+	body, err := fetchList(m.client, m.deps.Opts.Self.ListAddress)
+	if err != nil {
 		if !m.listDown {
-			m.deps.Log.WithError(err).WithField("status", code).Warn("list of instances unavailable; going on from peers")
+			m.deps.Log.WithError(err).Warn("list of instances unavailable; going on from peers")
 		}
 		m.listDown = true
 		return 0
--- a/bluebellstand/src/load_send.go
+++ b/bluebellstand/src/load_send.go
@@ -14,6 +14,8 @@
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbhead"
 )
 
 // outcomeLost means that no complete answer arrived, for example because the
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, errors.WithType(err, errDial)
 	}
-	return c, nil
+	return &bbhead.Conn{Conn: c}, nil
 }
 
 // sender sends requests to the instances, round-robin.
--- a/shared/bbhead/conn.go
+++ b/shared/bbhead/conn.go
@@ -1,34 +1,30 @@
-// Package bbhead recognizes responses that broke off and went on as another one. Read as
-// one, they mix both.
+// Package bbhead recognizes broken responses that the HTTP library takes for sound ones: those
+// that broke off and went on as another one, which read as one mix both, and those whose
+// status is none of HTTP.
 package bbhead
 
 import (
 	"net"
-	"strconv"
-	"strings"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// VersionPrefix is how each status line begins.
-const VersionPrefix = "HTTP/1."
-
-// StatusLineBytes is how many bytes show that a status line begins.
-const StatusLineBytes = len(VersionPrefix + "1 200")
-
-// ErrJoined means that a response holds the status line of another one.
-const ErrJoined = errors.ConstError("a response that goes on as another one")
+// Errors of responses that are broken.
+const (
+	// ErrJoined means that a response holds the status line of another one.
+	ErrJoined = errors.ConstError("a response that goes on as another one")
+	// ErrMalformed means that the head of a response is none of HTTP.
+	ErrMalformed = errors.ConstError("a response with a malformed head")
+)
 
 // maxHead is the largest head that is looked at, in bytes.
 const maxHead = 64 << 10
 
-// headEnd ends a head.
-const headEnd = "\r\n\r\n"
-
-// Conn is a client's connection whose reads return ErrJoined where a response goes on as
-// another one: in its head, or in a body of a declared length, if more bytes have come
-// behind that. It carries one request at a time.
+// Conn is a client's connection whose reads return an error in place of a broken response:
+// ErrMalformed for its head, and ErrJoined where it goes on as another one, in its head, or
+// in a body of a declared length, if more bytes have come behind that. It carries one request
+// at a time.
 type Conn struct {
 	net.Conn
 	head   []byte
@@ -45,11 +41,11 @@
 	return c.Conn.Write(b)
 }
 
-// Read reads a part of a response. It returns none of it with ErrJoined.
+// Read reads a part of a response. It returns none of it with ErrMalformed and ErrJoined.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if joined := c.look(b[:n]); joined != nil {
-		return 0, joined
+	if broken := c.look(b[:n]); broken != nil {
+		return 0, broken
 	}
 	return n, err
 }
@@ -63,21 +59,23 @@
 		return c.lookAtBody(b)
 	}
 	for c.head = append(c.head, b...); ; {
-		head, rest, ok := strings.Cut(strings.TrimLeft(string(c.head), "\r\n"), headEnd)
-		if !ok {
+		n := headLength(c.head)
+		if n == 0 {
 			c.ended = len(c.head) > maxHead
 			return nil
 		}
-		if len(head) > 0 && HoldsStatusLine(head[1:]) {
-			return errors.Trace(ErrJoined)
+		head, err := parseHead(string(c.head[:n]))
+		if err != nil {
+			return err
 		}
-		c.head = append(c.head[:0], rest...)
-		if strings.HasPrefix(head[min(len(head), len(VersionPrefix)):], "1 1") {
-			continue // the head of an informational response
+		rest := c.head[n:]
+		if head.isInformational() {
+			c.head = append(c.head[:0], rest...)
+			continue
 		}
-		c.left, c.inBody = contentLength(head)
+		c.left, c.inBody = head.length, head.hasLength
 		c.ended = !c.inBody
-		return c.look([]byte(rest))
+		return c.look(rest)
 	}
 }
 
@@ -114,19 +112,3 @@
 	}
 	return &Conn{Conn: conn}, nil
 }
-
-// contentLength returns the length that a head declares, and whether that frames the body.
-func contentLength(head string) (n int64, ok bool) {
-	for line := range strings.SplitSeq(head, "\r\n") {
-		name, value, _ := strings.Cut(line, ":")
-		switch strings.ToLower(strings.TrimSpace(name)) {
-		case "transfer-encoding":
-			return 0, false
-		case "content-length":
-			var err error
-			n, err = strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-			ok = err == nil && n >= 0
-		}
-	}
-	return n, ok
-}
--- a/shared/bbhead/statusline.go
+++ b/shared/bbhead/statusline.go
@@ -2,6 +2,12 @@
 
 import "strings"
 
+// VersionPrefix is how each status line begins.
+const VersionPrefix = "HTTP/1."
+
+// StatusLineBytes is how many bytes show that a status line begins.
+const StatusLineBytes = len(VersionPrefix + "1 200")
+
 // The statuses of HTTP (RFC 9110, section 15). Any other makes a response invalid.
 const (
 	minStatus = 100
