native: believe the end of an answer only if nothing on its connection has failed

Callers got a part of an answer as the whole one: a target answered a long upload at once with a 200 without a length, sent a part, and broke off while the upload was still being written.

Cause: an answer without a length ends with its connection, and any end counted. The system reports the error of a connection to one call only, though, and the write of the upload is one: the read then finds an end as if the target had closed. The result of the write wasn't looked at. A target that closes while parts of the upload are on their way ends the connection first and resets it then, with the same result without any write that fails.

An answer that broke off is as one whose connection was reset: tried again or resumed where that may be, else told 502, unknown.

Price: a target that ends its side and never reads the rest holds the answer until the request's deadline; one that reads the rest, however late, is answered whole.

--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -148,10 +148,8 @@
 }
 
 // roundTrip sends the request over conn, reads the response and passes it to
-// the client. A large body is written while the response is read, since a
-// target may respond before it has read the whole body.
+// the client.
 func (x *exchange) roundTrip(target *Target, conn *targetConn) attemptResult {
-	written := make(chan error, 1)
 	conn.requests++
 	x.heard = heardResponse{requests: conn.requests, strays: conn.strays}
 	if conn.requests == 1 {
@@ -169,27 +167,13 @@
 	}
 	x.open.Store(&openAttempt{route: x.route.ID, sentAt: x.sentAt, size: x.expectedEvents()})
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true // until the target rules it out
-	if len(x.req.Body) <= maxInlineBody {
-		_, err := conn.Write(append(head, x.req.Body...))
-		written <- err
-	} else {
-		bufs := net.Buffers{head, x.req.Body}
-		go func() {
-			_, err := bufs.WriteTo(conn.Conn)
-			written <- err
-		}()
-	}
+	conn.startUpload(head, x.req.Body)
 	resp, err := x.awaitResponse(conn)
 	if err != nil {
 		_ = conn.Close()
 		return x.connFailure(err)
 	}
-	select {
-	case err := <-written:
-		conn.reusable = conn.reusable && err == nil
-	default:
-		conn.reusable = false // responded before the whole body was written
-	}
+	conn.reusable = conn.reusable && conn.upload.isWritten()
 	conn.readHints(resp)
 	x.proxy.hints.record(target, resp, x.req.AttemptID, x.sentAt, x.proxy.now())
 	x.proxy.notices.record(target, resp, x.heard.origin, x.proxy.now())
@@ -249,7 +233,7 @@
 		x.heard.refused = true
 		_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(x.headTimeout())))
 	}
-	return responseBody(conn.br, resp.framing, resp.Status, x.req.Method).discard(maxResponseBody)
+	return x.responseBody(conn, resp).discard(maxResponseBody)
 }
 
 // headTimeout is how long a request that may be retried waits for the head of a
@@ -298,7 +282,7 @@
 // connection to the target can be reused. One that is longer than maxDiscarded or
 // has no length is not worth that: its connection is closed.
 func (x *exchange) discardResponse(conn *targetConn, resp *Response) {
-	b := responseBody(conn.br, resp.framing, resp.Status, x.req.Method)
+	b := x.responseBody(conn, resp)
 	_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(discardTimeout)))
 	if b.untilClose || b.discard(maxDiscarded) != nil {
 		_ = conn.Close()
--- a/bluebellport/proxy/body.go
+++ b/bluebellport/proxy/body.go
@@ -20,8 +20,10 @@
 	complete  bool
 	// data and lines are the bytes read of chunks and of the lines around them.
 	data, lines int64
-	// untilClose marks a body that ends when its connection is closed.
+	// untilClose marks a body that ends when its connection is closed. ConfirmEnd, if set,
+	// returns an error if that end is not the target's.
 	untilClose bool
+	confirmEnd func() error
 }
 
 // requestBody returns a reader for the body of a request. A request without a
@@ -68,8 +70,7 @@
 	b.data += int64(n)
 	switch {
 	case b.untilClose && err == io.EOF:
-		b.complete = true
-		return n, io.EOF
+		return n, b.endWithConn()
 	case err == io.EOF:
 		return n, io.ErrUnexpectedEOF
 	case err != nil:
@@ -82,6 +83,18 @@
 	return n, nil
 }
 
+// endWithConn completes a body whose connection has ended, and returns io.EOF, unless that end
+// is not the target's.
+func (b *bodyReader) endWithConn() error {
+	if b.confirmEnd != nil {
+		if err := b.confirmEnd(); err != nil {
+			return err
+		}
+	}
+	b.complete = true
+	return io.EOF
+}
+
 // readChunkEnd reads the line end that follows a chunk's data.
 func (b *bodyReader) readChunkEnd() error {
 	var crlf [2]byte
--- a/bluebellport/proxy/delivery.go
+++ b/bluebellport/proxy/delivery.go
@@ -15,7 +15,7 @@
 // is read.
 func (x *exchange) deliver(conn *targetConn, resp *Response) attemptResult {
 	_ = conn.SetReadDeadline(x.deadline)
-	b := responseBody(conn.br, resp.framing, resp.Status, x.req.Method)
+	b := x.responseBody(conn, resp)
 	buf := buffer{budget: x.proxy.responseMemory}
 	defer buf.free()
 	err := buf.readAll(b, maxResponseBody)
--- /dev/null
+++ b/bluebellport/proxy/early_end_test.go
@@ -0,0 +1,236 @@
+package bbproxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+)
+
+const (
+	// earlyTries is how often each answer is played, beginnings are on the way for earlyPause.
+	earlyTries = 6
+	earlyPause = 30 * time.Millisecond
+	// earlyHead begins an answer without a length.
+	earlyHead  = "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n\r\n"
+	earlyEvent = "id: 1\ndata: first\n\n"
+)
+
+// earlyUploads are sizes of requests: written before the answer is read, what the buffers of the
+// system hold, and more than these.
+var earlyUploads = []int{10_000, 250_000, 12_000_000}
+
+// breaking is how a target breaks off an answer.
+type breaking struct {
+	play func(c *net.TCPConn)
+	// paced writes the request slowly: a target can then read all that has come.
+	paced bool
+	least int // bytes of a request that still comes then
+}
+
+// dial returns how connections to targets are opened.
+func (b *breaking) dial() targetDialer {
+	if b.paced {
+		return dialPaced
+	}
+	return dialTCP
+}
+
+// breakings are how a target breaks off an answer without a length while the request still comes.
+var breakings = map[string]breaking{
+	"reset":                          {play: func(c *net.TCPConn) { _ = c.SetLinger(0) }},
+	"close":                          {play: func(*net.TCPConn) {}}, // with bytes unread, which resets the connection
+	"close as all that came is read": {play: readWhatCame, paced: true},
+	"end, and a reset": {play: func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		_ = c.SetLinger(0)
+	}, least: 12_000_000},
+}
+
+// readWhatCame reads what has come over a connection.
+func readWhatCame(c *net.TCPConn) {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// pacedConn is a connection whose writes take their time.
+type pacedConn struct {
+	net.Conn // not the TCP connection itself, which has further ways to write
+}
+
+const (
+	pacedPart  = 20_000
+	pacedPause = 10 * time.Millisecond
+)
+
+// SyscallConn gives access to the connection's socket.
+func (c pacedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
+// Write writes part after part.
+func (c pacedConn) Write(b []byte) (int, error) {
+	written := 0
+	for part := range slices.Chunk(b, pacedPart) {
+		n, err := c.Conn.Write(part)
+		if written += n; err != nil {
+			return written, err
+		}
+		time.Sleep(pacedPause)
+	}
+	return written, nil
+}
+
+// dialPaced opens a connection whose writes take their time.
+func dialPaced(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := dialTCP(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return pacedConn{conn}, nil
+}
+
+// breakOff returns the function of a target that answers before it has read the request, and
+// breaks off.
+func breakOff(breaking func(c *net.TCPConn)) func(net.Conn, *http.Request, string) {
+	return func(c net.Conn, _ *http.Request, own string) {
+		_, _ = fmt.Fprintf(c, earlyHead+earlyEvent, own)
+		time.Sleep(earlyPause)
+		breaking(c.(*net.TCPConn))
+		_ = c.Close()
+	}
+}
+
+// newEarlyHarness returns a harness whose plan allows large uploads.
+func newEarlyHarness(t *testing.T, dial targetDialer) *harness {
+	h := newHarness(t, 1_000_000_000)
+	h.dial, h.maxBody, h.timeout = dial, 16<<20, 10*time.Second
+	h.declarePlan(2, 1_000_000_000)
+	return h
+}
+
+// callEarly sends an upload.
+func (h *harness) callEarly(path string, upload int) clientResult {
+	return h.call("POST", path, strings.Repeat("u", upload), bbplatform.HeaderTokenUsage, "10,60", bbplatform.HeaderDeadline, "9000")
+}
+
+// TestEarlyAnswerThatBreaksOffIsNotWhole guards against a part of an answer that reaches a client
+// as the whole one: the target answers without a length while the request is written to it, and
+// breaks off.
+func TestEarlyAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	for name, breaking := range breakings {
+		for _, upload := range earlyUploads[1:] {
+			if upload < breaking.least {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s, %d bytes", name, upload), func(t *testing.T) {
+				t.Parallel()
+				h := newEarlyHarness(t, breaking.dial())
+				targets := h.startAnswering(breakOff(breaking.play))
+				h.start()
+				for i := range earlyTries * len(brokenPaths) {
+					path := brokenPaths[i%len(brokenPaths)]
+					r := h.callEarly(path, upload)
+					ran := runsByID(targets...)[fmt.Sprintf("attempt-%d", h.calls)]
+					switch {
+					case r.err == nil && r.status == http.StatusOK:
+						t.Errorf("%s: told as whole: %q", path, r.body)
+					case r.err == nil && (r.outcome == "not-run") != (ran == 0):
+						t.Errorf("%s: told %q, ran %d times", path, r.body, ran)
+					case path == "/book/1" && ran > 1:
+						t.Errorf("ran %d times", ran)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyAnswerThatEndsIsWhole guards against a sound answer that is taken for broken: the
+// target ends its side of the connection, and reads the request to its end, soon or slowly, or
+// has read it before.
+func TestEarlyAnswerThatEndsIsWhole(t *testing.T) {
+	answers := map[string]func(net.Conn, *http.Request, string){
+		"ends, then reads": func(c net.Conn, r *http.Request, own string) {
+			_, _ = fmt.Fprintf(c, earlyHead+earlyEvent, own)
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, r.Body)
+		},
+		"ends, then reads late": func(c net.Conn, r *http.Request, own string) {
+			_, _ = fmt.Fprintf(c, earlyHead+earlyEvent, own)
+			_ = c.(*net.TCPConn).CloseWrite()
+			time.Sleep(200 * time.Millisecond)
+			_, _ = io.Copy(io.Discard, r.Body)
+		},
+		"reads, then ends": func(c net.Conn, r *http.Request, own string) {
+			_, _ = fmt.Fprintf(c, earlyHead, own)
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, earlyEvent)
+		},
+		"has a length, then breaks off": func(c net.Conn, _ *http.Request, own string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sConnection: close\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", own, len(earlyEvent), earlyEvent)
+			time.Sleep(earlyPause)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		},
+	}
+	for name, answer := range answers {
+		for _, upload := range earlyUploads {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, upload), func(t *testing.T) {
+				t.Parallel()
+				h := newEarlyHarness(t, dialTCP)
+				h.startAnswering(answer)
+				h.start()
+				for _, path := range brokenPaths {
+					if r := h.callEarly(path, upload); r.err != nil || r.status != http.StatusOK || r.body != earlyEvent {
+						t.Errorf("%s: status %d, %q, %v", path, r.status, r.body, r.err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestEarlyAnswerThatBreaksOffIsTriedAgain guards against a request that may be repeated, or a
+// stream that may be resumed, and that ends where its first answer broke off.
+func TestEarlyAnswerThatBreaksOffIsTriedAgain(t *testing.T) {
+	goOn := func(c net.Conn, r *http.Request, own string) {
+		text := "id: 2\ndata: last\n\n"
+		if r.Header.Get(bbplatform.HeaderLastEventID) == "" {
+			text = earlyEvent + text
+		}
+		answerWith(fmt.Sprintf("HTTP/1.1 200 OK\r\n$ownContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(text), text))(c, r, own)
+	}
+	for name, breaking := range breakings {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h, upload := newEarlyHarness(t, breaking.dial()), 12_000_000
+			if breaking.paced {
+				upload = 250_000
+			}
+			broken := h.startAnswering(breakOff(breaking.play))
+			h.startTarget(bbplatformstand.TargetOptions{ID: "e1", Service: "llm", Answer: goOn})
+			h.startTarget(bbplatformstand.TargetOptions{ID: "t1", Service: "desk", Answer: goOn})
+			h.startWithVersions()
+			for i, path := range []string{"/read/1", "/draft/1"} {
+				for tries := 0; len(broken[i].Arrivals()) == 0; tries++ {
+					is.True(tries < 100) // the target is not used
+					r := h.callEarly(path, upload)
+					is.NoErr(r.err)
+					is.Equal(r.status, http.StatusOK) // path
+					is.Equal(r.body, earlyEvent+"id: 2\ndata: last\n\n")
+				}
+			}
+		})
+	}
+}
--- a/bluebellport/proxy/harness_test.go
+++ b/bluebellport/proxy/harness_test.go
@@ -61,6 +61,7 @@
 	serveErr chan error // the result of Serve
 	calls    int
 	timeout  time.Duration // of the plan's routes
+	maxBody  int           // of requests, in bytes, in the plan
 	logs     logBuffer
 	peers    PeerNetwork
 	dial     targetDialer // over the instance's own path
@@ -97,7 +98,7 @@
 // many tokens. The proxy is started by start.
 func newHarness(t testing.TB, paid int64) *harness {
 	is := is.New(t)
-	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, dial: dialTCP, registry: metrics.NewRegistry()}
+	h := &harness{t: t, mem: bbstore.NewMem(), peers: noPeers{}, timeout: 2 * time.Second, maxBody: 300_000, dial: dialTCP, registry: metrics.NewRegistry()}
 	store, stopStore := bbplatformstand.NewStore(h.mem)
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
@@ -130,8 +131,8 @@
 		route("/open/", "idempotent", "desk", `,"public":true`),
 	}
 	value := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"desk"},{"name":"llm","engine":{"slots":8,"kv-cache-tokens":100000,"stride":10}}],
-		"limits":{"max-header-bytes":8192,"max-body-bytes":300000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
-		"tenants":[{"name":"a","api-keys":[%q],"priority":1,"prepaid":%d}]}`, version, strings.Join(routes, ","), testKey, paid)
+		"limits":{"max-header-bytes":8192,"max-body-bytes":%d,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+		"tenants":[{"name":"a","api-keys":[%q],"priority":1,"prepaid":%d}]}`, version, strings.Join(routes, ","), h.maxBody, testKey, paid)
 	old, err := h.mem.Get(context.Background(), bbplatform.KeyPlan)
 	is.New(h.t).NoErr(err)
 	_, err = h.mem.CAS(context.Background(), bbplatform.KeyPlan, []byte(value), old.Rev, 0)
--- a/bluebellport/proxy/pool.go
+++ b/bluebellport/proxy/pool.go
@@ -32,6 +32,8 @@
 	requests, strays int
 	// carried reports that a peer carries the connection, for one request.
 	carried bool
+	// upload is the writing of the latest request.
+	upload upload
 	// onSilence decides whether to read on after awaitBytes was not answered in time.
 	onSilence func() bool
 }
