carry: tell the end of a target's side with what the target has taken of the request

Where a peer carries the connection to a target, callers got a part of an answer as the whole one in the same way: the target answered a long upload at once and broke off.

Cause: the peer copies the two directions in two goroutines. The write of the request gets the error of the connection, the read an end, and the peer told that end as the target's. It then closed both connections, which also cut the request of a sound target that ends its side early and reads on.

The peer now tells an end only while nothing on the connection has failed, with how many bytes of the request the target's system has acknowledged, again as that grows, and copies the request on; the asker believes it once that is all that it has written.

CarryAsk and CarryTell have a new field, Counted: such ends are told to askers only that understand them, and an asker knows whether its peer tells them.

--- a/bluebellport/carry/server.go
+++ b/bluebellport/carry/server.go
@@ -1,8 +1,6 @@
 package bbcarry
 
 import (
-	"encoding/binary"
-	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -60,7 +58,7 @@
 	if s.open.Add(1) > maxCarried || !s.cfg.Begin(ask.Address) {
 		s.open.Add(-1)
 		s.denied.Inc(1)
-		tell(stream, bbwire.CarryState_CARRY_STATE_BUSY)
+		tell(stream, &bbwire.CarryTell{State: bbwire.CarryState_CARRY_STATE_BUSY})
 		return
 	}
 	defer s.cfg.End()
@@ -71,10 +69,10 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			state = bbwire.CarryState_CARRY_STATE_REFUSED
 		}
-		tell(stream, state)
+		tell(stream, &bbwire.CarryTell{State: state})
 		return
 	}
-	if !tell(stream, bbwire.CarryState_CARRY_STATE_CONNECTED) {
+	if !tell(stream, &bbwire.CarryTell{State: bbwire.CarryState_CARRY_STATE_CONNECTED, Counted: ask.Counted}) {
 		_ = target.Close()
 		return
 	}
@@ -82,62 +80,12 @@
 	end := time.Now().Add(min(time.Duration(ask.Limitms)*time.Millisecond, maxLife))
 	_ = target.SetDeadline(end)
 	_ = stream.SetDeadline(end)
-	copyBoth(stream, target)
+	c := &carried{stream: stream, target: target, counted: ask.Counted, end: end, uploaded: make(chan struct{})}
+	c.copyBoth()
 }
 
 // tell replies to a question and reports whether that worked.
-func tell(stream net.Conn, state bbwire.CarryState) bool {
-	_, err := protodelim.MarshalTo(stream, &bbwire.CarryTell{State: state})
+func tell(stream net.Conn, t *bbwire.CarryTell) bool {
+	_, err := protodelim.MarshalTo(stream, t)
 	return err == nil
 }
-
-// copyBoth copies between a stream and the connection to a target until one of them ends,
-// and closes the connection.
-func copyBoth(stream, target net.Conn) {
-	askerLeft := make(chan struct{})
-	go func() {
-		defer close(askerLeft)
-		_, _ = io.CopyBuffer(writer{target}, reader{stream}, make([]byte, copyBuffer))
-		_ = target.Close() // the asker has closed its end, or one of the two broke
-	}()
-	writeFrames(stream, target, askerLeft)
-	_ = target.Close()
-	_ = stream.SetReadDeadline(time.Now()) // ends the other direction
-	<-askerLeft
-}
-
-// writeFrames copies what a target sends, in frames, and how its connection ends, unless
-// the asker left before.
-func writeFrames(stream, target net.Conn, askerLeft <-chan struct{}) {
-	buf := make([]byte, frameHeader+copyBuffer)
-	for {
-		n, err := target.Read(buf[frameHeader:])
-		if n > 0 {
-			binary.BigEndian.PutUint32(buf, uint32(n))
-			if _, writeErr := stream.Write(buf[:frameHeader+n]); writeErr != nil {
-				return
-			}
-		}
-		if err == nil {
-			continue
-		}
-		select {
-		case <-askerLeft:
-			return
-		default:
-		}
-		end := uint32(endBroken)
-		if errors.Is(err, io.EOF) {
-			end = endClosed
-		}
-		binary.BigEndian.PutUint32(buf, end)
-		_, _ = stream.Write(buf[:frameHeader])
-		return
-	}
-}
-
-// writer and reader hide all but the one method, so that the buffer is used.
-type (
-	writer struct{ io.Writer }
-	reader struct{ io.Reader }
-)
--- a/bluebellport/proxy/early_end_test.go
+++ b/bluebellport/proxy/early_end_test.go
@@ -6,16 +6,20 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"bluebellport.example/platform"
 	bbplatformstand "bluebellport.example/platform/stand"
+	"bluebellport.example/shared/bbunit"
 )
 
 const (
@@ -112,12 +116,83 @@
 	}
 }
 
-// newEarlyHarness returns a harness whose plan allows large uploads.
-func newEarlyHarness(t *testing.T, dial targetDialer) *harness {
+// earlyWays are how requests get to targets.
+var earlyWays = map[string]bool{"own path": false, "carried": true}
+
+// newEarlyHarness returns a harness whose plan allows large uploads, and a function that starts it.
+// If carried, it has no path to targets, and a peer carries its connections.
+func newEarlyHarness(t *testing.T, dial targetDialer, carried bool) (*harness, func()) {
 	h := newHarness(t, 1_000_000_000)
 	h.dial, h.maxBody, h.timeout = dial, 16<<20, 10*time.Second
 	h.declarePlan(2, 1_000_000_000)
-	return h
+	if !carried {
+		return h, h.startWithVersions
+	}
+	peer := newHarness(t, 1_000_000_000)
+	peer.mem, peer.settings.StoreAddress, peer.dial = h.mem, h.settings.StoreAddress, dial
+	h.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, os.ErrDeadlineExceeded
+	}
+	network := newFakeNetwork()
+	for _, inst := range []*harness{h, peer} {
+		inst.peers = muxPeer{network.newPeer(bbunit.InstanceID(inst.settings.PeerAddress), inst.settings.Domain)}
+	}
+	return h, func() {
+		peer.start()
+		h.startWithVersions()
+	}
+}
+
+// muxPeer is a peer whose streams are those of yamux, as between processes.
+type muxPeer struct{ *fakePeer }
+
+// OpenStream opens a stream of a session of its own.
+func (p muxPeer) OpenStream(_ context.Context, to bbunit.InstanceID, kind string) (net.Conn, error) {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	peer := p.network.peers[to]
+	if peer == nil || peer.streams[kind] == nil {
+		return nil, io.EOF
+	}
+	serve := peer.streams[kind]
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = io.Discard
+	near, far := net.Pipe()
+	client, err := yamux.Client(near, cfg)
+	if err != nil {
+		return nil, err
+	}
+	server, err := yamux.Server(far, cfg)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		stream, err := server.Accept()
+		if err != nil {
+			return
+		}
+		serve(p.self.ID, stream)
+		_ = stream.Close()
+	}()
+	return client.Open()
+}
+
+// forEachEarly calls fn for each way and each size of an upload.
+func forEachEarly(uploads []int, fn func(way string, carried bool, upload int)) {
+	for way, carried := range earlyWays {
+		for _, upload := range uploads {
+			fn(way, carried, upload)
+		}
+	}
+}
+
+// requireCarried fails the test unless a peer has carried connections just where it should have.
+func (h *harness) requireCarried(carried bool) {
+	h.t.Helper()
+	if n := metrics.GetOrRegisterCounter("door.carry.used", h.registry).Count(); (n > 0) != carried {
+		h.t.Errorf("peers carried %d connections", n)
+	}
 }
 
 // callEarly sends an upload.
@@ -129,16 +204,16 @@
 // as the whole one: the target answers without a length while the request is written to it, and
 // breaks off.
 func TestEarlyAnswerThatBreaksOffIsNotWhole(t *testing.T) {
-	for name, breaking := range breakings {
-		for _, upload := range earlyUploads[1:] {
+	forEachEarly(earlyUploads[1:], func(way string, carried bool, upload int) {
+		for name, breaking := range breakings {
 			if upload < breaking.least {
 				continue
 			}
-			t.Run(fmt.Sprintf("%s, %d bytes", name, upload), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s, %d bytes, %s", name, upload, way), func(t *testing.T) {
 				t.Parallel()
-				h := newEarlyHarness(t, breaking.dial())
+				h, start := newEarlyHarness(t, breaking.dial(), carried)
 				targets := h.startAnswering(breakOff(breaking.play))
-				h.start()
+				start()
 				for i := range earlyTries * len(brokenPaths) {
 					path := brokenPaths[i%len(brokenPaths)]
 					r := h.callEarly(path, upload)
@@ -152,9 +227,10 @@
 						t.Errorf("ran %d times", ran)
 					}
 				}
+				h.requireCarried(carried)
 			})
 		}
-	}
+	})
 }
 
 // TestEarlyAnswerThatEndsIsWhole guards against a sound answer that is taken for broken: the
@@ -184,21 +260,22 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 		},
 	}
-	for name, answer := range answers {
-		for _, upload := range earlyUploads {
-			t.Run(fmt.Sprintf("%s, %d bytes", name, upload), func(t *testing.T) {
+	forEachEarly(earlyUploads, func(way string, carried bool, upload int) {
+		for name, answer := range answers {
+			t.Run(fmt.Sprintf("%s, %d bytes, %s", name, upload, way), func(t *testing.T) {
 				t.Parallel()
-				h := newEarlyHarness(t, dialTCP)
+				h, start := newEarlyHarness(t, dialTCP, carried)
 				h.startAnswering(answer)
-				h.start()
+				start()
 				for _, path := range brokenPaths {
 					if r := h.callEarly(path, upload); r.err != nil || r.status != http.StatusOK || r.body != earlyEvent {
 						t.Errorf("%s: status %d, %q, %v", path, r.status, r.body, r.err)
 					}
 				}
+				h.requireCarried(carried)
 			})
 		}
-	}
+	})
 }
 
 // TestEarlyAnswerThatBreaksOffIsTriedAgain guards against a request that may be repeated, or a
@@ -211,26 +288,28 @@
 		}
 		answerWith(fmt.Sprintf("HTTP/1.1 200 OK\r\n$ownContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(text), text))(c, r, own)
 	}
-	for name, breaking := range breakings {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			h, upload := newEarlyHarness(t, breaking.dial()), 12_000_000
-			if breaking.paced {
-				upload = 250_000
+	forEachEarly(earlyUploads[1:], func(way string, carried bool, upload int) {
+		for name, breaking := range breakings {
+			if (upload < earlyUploads[2]) != breaking.paced {
+				continue
 			}
-			broken := h.startAnswering(breakOff(breaking.play))
-			h.startTarget(bbplatformstand.TargetOptions{ID: "e1", Service: "llm", Answer: goOn})
-			h.startTarget(bbplatformstand.TargetOptions{ID: "t1", Service: "desk", Answer: goOn})
-			h.startWithVersions()
-			for i, path := range []string{"/read/1", "/draft/1"} {
-				for tries := 0; len(broken[i].Arrivals()) == 0; tries++ {
-					is.True(tries < 100) // the target is not used
-					r := h.callEarly(path, upload)
-					is.NoErr(r.err)
-					is.Equal(r.status, http.StatusOK) // path
-					is.Equal(r.body, earlyEvent+"id: 2\ndata: last\n\n")
+			t.Run(name+", "+way, func(t *testing.T) {
+				is := is.New(t)
+				h, start := newEarlyHarness(t, breaking.dial(), carried)
+				broken := h.startAnswering(breakOff(breaking.play))
+				h.startTarget(bbplatformstand.TargetOptions{ID: "e1", Service: "llm", Answer: goOn})
+				h.startTarget(bbplatformstand.TargetOptions{ID: "t1", Service: "desk", Answer: goOn})
+				start()
+				for i, path := range []string{"/read/1", "/draft/1"} {
+					for tries := 0; len(broken[i].Arrivals()) == 0; tries++ {
+						is.True(tries < 100) // the target is not used
+						r := h.callEarly(path, upload)
+						is.NoErr(r.err)
+						is.Equal(r.status, http.StatusOK) // path
+						is.Equal(r.body, earlyEvent+"id: 2\ndata: last\n\n")
+					}
 				}
-			}
-		})
-	}
+			})
+		}
+	})
 }
--- a/bluebellport/proxy/upload.go
+++ b/bluebellport/proxy/upload.go
@@ -54,11 +54,10 @@
 // whole request was written and taken, and the connection has not failed. It blocks while the
 // target takes the request, until the deadline.
 func (c *targetConn) confirmEnd(deadline time.Time) error {
-	<-c.upload.done // by the deadline of writes
-	if c.upload.err != nil {
-		return errors.Annotate(c.upload.err, "request not written")
+	if err := bbend.Confirm(c.Conn, c.upload.done, deadline); err != nil {
+		return err
 	}
-	return bbend.Confirm(c.Conn, deadline)
+	return errors.Annotate(c.upload.err, "request not written")
 }
 
 // responseBody returns a reader for the body of a response to the exchange's request.
--- a/bluebellport/proxy/way_peers.go
+++ b/bluebellport/proxy/way_peers.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"bluebellport.example/bluebellport/carry"
+	"bluebellport.example/shared/bbend"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -133,3 +134,8 @@
 	c.meter.out.Add(int64(n))
 	return n, err
 }
+
+// ConfirmEnd is that of the connection.
+func (c *meteredConn) ConfirmEnd(written <-chan struct{}, deadline time.Time) error {
+	return bbend.Confirm(c.Conn, written, deadline)
+}
--- a/shared/bbend/end.go
+++ b/shared/bbend/end.go
@@ -43,31 +43,43 @@
 
 // confirmer is a connection that knows by itself how it ended.
 type confirmer interface {
-	ConfirmEnd(deadline time.Time) error
+	ConfirmEnd(written <-chan struct{}, deadline time.Time) error
 }
 
 // Confirm returns nil if the end that a read found on a connection is that of a peer that closed
-// its side and took all that was written. It blocks while the peer has not taken that, until the
+// its side and took all that was written. Written is closed once nothing more is written; nil
+// means that this is so. Confirm blocks while the peer has not taken everything, until the
 // deadline, after which it returns os.ErrDeadlineExceeded. If the connection broke, the error is
-// ErrBroken. Whoever writes to the connection has to have ended without an error before.
-func Confirm(conn net.Conn, deadline time.Time) error {
+// ErrBroken, or that of a connection that knows by itself. Whether writing has succeeded is left
+// to the caller.
+func Confirm(conn net.Conn, written <-chan struct{}, deadline time.Time) error {
 	if c, ok := conn.(confirmer); ok {
-		return c.ConfirmEnd(deadline)
+		return c.ConfirmEnd(written, deadline)
 	}
 	for {
-		switch Look(conn) {
-		case Closed:
-			return nil
-		case Broken:
+		ended := IsWritten(written)
+		switch state := Look(conn); {
+		case state == Broken:
 			return errors.Trace(ErrBroken)
-		}
-		if !time.Now().Before(deadline) {
+		case state == Closed && ended:
+			return nil
+		case !time.Now().Before(deadline):
 			return errors.Trace(os.ErrDeadlineExceeded)
 		}
 		time.Sleep(lookInterval)
 	}
 }
 
+// IsWritten reports whether nothing more is written, as Confirm takes it.
+func IsWritten(written <-chan struct{}) bool {
+	select {
+	case <-written:
+		return true
+	default:
+		return written == nil
+	}
+}
+
 // Look returns what the system shows of a connection that a read found the end of. It does not
 // block, and takes no error from other calls. Any but a TCP connection counts as Closed.
 func Look(conn net.Conn) State {
--- a/shared/bbend/end_test.go
+++ b/shared/bbend/end_test.go
@@ -32,6 +32,20 @@
 // moreThanBuffers is how much of a request the buffers of the system do not hold, in bytes.
 const moreThanBuffers = 24 << 20
 
+// TestEndIsNotConfirmedWhileMoreIsWritten guards against an end that is believed between two parts
+// of a request.
+func TestEndIsNotConfirmedWhileMoreIsWritten(t *testing.T) {
+	is := is.New(t)
+	near, far := dialPair(t)
+	_ = far.CloseWrite()
+	written := make(chan struct{})
+	_, err := near.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.True(errors.Is(Confirm(near, written, time.Now().Add(20*time.Millisecond)), os.ErrDeadlineExceeded))
+	close(written)
+	is.NoErr(Confirm(near, written, time.Now().Add(20*time.Millisecond)))
+}
+
 // fillBuffers writes more than the buffers hold, which goes on.
 func fillBuffers(c net.Conn) {
 	go func() { _, _ = c.Write(make([]byte, moreThanBuffers)) }()
@@ -102,7 +116,7 @@
 				_, err := near.Read(make([]byte, 1))
 				is.Equal(err, io.EOF) // whatever happened
 			}
-			err := Confirm(near, time.Now().Add(400*time.Millisecond))
+			err := Confirm(near, nil, time.Now().Add(400*time.Millisecond))
 			if !errors.Is(err, row.want) && (err != nil || row.want != nil) {
 				t.Errorf("the end is told as %v", err)
 			}
