Believe the end of an answer only if nothing has failed where the HTTP library reads it

A caller of `serve` could get a part of an answer as the whole one, and a write to the platform's store count as done: the other side answered without a length, ended its side while the request was still in the buffers of this system, and reset the connection then.

Cause: as in `native`: the library takes the end of a connection for the end of such an answer. It writes a request before it reads, so only what is on its way counts here.

bbhead.Conn returns an end behind a part of a response only once bbend.Confirm has it: the peer's system has acknowledged the request, and the connection has not failed. An end before any byte of a response stays what it is, as the library tries again by it.

--- a/bluebellport/src/broken_answer_test.go
+++ b/bluebellport/src/broken_answer_test.go
@@ -146,3 +146,43 @@
 		requireNoReport(t, "HTTP/1.1 "+status+" OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n")
 	}
 }
+
+// answerEarly returns a target that answers before it has read a request, without a length, and
+// ends its side; then it does what its test wants.
+func answerEarly(text, contentType string, then func(c *net.TCPConn, r *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n%s", contentType, text)
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(20 * time.Millisecond)
+		then(conn.(*net.TCPConn), r)
+	}
+}
+
+// TestEarlyAnswerThatBreaksOffIsNotWhole guards against a part of an answer that reaches a caller
+// as the whole one, as its connection is reset while the request is still on its way, and against
+// a sound answer that does not reach it.
+func TestEarlyAnswerThatBreaksOffIsNotWhole(t *testing.T) {
+	const upload = 900_000
+	for _, call := range brokenCalls[1:3] {
+		body := strings.Replace(call.body, "hi", strings.Repeat("h", upload), 1)
+		if call.name == "post" {
+			body = strings.Repeat("u", upload)
+		}
+		is := is.New(t)
+		f := newTestFrontend(t, answerEarly(call.text, call.contentType, func(c *net.TCPConn, _ *http.Request) { _ = c.SetLinger(0) }))
+		f.budgets.available = 1 << 40
+		resp, got := f.do(t, call.method, call.path, body)
+		is.Equal(resp.StatusCode, http.StatusBadGateway) // broke off
+		is.True(strings.Contains(got, `"outcome":"`+call.outcome))
+		f = newTestFrontend(t, answerEarly(call.text, call.contentType, func(c *net.TCPConn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }))
+		f.budgets.available = 1 << 40
+		resp, got = f.do(t, call.method, call.path, body)
+		is.Equal(resp.StatusCode, http.StatusOK) // read the request to its end
+		is.Equal(got, call.text)
+	}
+}
--- a/shared/bbhead/conn.go
+++ b/shared/bbhead/conn.go
@@ -1,13 +1,20 @@
 // Package bbhead recognizes broken responses that the HTTP library takes for sound ones: those
-// that broke off and went on as another one, which read as one mix both, and those whose
-// status is none of HTTP.
+// that broke off, also where they went on as another one, which read as one mix both, and those
+// whose status is none of HTTP.
 package bbhead
 
 import (
+	"io"
 	"net"
+	"os"
+	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
+
+	"bluebellport.example/shared/bbclock"
+	"bluebellport.example/shared/bbend"
 )
 
 // Errors of responses that are broken.
@@ -23,8 +30,9 @@
 
 // Conn is a client's connection whose reads return an error in place of a broken response:
 // ErrMalformed for its head, and ErrJoined where it goes on as another one, in its head, or
-// in a body of a declared length, if more bytes have come behind that. It carries one request
-// at a time.
+// in a body of a declared length, if more bytes have come behind that. A read returns io.EOF
+// behind a part of a response only if that end is the server's, as bbend.Confirm has it. It
+// carries one request at a time, which is written before its response is read.
 type Conn struct {
 	net.Conn
 	head   []byte
@@ -33,11 +41,42 @@
 	tail   []byte // the last bytes of the body that were read
 	// ended is set while nothing has to be looked at before the next request.
 	ended bool
+	// begun is set once a part of the response has been read.
+	begun bool
+	// readBy is the deadline of reads, in ns since the epoch, 0 for none.
+	readBy atomic.Int64
+}
+
+// maxConfirm bounds how long the end of a response is confirmed without a deadline, and
+// confirmPart for how long that is done before the deadline is looked at again.
+const (
+	maxConfirm  = 10 * time.Second
+	confirmPart = 20 * time.Millisecond
+)
+
+// SetDeadline sets until when reads and writes wait.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.setReadBy(t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline sets until when reads wait.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.setReadBy(t)
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *Conn) setReadBy(t time.Time) {
+	if t.IsZero() {
+		c.readBy.Store(0)
+		return
+	}
+	c.readBy.Store(t.UnixNano())
 }
 
 // Write writes a part of a request.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.head, c.tail, c.inBody, c.ended = c.head[:0], c.tail[:0], false, false
+	c.head, c.tail, c.inBody, c.ended, c.begun = c.head[:0], c.tail[:0], false, false, false
 	return c.Conn.Write(b)
 }
 
@@ -47,9 +86,30 @@
 	if broken := c.look(b[:n]); broken != nil {
 		return 0, broken
 	}
+	if c.begun = c.begun || n > 0; err == io.EOF && c.begun {
+		err = c.confirmEnd()
+	}
 	return n, err
 }
 
+// confirmEnd returns io.EOF if the end that a read has found is the server's. It blocks while the
+// server takes the rest of the request, until the deadline of reads.
+func (c *Conn) confirmEnd() error {
+	for began := time.Now(); ; {
+		deadline := began.Add(maxConfirm)
+		if by := c.readBy.Load(); by != 0 {
+			deadline = time.Unix(0, by)
+		}
+		err := bbend.Confirm(c.Conn, nil, bbclock.Earlier(deadline, time.Now().Add(confirmPart)))
+		switch {
+		case err == nil:
+			return io.EOF
+		case !errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(deadline):
+			return err
+		}
+	}
+}
+
 // look looks at the next bytes of a response.
 func (c *Conn) look(b []byte) error {
 	if c.ended || len(b) == 0 {
