Take an answer with a line in its head that is no field for broken where the HTTP library reads it

Callers of `serve` got 200 for answers with a blank in the name of a field, a blank before its colon, a folded line or a line of blanks, with that line passed on, or with a body that Content-Length or Transfer-Encoding behind such a name framed. Load reports, orders, the list of instances and all calls to both key-value services believed them likewise.

Cause: the library takes a name with a blank for a name, cuts blanks before the colon off, and joins folded lines.

bbhead.Conn checks the name of each line of a head, as `native` does; the table of what a name may hold is one now (bbhead.IsToken). RFC 9112, sections 5.1 and 5.2, would also let a proxy mend blanks before the colon and folded lines; `native` refuses them and two ways to read a head are worse than none, so `serve` refuses them, too.

Handled already, tests kept, nothing changed: `native` (TestBrokenFieldIsNoAnswer, 12 forms in the head, in a 103, in a trailer), and trailers in `serve`: it passes no trailer on, and the body is whole (TestBrokenTrailerIsNotPassedOn). Sound names with each allowed byte stay served.

--- a/bluebellport/proxy/body.go
+++ b/bluebellport/proxy/body.go
@@ -130,7 +130,7 @@
 			b.complete = true
 			return nil
 		}
-		if name, value, ok := strings.Cut(line, ":"); !ok || !isToken(name) || bbhead.HoldsStatusLine(value) {
+		if name, value, ok := strings.Cut(line, ":"); !ok || !bbhead.IsToken(name) || bbhead.HoldsStatusLine(value) {
 			break
 		}
 	}
--- a/bluebellport/proxy/broken_head_test.go
+++ b/bluebellport/proxy/broken_head_test.go
@@ -107,3 +107,47 @@
 		is.Equal(r.body, "body")
 	}
 }
+
+// brokenFields are lines of a head that are no fields, each with a name that holds what no name may.
+var brokenFields = map[string]string{
+	"blank inside":           "Bro ken: a\r\n",
+	"blank before the colon": "Broken : a\r\n",
+	"tab":                    "Bro\tken: a\r\n",
+	"control byte":           "Bro\x01ken: a\r\n",
+	"NUL":                    "Bro\x00ken: a\r\n",
+	"DEL":                    "Bro\x7fken: a\r\n",
+	"carriage return":        "Bro\rken: a\r\n",
+	"byte over 0x7f":         "Bro\xffken: a\r\n",
+	"folded line":            "Broken: a\r\n b\r\n",
+	"empty name":             ": a\r\n",
+	"no colon":               "Broken\r\n",
+	"length":                 "Content-Length : 2\r\n",
+}
+
+// TestBrokenFieldIsNoAnswer guards against an answer that reaches a client with a line that is no
+// field in its head, in that of an informational one or in its trailer.
+func TestBrokenFieldIsNoAnswer(t *testing.T) {
+	const body = "event\n\n"
+	for field, line := range brokenFields {
+		t.Run(field, func(t *testing.T) {
+			t.Parallel()
+			for _, text := range []string{
+				"HTTP/1.1 200 OK\r\n" + line + "$ownContent-Length: 7\r\n\r\n" + body,
+				"HTTP/1.1 103 Early Hints\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n$ownContent-Length: 7\r\n\r\n" + body,
+				"HTTP/1.1 200 OK\r\n$ownTransfer-Encoding: chunked\r\n\r\n7\r\n" + body + "\r\n0\r\n" + line + "\r\n",
+			} {
+				h := newHarness(t, 1_000_000)
+				h.startAnswering(answerWith(text))
+				h.start()
+				for _, path := range brokenPaths {
+					r := h.call("POST", path, "body", bbplatform.HeaderTokenUsage, "10,60")
+					if r.err != nil && (path == "/draft/1" || path == "/once/1") {
+						continue // the stream broke off behind an event
+					}
+					requireBroken(t, path, r)
+				}
+				h.stop()
+			}
+		})
+	}
+}
--- a/bluebellport/proxy/head.go
+++ b/bluebellport/proxy/head.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/juju/errors"
+
+	"bluebellport.example/shared/bbhead"
 )
 
 // Errors of reading heads and bodies.
@@ -94,7 +96,7 @@
 	fields := make(Fields, 0, 16)
 	for line := range strings.SplitSeq(lines, "\r\n") {
 		name, value, ok := strings.Cut(line, ":")
-		if !ok || !isToken(name) {
+		if !ok || !bbhead.IsToken(name) {
 			return "", nil, errors.Annotatef(ErrMalformed, "field %.40q", line)
 		}
 		value = strings.Trim(value, " \t")
@@ -106,24 +108,6 @@
 	return firstLine, fields, nil
 }
 
-// tokenBytes marks the bytes that a method or field name may contain.
-var tokenBytes = func() (t [256]bool) {
-	for _, c := range "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ" {
-		t[c] = true
-	}
-	return t
-}()
-
-// isToken reports whether s is valid as a method or field name.
-func isToken(s string) bool {
-	for i := range len(s) {
-		if !tokenBytes[s[i]] {
-			return false
-		}
-	}
-	return s != ""
-}
-
 // isFieldValue reports whether s has no control character except tab.
 func isFieldValue(s string) bool {
 	for i := range len(s) {
--- a/bluebellport/proxy/request.go
+++ b/bluebellport/proxy/request.go
@@ -10,6 +10,7 @@
 
 	"bluebellport.example/bluebellport/crash"
 	"bluebellport.example/platform"
+	"bluebellport.example/shared/bbhead"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -56,7 +57,7 @@
 	}
 	r := &Request{Fields: fields}
 	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !isToken(parts[0]) || !validURI(parts[1]) || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
+	if len(parts) != 3 || !bbhead.IsToken(parts[0]) || !validURI(parts[1]) || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
 		return r, framing{}, errors.Annotatef(ErrMalformed, "request line %.60q", line)
 	}
 	r.Method, r.URI, r.HTTP10 = parts[0], parts[1], parts[2] == "HTTP/1.0"
--- a/bluebellport/src/broken_answer_test.go
+++ b/bluebellport/src/broken_answer_test.go
@@ -147,6 +147,65 @@
 	}
 }
 
+// brokenFields are lines of a head that are no fields, each with a name that holds what no name may.
+var brokenFields = map[string]string{
+	"blank inside":             "Bro ken: a\r\n",
+	"blank before the colon":   "Broken : a\r\n",
+	"tab before the colon":     "Broken\t: a\r\n",
+	"tab inside":               "Bro\tken: a\r\n",
+	"control byte":             "Bro\x01ken: a\r\n",
+	"NUL":                      "Bro\x00ken: a\r\n",
+	"DEL":                      "Bro\x7fken: a\r\n",
+	"carriage return":          "Bro\rken: a\r\n",
+	"byte over 0x7f":           "Bro\xffken: a\r\n",
+	"folded line":              "Broken: a\r\n b\r\n",
+	"folded line with a colon": "Broken: a\r\n Link: b\r\n",
+	"empty name":               ": a\r\n",
+	"no colon":                 "Broken\r\n",
+	"length":                   "Content-Length : 4\r\n",
+	"chunks":                   "Transfer-Encoding : chunked\r\n",
+	"blank line of blanks":     " \r\nBroken: a\r\n",
+}
+
+// TestBrokenFieldIsNoAnswer guards against an answer that reaches a caller with a line in its head
+// that is no field, or with a body that the line frames.
+func TestBrokenFieldIsNoAnswer(t *testing.T) {
+	for field, line := range brokenFields {
+		for name, form := range headForms {
+			t.Run(field+", "+name, func(t *testing.T) {
+				t.Parallel()
+				requireNoAnswer(t, form, "200", line)
+			})
+		}
+		t.Run(field+", in a 103", func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n%[3]sLink: </a>\r\n\r\nHTTP/1.1 %[1]s OK\r\nContent-Type: %[2]s\r\nContent-Length: %[4]d\r\n\r\n", "200", line)
+		})
+	}
+}
+
+// TestBrokenTrailerIsNotPassedOn guards against a line that is no field in a trailer and that
+// reaches a caller, or that changes the body.
+func TestBrokenTrailerIsNotPassedOn(t *testing.T) {
+	call := brokenCalls[1]
+	for field, line := range brokenFields {
+		handler, _ := answerRaw(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n", call.contentType, len(call.text), call.text, line))
+		resp, body := newTestFrontend(t, handler).do(t, call.method, call.path, call.body)
+		isWhole := resp.StatusCode == http.StatusOK && body == call.text
+		if !isWhole && resp.StatusCode != http.StatusBadGateway || resp.Header.Get("Broken")+resp.Header.Get("Bro ken")+resp.Header.Get("Link") != "" || len(resp.Trailer) > 0 {
+			t.Errorf("%s: status %d, %q, %v", field, resp.StatusCode, body, resp.Header)
+		}
+	}
+}
+
+// TestBrokenFieldIsNoReport guards against a load report, an acknowledgement of an order or a list
+// of instances that is believed with such a line in its head.
+func TestBrokenFieldIsNoReport(t *testing.T) {
+	for _, line := range brokenFields {
+		requireNoReport(t, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+line+"Content-Length: %d\r\n\r\n")
+	}
+}
+
 // answerEarly returns a target that answers before it has read a request, without a length, and
 // ends its side; then it does what its test wants.
 func answerEarly(text, contentType string, then func(c *net.TCPConn, r *http.Request)) http.HandlerFunc {
--- a/shared/bbhead/conn.go
+++ b/shared/bbhead/conn.go
@@ -1,6 +1,6 @@
 // Package bbhead recognizes broken responses that the HTTP library takes for sound ones: those
 // that broke off, also where they went on as another one, which read as one mix both, and those
-// whose status is none of HTTP.
+// whose head has a status that is none of HTTP or a line that is no field.
 package bbhead
 
 import (
--- a/shared/bbhead/conn_test.go
+++ b/shared/bbhead/conn_test.go
@@ -51,26 +51,33 @@
 	}
 }
 
-// TestStatusOutOfRangeIsFound guards against a status that is none of HTTP and that the HTTP
-// library takes for another one, and against a sound head that is taken for broken.
-func TestStatusOutOfRangeIsFound(t *testing.T) {
+// TestMalformedHeadIsFound guards against a status that is none of HTTP, or a line that is no field,
+// that the HTTP library takes for sound, and against a sound head that is taken for broken.
+func TestMalformedHeadIsFound(t *testing.T) {
 	for text, broken := range map[string]bool{
-		"HTTP/1.1 200 OK\r\n\r\n":                                       false,
-		"HTTP/1.1 599 Fine\r\nA: b\r\n\r\n":                             false,
-		"HTTP/1.1 101 Switching\r\nA: b\r\n\r\nHTTP/1.1 000 OK\r\n\r\n": false, // no other head follows
-		"HTTP/1.1  204 two blanks\r\n\r\n":                              false,
-		"HTTP/1.1 200\nA: b\n\r\nHTTP/1.1 000 OK\r\n\r\n":               false, // a body
-		"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 000 OK\r\n\r\n":  true,
-		"HTTP/1.1 103 Hints\nLink: a\n\nHTTP/1.1 000 OK\r\n\r\n":        true,
-		"HTTP/1.1 000 OK\r\n\r\n":                                       true,
-		"HTTP/1.1 000 OK\n\r\n":                                         true,
-		"HTTP/1.1 000 OK\nA: b\n\nC: d\r\n\r\n":                         true,
-		"\r\n\nHTTP/1.1 099 OK\r\nA: b\r\n\r\n":                         true,
-		"HTTP/1.1 600\r\nA: b\r\n\r\n":                                  true,
-		"HTTP/1.1 20 OK\r\n\r\n":                                        true,
-		"HTTP/1.1 +20 OK\r\n\r\n":                                       true,
-		"HTTP/1.1\r\n\r\n":                                              true,
-		"\r\r\n\r\n":                                                    true,
+		"HTTP/1.1 200 OK\r\n\r\n":                                              false,
+		"HTTP/1.1 599 Fine\r\nA: b\r\n\r\n":                                    false,
+		"HTTP/1.1 101 Switching\r\nA: b\r\n\r\nHTTP/1.1 000 OK\r\n\r\n":        false, // no other head follows
+		"HTTP/1.1  204 two blanks\r\n\r\n":                                     false,
+		"HTTP/1.1 200\nA: b\n\r\nHTTP/1.1 000 OK\r\n\r\n":                      false, // a body
+		"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 000 OK\r\n\r\n":         true,
+		"HTTP/1.1 103 Hints\nLink: a\n\nHTTP/1.1 000 OK\r\n\r\n":               true,
+		"HTTP/1.1 000 OK\r\n\r\n":                                              true,
+		"HTTP/1.1 000 OK\n\r\n":                                                true,
+		"HTTP/1.1 000 OK\nA: b\n\nC: d\r\n\r\n":                                true,
+		"\r\n\nHTTP/1.1 099 OK\r\nA: b\r\n\r\n":                                true,
+		"HTTP/1.1 600\r\nA: b\r\n\r\n":                                         true,
+		"HTTP/1.1 20 OK\r\n\r\n":                                               true,
+		"HTTP/1.1 +20 OK\r\n\r\n":                                              true,
+		"HTTP/1.1\r\n\r\n":                                                     true,
+		"HTTP/1.1 200 OK\r\nA!#$%&'*+-.^_`|~9:b\r\nC:\r\n\r\nno field\r\n\r\n": false,
+		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                                     true,
+		"HTTP/1.1 200 OK\nA b: c\n\r\n":                                        true,
+		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n":                                true,
+		"HTTP/1.1 200 OK\r\n A: b\r\n\r\n":                                     true,
+		"HTTP/1.1 200 OK\r\nA\x01: b\r\n\r\n":                                  true,
+		"HTTP/1.1 103 Hints\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n":          true,
+		"\r\r\n\r\n": true,
 	} {
 		for _, part := range []int{16 << 10, 7, 1} {
 			is := is.New(t)
--- a/shared/bbhead/head.go
+++ b/shared/bbhead/head.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// parseHead parses a head. It returns ErrMalformed if the status is none of HTTP, and ErrJoined
-// if the head holds the status line of another response.
+// parseHead parses a head. It returns ErrMalformed if the status is none of HTTP or a line is no
+// field, and ErrJoined if the head holds the status line of another response.
 func parseHead(text string) (head, error) {
 	statusLine, fields, _ := strings.Cut(strings.TrimLeft(text, "\r\n"), "\n")
 	if HoldsStatusLine(statusLine[min(1, len(statusLine)):]) || HoldsStatusLine(fields) {
@@ -53,11 +53,16 @@
 	}
 	isChunked := false
 	for line := range strings.SplitSeq(fields, "\n") {
-		name, value, _ := strings.Cut(line, ":")
-		switch strings.ToLower(strings.TrimSpace(name)) {
-		case "transfer-encoding":
+		if line = strings.TrimSuffix(line, "\r"); line == "" {
+			break // the end of the head
+		}
+		name, value, ok := strings.Cut(line, ":")
+		switch {
+		case !ok || !IsToken(name):
+			return head{}, errors.Trace(ErrMalformed)
+		case strings.EqualFold(name, "Transfer-Encoding"):
 			isChunked = true
-		case "content-length":
+		case strings.EqualFold(name, "Content-Length"):
 			n, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
 			h.length, h.hasLength = n, err == nil && n >= 0
 		}
--- a/shared/bbstore/broken_head_test.go
+++ b/shared/bbstore/broken_head_test.go
@@ -38,3 +38,11 @@
 		requireDisbelieved(t, "HTTP/1.1 "+status+" OK\r\nContent-Length: %d\r\n\r\n")
 	}
 }
+
+// TestAnswerWithABrokenFieldIsAnError guards against an answer that is believed with a line in its
+// head that is no field.
+func TestAnswerWithABrokenFieldIsAnError(t *testing.T) {
+	for _, line := range []string{"Bro ken: a", "Broken : a", "Bro\x01ken: a", "Broken: a\r\n b", "Content-Length : 2"} {
+		requireDisbelieved(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: %d\r\n\r\n")
+	}
+}
