serve: keep what a target sent out of refusals

A caller whose request failed was told bytes of the target, up to a whole head and the start of its body: detail and error.message of the 502 held the HTTP library's error, which quotes what it could not read; likewise a content type that is no stream's, and what is no JSON.

Cause: a refusal's detail was the text of the error, whatever that quotes.

Such errors are marked (errTargetText); the refusal has its title and outcome then and no detail. The log lines "attempt failed" and "request refused" keep the whole error.

--- a/bluebellport/src/engine_client.go
+++ b/bluebellport/src/engine_client.go
@@ -158,7 +158,13 @@
 	case errors.Is(err, fasthttp.ErrTimeout):
 		return errors.WithType(err, errDeadlineExceeded)
 	}
-	return errors.WithType(err, errConnBroken)
+	return errors.WithType(errors.WithType(err, errTargetText), errConnBroken)
+}
+
+// unusableAnswer returns an errTargetFailed for an answer that can't be relayed, for a reason that
+// may quote it.
+func unusableAnswer(reason error) error {
+	return errors.WithType(errors.WithType(reason, errTargetText), errTargetFailed)
 }
 
 // beginAnswer sets the status, the content type and further header fields of an
@@ -179,7 +185,7 @@
 		Usage *tokenUsage `json:"usage"`
 	}
 	if err := json.Unmarshal(b, &response); err != nil {
-		return errors.WithType(errors.Annotate(err, "answer"), errTargetFailed)
+		return unusableAnswer(errors.Annotate(err, "answer"))
 	}
 	relay.usage = response.Usage
 	if response.Usage != nil {
@@ -194,7 +200,7 @@
 // stream.
 func (ec *engineClient) relayStream(ctx context.Context, resp *fasthttp.Response, req *clientRequest, ea *engineAttempt, relay *chatRelay, answer *Answer) error {
 	if contentType := string(resp.Header.ContentType()); !isEventStream(contentType) {
-		return errors.WithType(errors.Errorf("target answered with %.40q, not with a stream", contentType), errTargetFailed)
+		return unusableAnswer(errors.Errorf("target answered with %.40q, not with a stream", contentType))
 	}
 	events := newSSEReader(resp.BodyStream())
 	for {
--- a/bluebellport/src/refusal.go
+++ b/bluebellport/src/refusal.go
@@ -25,6 +25,9 @@
 	errTargetFailed     = errors.ConstError("target failed")
 	errConnBroken       = errors.ConstError("connection to the target broke")
 	errTargetSilent     = errors.ConstError("no answer seen from the target")
+	// errTargetText marks an error whose text may quote what a target sent. That is for the log
+	// only.
+	errTargetText = errors.ConstError("text of a target")
 )
 
 // refusalResponse is the response to a request that got no answer: RFC 9457
@@ -32,7 +35,7 @@
 type refusalResponse struct {
 	Status  int
 	Title   string
-	Detail  string
+	Detail  string // may be empty
 	Outcome bbunit.Outcome
 	// RetryAfter is when a retry may succeed; 0 if a retry is pointless.
 	RetryAfter time.Duration
@@ -142,6 +145,9 @@
 		}
 		break
 	}
+	if errors.Is(err, errTargetText) {
+		resp.Detail = ""
+	}
 	var routeRefusal *Refusal
 	if errors.As(err, &routeRefusal) && routeRefusal.RetryAfter > 0 {
 		resp.RetryAfter = routeRefusal.RetryAfter
--- a/bluebellport/src/sse.go
+++ b/bluebellport/src/sse.go
@@ -100,7 +100,7 @@
 func (r *chatRelay) process(event sseEvent, wantUsage bool) ([]byte, error) {
 	var chunk chatChunk
 	if err := json.Unmarshal(event.data, &chunk); err != nil {
-		return nil, errors.WithType(errors.Annotate(err, "chunk"), errTargetFailed)
+		return nil, unusableAnswer(errors.Annotate(err, "chunk"))
 	}
 	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
 		return nil, errors.WithType(errors.New("target sent an error within a stream"), errTargetFailed)
@@ -157,7 +157,7 @@
 	}
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(data, &fields); err != nil {
-		return nil, errors.WithType(err, errTargetFailed)
+		return nil, unusableAnswer(err)
 	}
 	fields["id"], _ = json.Marshal(r.chunkID)
 	if chunk.Usage != nil {
