--- a/bluebellport/proxy/attempt.go
+++ b/bluebellport/proxy/attempt.go
@@ -233,7 +233,7 @@
 		x.heard.refused = true
 		_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(x.headTimeout())))
 	}
-	return x.responseBody(conn, resp).discard(maxResponseBody)
+	return x.bodyOf(conn, resp).discard(maxResponseBody)
 }
 
 // headTimeout is how long a request that may be retried waits for the head of a
@@ -282,7 +282,7 @@
 // connection to the target can be reused. One that is longer than maxDiscarded or
 // has no length is not worth that: its connection is closed.
 func (x *exchange) discardResponse(conn *targetConn, resp *Response) {
-	b := x.responseBody(conn, resp)
+	b := x.bodyOf(conn, resp)
 	_ = conn.SetReadDeadline(bbclock.Earlier(x.deadline, time.Now().Add(discardTimeout)))
 	if b.untilClose || b.discard(maxDiscarded) != nil {
 		_ = conn.Close()
--- a/bluebellport/proxy/delivery.go
+++ b/bluebellport/proxy/delivery.go
@@ -15,7 +15,7 @@
 // is read.
 func (x *exchange) deliver(conn *targetConn, resp *Response) attemptResult {
 	_ = conn.SetReadDeadline(x.deadline)
-	b := x.responseBody(conn, resp)
+	b := x.bodyOf(conn, resp)
 	buf := buffer{budget: x.proxy.responseMemory}
 	defer buf.free()
 	err := buf.readAll(b, maxResponseBody)
--- a/bluebellport/proxy/stream.go
+++ b/bluebellport/proxy/stream.go
@@ -75,7 +75,7 @@
 		return x.deliver(conn, resp)
 	}
 	x.stream.answerID, x.stream.answered = 0, false
-	b := x.responseBody(conn, resp)
+	b := x.bodyOf(conn, resp)
 	if !x.stream.started {
 		x.stream.closesConn = x.closesConn()
 	}
--- a/bluebellport/proxy/upload.go
+++ b/bluebellport/proxy/upload.go
@@ -60,8 +60,8 @@
 	return errors.Annotate(c.upload.err, "request not written")
 }
 
-// responseBody returns a reader for the body of a response to the exchange's request.
-func (x *exchange) responseBody(conn *targetConn, resp *Response) *bodyReader {
+// bodyOf returns a reader for the body of a response to the exchange's request.
+func (x *exchange) bodyOf(conn *targetConn, resp *Response) *bodyReader {
 	b := responseBody(conn.br, resp.framing, resp.Status, x.req.Method)
 	if b.untilClose {
 		b.confirmEnd = func() error { return conn.confirmEnd(x.deadline) }
--- a/shared/bbhead/conn.go
+++ b/shared/bbhead/conn.go
@@ -6,15 +6,10 @@
 import (
 	"io"
 	"net"
-	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/valyala/fasthttp"
-
-	"bluebellport.example/shared/bbclock"
-	"bluebellport.example/shared/bbend"
 )
 
 // Errors of responses that are broken.
@@ -47,33 +42,6 @@
 	readBy atomic.Int64
 }
 
-// maxConfirm bounds how long the end of a response is confirmed without a deadline, and
-// confirmPart for how long that is done before the deadline is looked at again.
-const (
-	maxConfirm  = 10 * time.Second
-	confirmPart = 20 * time.Millisecond
-)
-
-// SetDeadline sets until when reads and writes wait.
-func (c *Conn) SetDeadline(t time.Time) error {
-	c.setReadBy(t)
-	return c.Conn.SetDeadline(t)
-}
-
-// SetReadDeadline sets until when reads wait.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.setReadBy(t)
-	return c.Conn.SetReadDeadline(t)
-}
-
-func (c *Conn) setReadBy(t time.Time) {
-	if t.IsZero() {
-		c.readBy.Store(0)
-		return
-	}
-	c.readBy.Store(t.UnixNano())
-}
-
 // Write writes a part of a request.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.head, c.tail, c.inBody, c.ended, c.begun = c.head[:0], c.tail[:0], false, false, false
@@ -92,24 +60,6 @@
 	return n, err
 }
 
-// confirmEnd returns io.EOF if the end that a read has found is the server's. It blocks while the
-// server takes the rest of the request, until the deadline of reads.
-func (c *Conn) confirmEnd() error {
-	for began := time.Now(); ; {
-		deadline := began.Add(maxConfirm)
-		if by := c.readBy.Load(); by != 0 {
-			deadline = time.Unix(0, by)
-		}
-		err := bbend.Confirm(c.Conn, nil, bbclock.Earlier(deadline, time.Now().Add(confirmPart)))
-		switch {
-		case err == nil:
-			return io.EOF
-		case !errors.Is(err, os.ErrDeadlineExceeded), !time.Now().Before(deadline):
-			return err
-		}
-	}
-}
-
 // look looks at the next bytes of a response.
 func (c *Conn) look(b []byte) error {
 	if c.ended || len(b) == 0 {
