--- a/bluebellport/proxy/early_play_test.go
+++ b/bluebellport/proxy/early_play_test.go
@@ -174,7 +174,23 @@
 		serve(p.self.ID, stream)
 		_ = stream.Close()
 	}()
-	return client.Open()
+	stream, err := client.Open()
+	if err != nil {
+		return nil, err
+	}
+	return muxStream{stream, client}, nil
+}
+
+// muxStream is a stream that is the only one of its session.
+type muxStream struct {
+	net.Conn
+	session *yamux.Session
+}
+
+// Close closes the stream and its session.
+func (s muxStream) Close() error {
+	_ = s.Conn.Close()
+	return s.session.Close()
 }
 
 // forEachEarly calls fn for each way and each size of an upload.
--- a/bluebellport/src/broken_answer_test.go
+++ b/bluebellport/src/broken_answer_test.go
@@ -215,6 +215,10 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		if strings.HasPrefix(r.URL.Path, "/v1/requests/") {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n"+`{"state":"running"}`)
+			return
+		}
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n\r\n%s", contentType, text)
 		_ = conn.(*net.TCPConn).CloseWrite()
 		time.Sleep(20 * time.Millisecond)
