bbend: look less often at a connection whose peer takes its time

A target that ends its side and reads a long request slowly was looked at 500 times a second until the request's deadline. The interval now doubles from 1 to 16 ms; an end that can be confirmed at once is.

--- a/shared/bbend/end.go
+++ b/shared/bbend/end.go
@@ -19,9 +19,12 @@
 // ErrBroken means that a connection broke although a read found its end.
 const ErrBroken = errors.ConstError("the connection broke")
 
-// lookInterval is the time between two looks at a connection whose peer has not yet taken all
-// that was written.
-const lookInterval = 2 * time.Millisecond
+// minLookInterval and maxLookInterval bound the time between two looks at a connection whose peer
+// has not yet taken all that was written. It doubles with each look.
+const (
+	minLookInterval = time.Millisecond
+	maxLookInterval = 16 * time.Millisecond
+)
 
 // State is what the system shows of a connection that a read found the end of.
 type State int
@@ -56,7 +59,7 @@
 	if c, ok := conn.(confirmer); ok {
 		return c.ConfirmEnd(written, deadline)
 	}
-	for {
+	for interval := minLookInterval; ; interval = min(2*interval, maxLookInterval) {
 		ended := IsWritten(written)
 		switch state := Look(conn); {
 		case state == Broken:
@@ -66,7 +69,7 @@
 		case !time.Now().Before(deadline):
 			return errors.Trace(os.ErrDeadlineExceeded)
 		}
-		time.Sleep(lookInterval)
+		time.Sleep(interval)
 	}
 }
 
