Tests of answers: announce the close of connections behind sound answers

Traced, in 1 of 144 plays side by side: the second request on a connection (carried 2) crosses its close, which resets it; the stand-in had answered with a length and closed without a word. A target that does that can cut any such request; the test is of sound ones. The same in the sound target of TestEarlyAnswerThatBreaksOffIsTriedAgain. The checks are unchanged.

--- a/bluebellport/proxy/broken_head_test.go
+++ b/bluebellport/proxy/broken_head_test.go
@@ -96,7 +96,7 @@
 	status := 0
 	h := newHarness(t, 1_000_000)
 	h.startAnswering(func(c net.Conn, r *http.Request, own string) {
-		answerWith(fmt.Sprintf("HTTP/1.1 %d Fine\r\n$ownContent-Length: 4\r\n\r\nbody", status))(c, r, own)
+		answerWith(fmt.Sprintf("HTTP/1.1 %d Fine\r\n$ownConnection: close\r\nContent-Length: 4\r\n\r\nbody", status))(c, r, own)
 	})
 	h.start()
 	for _, status = range []int{200, 206, 299, 300, 404, 418, 499, 500, 599} {
--- a/bluebellport/proxy/early_end_test.go
+++ b/bluebellport/proxy/early_end_test.go
@@ -100,7 +100,7 @@
 		if r.Header.Get(bbplatform.HeaderLastEventID) == "" {
 			text = earlyEvent + text
 		}
-		answerWith(fmt.Sprintf("HTTP/1.1 200 OK\r\n$ownContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(text), text))(c, r, own)
+		answerWith(fmt.Sprintf("HTTP/1.1 200 OK\r\n$ownConnection: close\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(text), text))(c, r, own)
 	}
 	forEachEarly(earlyUploads[1:], func(way string, carried bool, upload int) {
 		for name, breaking := range breakings {
