Log by which way a plan came and for how long none had been confirmed

"plan in force" now has the way (list, poll, peer) and how long nothing had shown that no plan is newer; poll-lost has the time that was asked for, so that one that ended by its own time is told from one that another call ended; a sampled served request has the version of its plan, as refused ones do. The metrics page has door.plan.unconfirmed-ms. No decision changes.

--- a/bluebellport/proxy/evacuated_follow_test.go
+++ b/bluebellport/proxy/evacuated_follow_test.go
@@ -85,7 +85,7 @@
 	f, _ := startFollower(t, newFakeNetwork().newPeer("a", "d0"), store)
 	plan, err := store.Get(t.Context(), bbplatform.KeyPlan)
 	is.NoErr(err)
-	f.applyPlan(plan)
+	f.applyPlan(plan, wayPoll)
 	await(t, "plan and targets are known", time.Second, func() bool { return f.board.Plan.Load() != nil && f.board.Services.Load() != nil })
 	time.Sleep(300 * time.Millisecond)
 	is.True(!f.board.Ready())
--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -48,6 +48,8 @@
 	// planCurrent is the newest revision of the store as of which no plan is newer
 	// than planSeen, 0 if none is known.
 	planCurrent atomic.Int64
+	// confirmedAt is when planCurrent last rose, in ns of now, 0 for never.
+	confirmedAt atomic.Int64
 
 	mu           sync.Mutex // guards the fields down to missingUntil, which peers' messages also change
 	planEntry    bbstore.Entry
--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -56,7 +56,7 @@
 		return 0, err
 	}
 	log.Info("plan read from the store")
-	f.applyPlan(entry)
+	f.applyPlan(entry, wayList)
 	f.planLooked(rev)
 	return rev, nil
 }
@@ -100,7 +100,7 @@
 	}
 	for _, e := range events {
 		if e.Key == bbplatform.KeyPlan {
-			f.applyPlan(e.Entry)
+			f.applyPlan(e.Entry, wayPoll)
 		}
 	}
 	if err != nil || rev < from {
@@ -125,7 +125,7 @@
 	events, rev, err := pollUntilLost(pollCtx, f.store, f.path, bbplatform.PrefixOperator, from, wait)
 	f.stopPoll.Store(nil)
 	if errors.Is(err, errPollLost) {
-		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": f.now().Sub(began).Milliseconds()}).Info("poll for a newer plan ended: another call of this time got no answer")
+		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": f.now().Sub(began).Milliseconds(), "wait": wait.Milliseconds()}).Info("poll for a newer plan ended: it, or another call of this time, got no answer")
 		return nil, 0, err
 	}
 	if err == nil || !errors.Is(context.Cause(pollCtx), errPeersFaster) {
@@ -160,15 +160,29 @@
 func (f *follower) planLooked(rev bbstore.Revision) {
 	for {
 		old := f.planCurrent.Load()
-		if int64(rev) <= old || f.planCurrent.CompareAndSwap(old, int64(rev)) {
+		if int64(rev) <= old {
 			return
 		}
+		if f.planCurrent.CompareAndSwap(old, int64(rev)) {
+			f.confirmedAt.Store(f.now().UnixNano())
+			return
+		}
+	}
+}
+
+// unconfirmed returns for how long nothing has shown that no plan is newer than the one
+// looked at, 0 if nothing ever has.
+func (f *follower) unconfirmed() time.Duration {
+	at := f.confirmedAt.Load()
+	if at == 0 {
+		return 0
 	}
+	return f.now().Sub(time.Unix(0, at))
 }
 
 // applyVersion puts a plan in force that peers have sent.
 func (f *follower) applyVersion(v bbspread.Version) {
-	f.applyPlan(bbstore.Entry{Value: v.Text, Rev: v.Rev})
+	f.applyPlan(bbstore.Entry{Value: v.Text, Rev: v.Rev}, wayPeer)
 }
 
 // seenRevision returns the newest revision of a plan that was looked at.
@@ -176,7 +190,7 @@
 
 // applyPlan puts a plan in force, unless it is unreadable or not newer than the one
 // in force. Parsing takes long; nothing but another plan waits for it.
-func (f *follower) applyPlan(e bbstore.Entry) {
+func (f *follower) applyPlan(e bbstore.Entry, way newsWay) {
 	f.planMu.Lock()
 	defer f.planMu.Unlock()
 	if len(e.Value) == 0 || int64(e.Rev) <= f.planSeen.Load() {
@@ -193,12 +207,12 @@
 	for _, entryErr := range rejected {
 		f.log.WithError(entryErr).Warn("invalid entry of the plan ignored")
 	}
-	f.putInForce(e, plan, begin)
+	f.putInForce(e, plan, way, begin)
 }
 
 // putInForce puts a plan in force, unless that of a higher version is. The caller holds
 // planMu and has begun to parse it at a time.
-func (f *follower) putInForce(e bbstore.Entry, plan *bbplan.Plan, begin time.Time) {
+func (f *follower) putInForce(e bbstore.Entry, plan *bbplan.Plan, way newsWay, begin time.Time) {
 	f.planSeen.Store(int64(e.Rev))
 	defer f.board.PlanLag.looked(e.Rev)
 	old := f.board.Plan.Load()
@@ -211,7 +225,7 @@
 	if old == nil || plan.Version > old.Version { // otherwise it was written again
 		f.cold.setPlan(plan)
 		f.board.Plan.Store(plan)
-		f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts), "bytes": len(e.Value), "ms": f.now().Sub(begin).Milliseconds()}).Info("plan in force")
+		f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts), "bytes": len(e.Value), "ms": f.now().Sub(begin).Milliseconds(), "way": way.String(), "unconfirmed": f.unconfirmed().Milliseconds()}).Info("plan in force")
 	}
 	f.onPlan(e)
 }
--- a/bluebellport/proxy/metrics.go
+++ b/bluebellport/proxy/metrics.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// registerPlan registers the version of the plan in force, and for how long a newer one
-// has been known to exist.
-func (m *proxyMetrics) registerPlan(board *Board, now func() time.Time) {
+// registerPlan registers the version of the plan in force, for how long a newer one has
+// been known to exist, and for how long nothing has shown that none is newer.
+func (m *proxyMetrics) registerPlan(board *Board, now func() time.Time, unconfirmed func() time.Duration) {
 	metrics.NewRegisteredFunctionalGauge("door.plan.version", m.registry, func() int64 {
 		if plan := board.Plan.Load(); plan != nil {
 			return int64(plan.Version)
@@ -112,6 +112,7 @@
 		_, known, _ := board.PlanLag.behind(now())
 		return known.Milliseconds()
 	})
+	metrics.NewRegisteredFunctionalGauge("door.plan.unconfirmed-ms", m.registry, func() int64 { return unconfirmed().Milliseconds() })
 }
 
 // registerStorePath registers how many calls that wait for the store were ended as lost.
--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -38,7 +38,7 @@
 	(&peerLoans{}).register(c.registry)
 	c.registerCalls(func() map[string]int64 { return nil })
 	bbversion.New(bbversion.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
-	c.registerPlan(&Board{}, time.Now)
+	c.registerPlan(&Board{}, time.Now, (&follower{now: time.Now}).unconfirmed)
 	c.registerStorePath(func() int64 { return 0 })
 	bbspread.New(bbspread.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	newTargetWays(dialTCP, noPeers{}, &Board{}, &trafficMeter{}, time.Now, nil, c.registry)
--- a/bluebellport/proxy/newsway.go
+++ b/bluebellport/proxy/newsway.go
@@ -2,11 +2,11 @@
 
 //go:generate enumer -type=newsWay -trimprefix=way -transform=kebab -output=newsway_enumer.go
 
-// newsWay is the way by which an instance heard of targets.
+// newsWay is the way by which an instance heard of targets or of a plan.
 type newsWay int
 
 const (
-	// wayList and wayPoll are a listing and a poll of the store.
+	// wayList and wayPoll are a listing or reading and a poll of the store.
 	wayList newsWay = iota
 	wayPoll
 	// wayWatcher is a message of the failure domain's watcher, wayPeer the answer
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -152,7 +152,7 @@
 	f.onTargetEnded, f.onTargetLeaving = p.crashWatch.targetEnded, p.leaving.HearEntry
 	f.onTargetStarted = func(target bbplan.Target) { p.hints.targetStarted(target, p.now()) }
 	spreader := newSpreader(ctx, f, peers, p.settings.LinkRate(), p.metrics.registry)
-	p.metrics.registerPlan(p.board, p.now)
+	p.metrics.registerPlan(p.board, p.now, f.unconfirmed)
 	r := newRelay(peers, f, spreader) // takes messages from here on
 	p.versions = bbversion.New(bbversion.Config{
 		Network: peers, Store: store, StoreKey: splitKey, LogPrefix: streamLogPrefix, Now: p.now, Slots: p.slotsByVersion, IsWatcher: r.isWatcher, Log: p.log, Metrics: p.metrics.registry,
--- a/bluebellport/proxy/result.go
+++ b/bluebellport/proxy/result.go
@@ -120,7 +120,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request": x.req.AttemptID, "service": x.service, "target": target.ID, "sends": x.sentAttempts,
+		"request": x.req.AttemptID, "plan": x.plan.Version, "service": x.service, "target": target.ID, "sends": x.sentAttempts,
 		"ms": time.Since(x.req.ReceivedAt).Milliseconds(), "inflight": target.State.InFlight(),
 	}
 	if x.limitedAtSend {
