--- /dev/null
+++ b/bluebellport/proxy/silent_polls_test.go
@@ -0,0 +1,141 @@
+package bbproxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/platform"
+	bbplatformstand "bluebellport.example/platform/stand"
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// Times of the rule that the play checks.
+const (
+	// silentInForceTime is within which time an accepted plan has to be in force.
+	silentInForceTime = 2 * time.Second
+	// silentContactTime is how long after the last of its connections fell silent an
+	// instance is in touch again.
+	silentContactTime = 3 * time.Second
+)
+
+// silentPlay is a play of connections to the store that fall silent.
+type silentPlay struct {
+	name string
+	// instances are spread over domains.
+	instances, domains int
+	// first silences only the connections of the first instance.
+	first bool
+	// waiting silences those on which a call waits for changes under a prefix, all others
+	// as well if it is empty.
+	waiting string
+	// at is when they fall silent, before the change; more are silenced after each gap.
+	at    time.Duration
+	times int
+	gap   time.Duration
+}
+
+// newSilentFleet returns a fleet each of whose instances reaches the store over a path of
+// its own.
+func newSilentFleet(t *testing.T, p silentPlay) (*grownFleet, []*connPath) {
+	g := &grownFleet{t: t, mem: bbstore.NewMem(), rand: rand.New(rand.NewPCG(1, 2))}
+	g.grow(20)
+	network := newFakeNetwork()
+	peers := make([]*fakePeer, p.instances)
+	for i := range peers {
+		peers[i] = network.newPeer(bbunit.InstanceID(fmt.Sprintf("i%d", i)), bbunit.DomainID(fmt.Sprintf("d%d", i%p.domains)))
+	}
+	stand, stopStand := bbplatformstand.NewStore(g.mem)
+	t.Cleanup(stopStand)
+	var paths []*connPath
+	for _, peer := range peers {
+		path, address := newConnPath(t, stand)
+		store, closeStore := bbplatform.NewStore(address, 0)
+		t.Cleanup(closeStore)
+		f, _ := startFollower(t, peer, store)
+		g.followers = append(g.followers, f)
+		paths = append(paths, path)
+	}
+	return g, paths
+}
+
+// silence makes connections of the fleet silent as the play says, and returns how many.
+func (p silentPlay) silence(paths []*connPath) int {
+	n := 0
+	for i, path := range paths {
+		if i == 0 || !p.first {
+			n += path.silence(p.waiting)
+		}
+	}
+	return n
+}
+
+// TestPlanIsInForceThoughAllPollsFallSilent guards against a fleet that waits for the time
+// of polls whose connections alone have fallen silent at one moment.
+func TestPlanIsInForceThoughAllPollsFallSilent(t *testing.T) {
+	for _, p := range []silentPlay{
+		{name: "polls for plans", instances: 4, domains: 4, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
+		{name: "polls for plans, 1.5 s before", instances: 4, domains: 4, waiting: bbplatform.PrefixOperator, at: 1500 * time.Millisecond, times: 1},
+		{name: "polls for plans, two failure domains", instances: 2, domains: 2, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
+		{name: "polls for plans, one failure domain", instances: 3, domains: 1, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
+		{name: "all polls", instances: 6, domains: 4, waiting: "/", at: 100 * time.Millisecond, times: 1},
+		{name: "all connections", instances: 6, domains: 4, at: 100 * time.Millisecond, times: 1},
+		{name: "one instance alone", instances: 4, domains: 4, first: true, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
+		{name: "again and again", instances: 4, domains: 4, waiting: bbplatform.PrefixOperator, at: 2100 * time.Millisecond, times: 4, gap: 700 * time.Millisecond},
+		{name: "again and again, all connections", instances: 4, domains: 4, at: 2100 * time.Millisecond, times: 4, gap: 700 * time.Millisecond},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g, paths := newSilentFleet(t, p)
+			g.awaitVersion(1, time.Now(), 10*time.Second)
+			time.Sleep(time.Second)
+			g.grow(1) // ends all polls, so that the next ones begin together
+			g.awaitVersion(2, time.Now(), silentInForceTime)
+			time.Sleep(400 * time.Millisecond)
+			begin := time.Now()
+			var silentAt time.Time
+			silent := 0
+			for i := range p.times {
+				time.Sleep(time.Until(begin.Add(time.Duration(i) * p.gap)))
+				silentAt = time.Now()
+				silent += p.silence(paths)
+			}
+			is.True(silent > 0)
+			time.Sleep(time.Until(begin.Add(p.at)))
+			writtenAt := time.Now()
+			g.grow(1)
+			within := max(silentInForceTime, silentAt.Add(silentContactTime).Sub(writtenAt))
+			t.Logf("in force everywhere after %s", g.awaitVersion(3, writtenAt, within))
+		})
+	}
+}
+
+// TestPollIsNotSilentForLong guards against polls that stay silent, each on its own, until
+// all are.
+func TestPollIsNotSilentForLong(t *testing.T) {
+	is := is.New(t)
+	p := silentPlay{instances: 4, domains: 4, waiting: bbplatform.PrefixOperator}
+	g, paths := newSilentFleet(t, p)
+	g.awaitVersion(1, time.Now(), 10*time.Second)
+	for i := range paths {
+		time.Sleep(300 * time.Millisecond)
+		is.True(paths[i].silence(p.waiting) > 0)
+		g.grow(1)
+		t.Logf("change %d: in force everywhere after %s", i+1, g.awaitVersion(i+2, time.Now(), silentInForceTime))
+	}
+}
+
+// waitsFor reports whether the head of a request asks to wait for changes under a prefix.
+func waitsFor(head, prefix string) bool {
+	_, query, ok := strings.Cut(head, "/kv-watch?path-prefix=")
+	if !ok || strings.Contains(head, "wait-ms=0 ") {
+		return false
+	}
+	return strings.HasPrefix(query, strings.ReplaceAll(prefix, "/", "%2F")) || prefix == "/"
+}
