Look for a plan beside polls that may be silent

Cause: a poll for plans waits 4 s, and its connection can fall silent alone. Nothing else asks for plans while it waits; other calls are answered, so package path has no reason to take it for lost. If that happens to all watchers at one moment, nobody of the fleet hears of the change until the polls pass their own time. Class: a call that waits long for somebody's word and has no second way.

Evidence: poll-lost at all four instances after 4,700 ms of a wait of 4,000, "unconfirmed" 4,701 to 4,707 ms as the plan came in force. The test TestPlanIsInForceThoughAllPollsFallSilent failed in 5 of 9 rows in each of 3 runs, TestPollIsNotSilentForLong in 3 of 3.

The mend: an answer of the store to one instance proves for all that no plan is newer; watchers tell each other, with its age. Who hears of none for 1.25 s (the first failure domain; others up to 0.45 s later) looks beside its poll. A poll that stays silent though its news came by another way is ended.

Ruled out: shorter polls (1 s) cost four times the polls; polls in staggered phases cost nothing, but phases drift apart and a cut leaves gaps; a look by each watcher alone costs as many calls as there are failure domains.

--- a/bluebellport/proxy/audience.go
+++ b/bluebellport/proxy/audience.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"bluebellport.example/platform"
 	"bluebellport.example/shared/bbmember"
@@ -20,6 +21,16 @@
 	return members
 }
 
+// domainsOf returns the failure domains of a view's members, in order.
+func domainsOf(view *bbmember.View) []bbunit.DomainID {
+	var domains []bbunit.DomainID
+	for _, m := range view.Members {
+		domains = append(domains, m.Domain)
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
 // someOfOtherDomains returns up to maxToldPerDomain random members of each other
 // failure domain.
 func someOfOtherDomains(view *bbmember.View) []bbmember.Member {
--- a/bluebellport/proxy/constants.go
+++ b/bluebellport/proxy/constants.go
@@ -114,7 +114,7 @@
 	// targetPollInterval is the pause between two polls for changes of targets.
 	targetPollInterval = 700 * time.Millisecond
 	// planPollWait is how long one poll for a newer plan waits.
-	planPollWait = 4 * time.Second
+	planPollWait = 20 * time.Second
 	// planTransferTime is how long a plan is awaited from peers that have begun to send
 	// it, before the store is asked again.
 	planTransferTime = 3 * time.Second
--- a/bluebellport/proxy/follower.go
+++ b/bluebellport/proxy/follower.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"bluebellport.example/bluebellport/confirm"
 	"bluebellport.example/bluebellport/crash"
 	"bluebellport.example/bluebellport/evacuate"
 	"bluebellport.example/bluebellport/path"
@@ -48,8 +49,8 @@
 	// planCurrent is the newest revision of the store as of which no plan is newer
 	// than planSeen, 0 if none is known.
 	planCurrent atomic.Int64
-	// confirmedAt is when planCurrent last rose, in ns of now, 0 for never.
-	confirmedAt atomic.Int64
+	// confirmed keeps when the store last answered an instance that no plan is newer.
+	confirmed bbconfirm.Newest
 
 	mu           sync.Mutex // guards the fields down to missingUntil, which peers' messages also change
 	planEntry    bbstore.Entry
@@ -85,12 +86,22 @@
 	// follower was made. It is used by followPlan only.
 	evacuationsAskedAt time.Time
 	// stopPoll ends the poll for a newer plan that is under way, nil while none is.
-	stopPoll       atomic.Pointer[context.CancelCauseFunc]
+	stopPoll atomic.Pointer[context.CancelCauseFunc]
+	// poll is the poll for a newer plan that waits, nil while none does. LooksBeside counts
+	// the looks beside polls, overtaken the polls that stayed silent after their news had
+	// come by another way.
+	poll                   atomic.Pointer[planPoll]
+	looksBeside, overtaken atomic.Int64
+	// onConfirmed is called after the store has answered that no plan is newer than the one
+	// looked at.
+	onConfirmed    func()
 	invalidEntries metrics.Counter
 	// isWatcher reports whether this instance watches the store, watchRank tells its rank
-	// among those of its failure domain that do.
+	// among those of its failure domain that do, watchTurn the place of its failure domain
+	// among all.
 	isWatcher func() bool
 	watchRank func() int
+	watchTurn func() int
 	path      *bbpath.Path // to the store
 }
 
@@ -99,7 +110,7 @@
 		store: store, board: board, log: log, now: now,
 		targets: NewTargetSet(now, ways), entries: map[bbunit.TargetID]bbstore.Entry{}, missingUntil: map[bbunit.TargetID]time.Time{}, left: newLeftTargets(),
 		onPlan: func(bbstore.Entry) {}, onTargetsRead: func([]bbstore.Entry) {}, onTargetEnded: func(bbcrash.TargetRun) {},
-		onTargetLeaving: func(bbplan.TargetRun) {}, onTargetStarted: func(bbplan.Target) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 },
+		onTargetLeaving: func(bbplan.TargetRun) {}, onTargetStarted: func(bbplan.Target) {}, isWatcher: func() bool { return true }, watchRank: func() int { return 0 }, watchTurn: func() int { return 0 }, onConfirmed: func() {},
 		path: &bbpath.Path{}, evacuations: newEvacuations(board, log, metrics.NewRegistry()), onEvacuations: func([]bbevacuate.Statement) {}, evacuationsAskedAt: now(),
 	}
 	f.invalidEntries = metrics.NewCounter()
--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +13,7 @@
 	"bluebellport.example/shared/bbclock"
 	"bluebellport.example/shared/bbplan"
 	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbwire"
 )
 
 // followPlan reads the plan and watches for newer ones until ctx ends.
@@ -57,7 +59,7 @@
 	}
 	log.Info("plan read from the store")
 	f.applyPlan(entry, wayList)
-	f.planLooked(rev)
+	f.planConfirmed(rev)
 	return rev, nil
 }
 
@@ -107,7 +109,7 @@
 		f.planCurrent.Store(0)
 		return 0, nil
 	}
-	f.planLooked(rev)
+	f.planConfirmed(rev)
 	return rev, nil
 }
 
@@ -121,11 +123,14 @@
 	pollCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.stopPoll.Store(&cancel)
-	began := f.now()
+	poll := &planPoll{from: from, began: time.Now(), lose: cancel}
+	f.poll.Store(poll)
 	events, rev, err := pollUntilLost(pollCtx, f.store, f.path, bbplatform.PrefixOperator, from, wait)
+	f.poll.Store(nil)
 	f.stopPoll.Store(nil)
 	if errors.Is(err, errPollLost) {
-		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": f.now().Sub(began).Milliseconds(), "wait": wait.Milliseconds()}).Info("poll for a newer plan ended: it, or another call of this time, got no answer")
+		f.log.WithFields(logrus.Fields{"event": "poll-lost", "ms": time.Since(poll.began).Milliseconds(), "wait": wait.Milliseconds()}).
+			Info("poll for a newer plan ended: it, or another call of this time, got no answer, or its news came by another way")
 		return nil, 0, err
 	}
 	if err == nil || !errors.Is(context.Cause(pollCtx), errPeersFaster) {
@@ -160,24 +165,44 @@
 func (f *follower) planLooked(rev bbstore.Revision) {
 	for {
 		old := f.planCurrent.Load()
-		if int64(rev) <= old {
-			return
-		}
-		if f.planCurrent.CompareAndSwap(old, int64(rev)) {
-			f.confirmedAt.Store(f.now().UnixNano())
+		if int64(rev) <= old || f.planCurrent.CompareAndSwap(old, int64(rev)) {
 			return
 		}
 	}
 }
 
-// unconfirmed returns for how long nothing has shown that no plan is newer than the one
-// looked at, 0 if nothing ever has.
-func (f *follower) unconfirmed() time.Duration {
-	at := f.confirmedAt.Load()
-	if at == 0 {
-		return 0
+// planConfirmed is planLooked for what the store has just answered. The watchers of the
+// other failure domains are told.
+func (f *follower) planConfirmed(rev bbstore.Revision) {
+	f.planLooked(rev)
+	f.confirmed.Confirm(f.now())
+	f.onConfirmed()
+}
+
+// hearLooked is planLooked for what a peer tells, together with when the store answered
+// that. It is no news if more is known here.
+func (f *follower) hearLooked(tell *bbwire.NewsTell) {
+	if tell.LookedAge != nil && tell.Looked >= f.planCurrent.Load() {
+		f.confirmed.Confirm(f.now().Add(-time.Duration(tell.GetLookedAge()) * time.Millisecond))
 	}
-	return f.now().Sub(time.Unix(0, at))
+	f.planLooked(max(bbstore.Revision(tell.Looked), f.seenRevision()))
+}
+
+// addLooked adds to a message as of which revision no plan is newer than the one here, and
+// when the store answered that.
+func (f *follower) addLooked(tell *bbwire.NewsTell) {
+	tell.Looked = f.planCurrent.Load()
+	if age, ok := f.confirmed.Age(f.now()); ok {
+		ms := uint32(min(max(age.Milliseconds(), 0), math.MaxUint32))
+		tell.LookedAge = &ms
+	}
+}
+
+// unconfirmed returns for how long the store is not known to have answered any instance
+// that no plan is newer than the one looked at, 0 if it never has.
+func (f *follower) unconfirmed() time.Duration {
+	age, _ := f.confirmed.Age(f.now())
+	return age
 }
 
 // applyVersion puts a plan in force that peers have sent.
@@ -227,5 +252,8 @@
 		f.board.Plan.Store(plan)
 		f.log.WithFields(logrus.Fields{"event": "plan", "version": plan.Version, "revision": e.Rev, "accounts": len(plan.Accounts), "bytes": len(e.Value), "ms": f.now().Sub(begin).Milliseconds(), "way": way.String(), "unconfirmed": f.unconfirmed().Milliseconds()}).Info("plan in force")
 	}
+	if poll := f.poll.Load(); poll != nil && way != wayPoll && poll.from < e.Rev {
+		f.expectAnswer(poll)
+	}
 	f.onPlan(e)
 }
--- a/bluebellport/proxy/metrics.go
+++ b/bluebellport/proxy/metrics.go
@@ -115,9 +115,13 @@
 	metrics.NewRegisteredFunctionalGauge("door.plan.unconfirmed-ms", m.registry, func() int64 { return unconfirmed().Milliseconds() })
 }
 
-// registerStorePath registers how many calls that wait for the store were ended as lost.
-func (m *proxyMetrics) registerStorePath(lost func() int64) {
+// registerStorePath registers how many calls that wait for the store were ended as lost,
+// how many looks for plans were made beside polls, and how many polls stayed silent after
+// their news had come by another way.
+func (m *proxyMetrics) registerStorePath(lost, looks, overtaken func() int64) {
 	metrics.NewRegisteredFunctionalGauge("door.store.lost-waits", m.registry, lost)
+	metrics.NewRegisteredFunctionalGauge("door.store.looks", m.registry, looks)
+	metrics.NewRegisteredFunctionalGauge("door.store.overtaken", m.registry, overtaken)
 }
 
 // recordDispatch records the first attempt of a request.
--- a/bluebellport/proxy/metrics_test.go
+++ b/bluebellport/proxy/metrics_test.go
@@ -39,7 +39,8 @@
 	c.registerCalls(func() map[string]int64 { return nil })
 	bbversion.New(bbversion.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	c.registerPlan(&Board{}, time.Now, (&follower{now: time.Now}).unconfirmed)
-	c.registerStorePath(func() int64 { return 0 })
+	none := func() int64 { return 0 }
+	c.registerStorePath(none, none, none)
 	bbspread.New(bbspread.Config{Network: noPeers{}, Now: time.Now, Metrics: c.registry})
 	newTargetWays(dialTCP, noPeers{}, &Board{}, &trafficMeter{}, time.Now, nil, c.registry)
 	bbcarry.NewServer(bbcarry.ServerConfig{Metrics: c.registry})
--- a/bluebellport/proxy/proxy.go
+++ b/bluebellport/proxy/proxy.go
@@ -131,7 +131,7 @@
 	f.invalidEntries = p.metrics.invalidEntries
 	f.evacuations = newEvacuations(p.board, p.log, p.metrics.registry)
 	observeStore(store, f.path)
-	p.metrics.registerStorePath(f.path.LostWaits)
+	p.metrics.registerStorePath(f.path.LostWaits, f.looksBeside.Load, f.overtaken.Load)
 	p.shares.loans = newPeerLoans(p.shares, peers)
 	p.shares.loans.register(p.metrics.registry)
 	p.prefills = newPrefillNotifier(peers, p.board, p.now)
@@ -161,6 +161,7 @@
 	registry.path = f.path
 	p.serveCarried(peers, p.metrics.registry)
 	wg.Go(func() { f.followPlan(ctx) })
+	wg.Go(func() { f.lookBeside(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { r.run(ctx) })
 	wg.Go(func() { spreader.Run(ctx) })
--- a/bluebellport/proxy/relay.go
+++ b/bluebellport/proxy/relay.go
@@ -59,6 +59,7 @@
 	r := &relay{peers: peers, follower: f, spreader: spreader, askSlot: make(chan struct{}, 1)}
 	f.onPlan, f.onPlanHeard, f.onTargetsRead, f.onEvacuations, f.isWatcher = r.holdPlan, r.hearPlan, r.tellDomain, r.tellEvacuations, r.isWatcher
 	f.watchRank = func() int { return r.watchRank(peers.View()) }
+	f.watchTurn, f.onConfirmed = r.watchTurn, r.tellWatchers
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newsask{}}, r.handleNewsAsk)
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Newstell{}}, r.handleNewsTell)
 	spreader.Listen()
@@ -88,6 +89,12 @@
 	return len(rank)
 }
 
+// watchTurn returns the place of this instance's failure domain among all.
+func (r *relay) watchTurn() int {
+	view := r.peers.View()
+	return max(slices.Index(domainsOf(view), view.Self.Domain), 0)
+}
+
 // watchKey is the rendezvous hash key that ranks a failure domain's instances as
 // watchers.
 const watchKey = "watch"
@@ -149,16 +156,29 @@
 	if rev == 0 {
 		return
 	}
-	tell := &bbwire.NewsTell{Revision: int64(rev)}
-	r.follower.addEvacuations(tell, false)
+	tell := r.follower.planNews(rev)
 	for _, id := range to {
 		_ = r.peers.Send(id, &bbwire.Envelope{Body: &bbwire.Envelope_Newstell{Newstell: tell}})
 	}
 }
 
+// tellWatchers tells the first watcher of each other failure domain what the store has just
+// answered.
+func (r *relay) tellWatchers() {
+	view := r.peers.View()
+	var watchers []bbmember.Member
+	for _, domain := range domainsOf(view) {
+		if domain != view.Self.Domain {
+			watchers = append(watchers, view.RankByLink(watchKey, domain, 1)...)
+		}
+	}
+	r.send(watchers, r.follower.planNews(r.follower.planRevision()))
+}
+
 // handleNewsAsk replies with the revision of the plan, and all targets if asked for.
 func (r *relay) handleNewsAsk(_ bbunit.InstanceID, e *bbwire.Envelope) *bbwire.Envelope {
-	tell := &bbwire.NewsTell{Revision: int64(r.follower.planRevision()), Looked: r.follower.planCurrent.Load()}
+	tell := &bbwire.NewsTell{Revision: int64(r.follower.planRevision())}
+	r.follower.addLooked(tell)
 	if e.GetNewsask().GetTargets() {
 		tell.Targets = r.follower.allTargets()
 		r.follower.addEvacuations(tell, true)
@@ -197,7 +217,7 @@
 		return
 	}
 	if tell.Looked > 0 {
-		r.follower.planLooked(max(bbstore.Revision(tell.Looked), r.follower.seenRevision()))
+		r.follower.hearLooked(tell)
 	}
 }
 
@@ -290,7 +310,17 @@
 func (f *follower) newsDigest() *bbwire.NewsTell {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	tell := &bbwire.NewsTell{Revision: int64(f.planEntry.Rev), Looked: f.planCurrent.Load(), Digest: f.targets.Digest(), Watch: true}
+	tell := &bbwire.NewsTell{Revision: int64(f.planEntry.Rev), Digest: f.targets.Digest(), Watch: true}
+	f.addLooked(tell)
+	f.addEvacuations(tell, false)
+	return tell
+}
+
+// planNews returns the revision of the plan, as of when no plan is newer, and the digest of
+// the evacuations.
+func (f *follower) planNews(rev bbstore.Revision) *bbwire.NewsTell {
+	tell := &bbwire.NewsTell{Revision: int64(rev)}
+	f.addLooked(tell)
 	f.addEvacuations(tell, false)
 	return tell
 }
--- a/bluebellport/proxy/relay_test.go
+++ b/bluebellport/proxy/relay_test.go
@@ -163,6 +163,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { spreader.Run(ctx) })
 	wg.Go(func() { f.followPlan(ctx) })
+	wg.Go(func() { f.lookBeside(ctx) })
 	wg.Go(func() { f.followTargets(ctx) })
 	wg.Go(func() { r.run(ctx) })
 	t.Cleanup(func() {
--- a/bluebellport/proxy/silent_polls_test.go
+++ b/bluebellport/proxy/silent_polls_test.go
@@ -13,6 +13,7 @@
 	bbplatformstand "bluebellport.example/platform/stand"
 	"bluebellport.example/shared/bbstore"
 	"bluebellport.example/shared/bbunit"
+	"bluebellport.example/shared/bbwire"
 )
 
 // Times of the rule that the play checks.
@@ -38,11 +39,13 @@
 	at    time.Duration
 	times int
 	gap   time.Duration
+	// alone loses the messages between instances from then on.
+	alone bool
 }
 
 // newSilentFleet returns a fleet each of whose instances reaches the store over a path of
 // its own.
-func newSilentFleet(t *testing.T, p silentPlay) (*grownFleet, []*connPath) {
+func newSilentFleet(t *testing.T, p silentPlay) (*grownFleet, *fakeNetwork, []*connPath) {
 	g := &grownFleet{t: t, mem: bbstore.NewMem(), rand: rand.New(rand.NewPCG(1, 2))}
 	g.grow(20)
 	network := newFakeNetwork()
@@ -61,7 +64,7 @@
 		g.followers = append(g.followers, f)
 		paths = append(paths, path)
 	}
-	return g, paths
+	return g, network, paths
 }
 
 // silence makes connections of the fleet silent as the play says, and returns how many.
@@ -86,13 +89,14 @@
 		{name: "all polls", instances: 6, domains: 4, waiting: "/", at: 100 * time.Millisecond, times: 1},
 		{name: "all connections", instances: 6, domains: 4, at: 100 * time.Millisecond, times: 1},
 		{name: "one instance alone", instances: 4, domains: 4, first: true, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
+		{name: "polls for plans, and the messages between instances", instances: 6, domains: 4, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1, alone: true},
 		{name: "again and again", instances: 4, domains: 4, waiting: bbplatform.PrefixOperator, at: 2100 * time.Millisecond, times: 4, gap: 700 * time.Millisecond},
 		{name: "again and again, all connections", instances: 4, domains: 4, at: 2100 * time.Millisecond, times: 4, gap: 700 * time.Millisecond},
 	} {
 		t.Run(p.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			g, paths := newSilentFleet(t, p)
+			g, network, paths := newSilentFleet(t, p)
 			g.awaitVersion(1, time.Now(), 10*time.Second)
 			time.Sleep(time.Second)
 			g.grow(1) // ends all polls, so that the next ones begin together
@@ -101,6 +105,9 @@
 			begin := time.Now()
 			var silentAt time.Time
 			silent := 0
+			if p.alone {
+				network.setLoss(1)
+			}
 			for i := range p.times {
 				time.Sleep(time.Until(begin.Add(time.Duration(i) * p.gap)))
 				silentAt = time.Now()
@@ -121,7 +128,7 @@
 func TestPollIsNotSilentForLong(t *testing.T) {
 	is := is.New(t)
 	p := silentPlay{instances: 4, domains: 4, waiting: bbplatform.PrefixOperator}
-	g, paths := newSilentFleet(t, p)
+	g, _, paths := newSilentFleet(t, p)
 	g.awaitVersion(1, time.Now(), 10*time.Second)
 	for i := range paths {
 		time.Sleep(300 * time.Millisecond)
@@ -131,6 +138,46 @@
 	}
 }
 
+// TestLeavingTargetIsKnownThoughItsPollsFallSilent guards against targets that are used
+// for the time of polls whose connections alone have fallen silent.
+func TestLeavingTargetIsKnownThoughItsPollsFallSilent(t *testing.T) {
+	for _, times := range []int{1, 4} {
+		t.Run(fmt.Sprint(times), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := silentPlay{instances: 4, domains: 4, waiting: bbplatform.PrefixTargets}
+			g, _, paths := newSilentFleet(t, p)
+			entry := func(state string) []byte {
+				return []byte(`{"service":"llm","address":"10.9.0.1:80","zone":"d0","version":1,"slots":8,"state":"` + state + `","sequence":1}`)
+			}
+			rev, err := g.mem.CAS(t.Context(), bbplatform.PrefixTargets+"t1", entry("ready"), 0, 0)
+			is.NoErr(err)
+			knows := func(leaving bool) bool {
+				for _, f := range g.followers {
+					service := f.board.targetsOf("llm")
+					if service == nil || len(service.Candidates) != 1 || service.Candidates[0].Leaving != leaving {
+						return false
+					}
+				}
+				return true
+			}
+			await(t, "the target is known", 5*time.Second, func() bool { return knows(false) })
+			var silentAt time.Time
+			for range times {
+				for _, path := range paths {
+					await(t, "a poll is silent", 5*time.Second, func() bool { return path.silence(p.waiting) > 0 })
+				}
+				silentAt = time.Now()
+			}
+			writtenAt := time.Now()
+			_, err = g.mem.CAS(t.Context(), bbplatform.PrefixTargets+"t1", entry("draining"), rev, 0)
+			is.NoErr(err)
+			await(t, "the leaving is known", max(silentInForceTime, silentAt.Add(silentContactTime).Sub(writtenAt)), func() bool { return knows(true) })
+			t.Logf("known everywhere after %s", time.Since(writtenAt))
+		})
+	}
+}
+
 // waitsFor reports whether the head of a request asks to wait for changes under a prefix.
 func waitsFor(head, prefix string) bool {
 	_, query, ok := strings.Cut(head, "/kv-watch?path-prefix=")
@@ -139,3 +186,22 @@
 	}
 	return strings.HasPrefix(query, strings.ReplaceAll(prefix, "/", "%2F")) || prefix == "/"
 }
+
+// TestOldNewsConfirmNothing guards against looks that are left out since a peer tells, late
+// or without its time, that the store has answered it.
+func TestOldNewsConfirmNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := newFollower(bbstore.NewMem(), &Board{}, quietLog(), func() time.Time { return now }, newTestWays())
+	age := uint32(300)
+	f.hearLooked(&bbwire.NewsTell{Looked: 7}) // of the build before
+	_, ok := f.confirmed.Age(now)
+	is.True(!ok)
+	f.hearLooked(&bbwire.NewsTell{Looked: 7, LookedAge: &age})
+	is.Equal(f.unconfirmed(), 300*time.Millisecond)
+	now = now.Add(time.Second)
+	f.hearLooked(&bbwire.NewsTell{Looked: 6, LookedAge: &age}) // overtaken on its way
+	is.Equal(f.unconfirmed(), 1300*time.Millisecond)
+	tell := f.planNews(0)
+	is.Equal(tell.GetLookedAge(), uint32(1300))
+}
