--- a/bluebellport/proxy/follower_test.go
+++ b/bluebellport/proxy/follower_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"bluebellport.example/platform"
 	bbplatformstand "bluebellport.example/platform/stand"
@@ -181,3 +183,24 @@
 		is.True(allInUse(f)) // a target is not used although its entry is back
 	}
 }
+
+// TestStopIsNoOutage guards against a planned stop that is logged as a loss of the store.
+func TestStopIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	logs := &logBuffer{}
+	log := logrus.New()
+	log.SetOutput(logs)
+	h := &harness{t: t, mem: bbstore.NewMem()}
+	h.declarePlan(1, 1000)
+	f := newFollower(h.mem, &Board{}, log, time.Now, newTestWays())
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		f.followPlan(ctx)
+		close(ended)
+	}()
+	await(t, "a poll waits", time.Second, func() bool { return f.poll.Load() != nil })
+	stop()
+	<-ended
+	is.True(!strings.Contains(logs.String(), "store-lost"))
+}
--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -41,6 +41,9 @@
 			pause = minStoreBackoff
 			err = f.watchPlan(ctx, from)
 		}
+		if ctx.Err() != nil {
+			return // the end of its own calls says nothing of the store
+		}
 		f.logStoreState(err)
 		bbclock.Wait(ctx, pause)
 		pause = min(2*pause, maxStoreBackoff)
