--- a/bluebellport/proxy/reserve.go
+++ b/bluebellport/proxy/reserve.go
@@ -209,7 +209,7 @@
 	}
 	maps.Copy(fields, logrus.Fields{
 		"account": share.ID, "tokens": n, "here": share.Balance.Available(), "free": share.Remaining(), "others": share.UnspentByOthers(c.allocator.Holder),
-		"age": c.now().Sub(c.lastReplyAt).Milliseconds(), "remote": share.UsesRemoteHome(), "row-read": share.RowLoaded(),
+		"age": c.replyAge(), "remote": share.UsesRemoteHome(), "row-read": share.RowLoaded(),
 	})
 	return fields
 }
--- a/bluebellport/proxy/share.go
+++ b/bluebellport/proxy/share.go
@@ -104,6 +104,15 @@
 // caller holds mu.
 func (c *shareController) isCutOff() bool { return c.outage() > 0 || c.writeIsOverdue() }
 
+// replyAge returns how long ago the store last answered a write, in milliseconds, -1 if it
+// never has. The caller holds mu.
+func (c *shareController) replyAge() int64 {
+	if c.lastReplyAt.IsZero() {
+		return -1
+	}
+	return c.now().Sub(c.lastReplyAt).Milliseconds()
+}
+
 // activeAccounts returns the shares of the accounts that this instance has spent of or
 // holds a grant of. The caller holds mu.
 func (c *shareController) activeAccounts() []bbshare.Status {
@@ -136,7 +145,7 @@
 			lastTickAt = now
 			if now.Sub(lastLoggedAt) >= shareLogInterval {
 				lastLoggedAt = now
-				c.log.WithFields(logrus.Fields{"event": "money", "age": now.Sub(c.lastReplyAt).Milliseconds(), "accounts": c.activeAccounts(), "calls": c.store.Calls()}).Info("shares held")
+				c.log.WithFields(logrus.Fields{"event": "money", "age": c.replyAge(), "accounts": c.activeAccounts(), "calls": c.store.Calls()}).Info("shares held")
 			}
 		}
 		c.mu.Unlock()
