Log for what tokens were spent, and what became of asking peers for them

"shares held" has, of what is spent, what went to requests of whose answer nothing was delivered and to answers that broke off, and what requests in flight have set aside. A refusal for want of money names the last round of asking peers. No decision changes.

--- a/bluebellport/confirm/fleet_test.go
+++ b/bluebellport/confirm/fleet_test.go
@@ -36,7 +36,7 @@
 // looks beside the poll.
 type confirmFleet struct {
 	*bbemulate.Fleet
-	calls    int
+	calls int
 	// askedAt is when the service last answered a look, widest the longest time between
 	// two.
 	askedAt time.Time
--- a/bluebellport/proxy/charge.go
+++ b/bluebellport/proxy/charge.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"bluebellport.example/shared/bbshare"
 	"bluebellport.example/shared/bbunit"
 )
 
@@ -36,6 +37,17 @@
 	uncounted bool
 }
 
+// delivery returns how much of its answer the client has got.
+func (d delivered) delivery() bbshare.Delivery {
+	switch {
+	case d.whole, d.uncounted:
+		return bbshare.DeliveredWhole
+	case d.events > 0:
+		return bbshare.DeliveredPart
+	}
+	return bbshare.DeliveredNone
+}
+
 // of returns what a request costs that a target may have run. Of a stream that broke off,
 // unseenEvents more count. Where the plan now in force tells that an event has up to
 // eventTokens, the larger size counts, within what was reserved; 0 if it does not.
@@ -76,14 +88,15 @@
 		return
 	}
 	var used bbunit.Tokens
+	got := delivered{events: x.stream.eventCount, whole: x.stream.complete, uncounted: x.uncounted}
 	if x.mayHaveRun {
 		eventTokens, told := x.proxy.board.Plan.Load().EventTokens(x.route, x.service)
 		if !told {
 			eventTokens = 0
 		}
-		used = x.terms.charge.of(delivered{events: x.stream.eventCount, whole: x.stream.complete, uncounted: x.uncounted}, eventTokens)
+		used = x.terms.charge.of(got, eventTokens)
 	}
-	x.proxy.shares.settle(x.account, x.balance, x.terms.charge.most(), used)
+	x.proxy.shares.settle(x.account, x.balance, x.terms.charge.most(), used, got.delivery())
 }
 
 // countOutput counts the events of a response whose body has been read whole, if it is made
--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -29,6 +29,7 @@
 	gathers, gathered metrics.Counter
 	unansweredAt      sync.Map // bbunit.InstanceID -> time.Time: last call that a peer did not answer
 
+	rounds    sync.Map // bbunit.AccountID -> loanRound: the last round of asking peers
 	overdueAt sync.Map // bbunit.InstanceID -> time.Time: last word of a home that its write is overdue
 
 	// The rest is guarded by shares.mu.
@@ -56,6 +57,13 @@
 	tokens bbunit.Tokens
 }
 
+// loanRound is a round of asking peers for tokens of an account.
+type loanRound struct {
+	at                    time.Time
+	lenders, unresponsive int
+	asked, lent           bbunit.Tokens
+}
+
 func newPeerLoans(shares *shareController, peers PeerNetwork) *peerLoans {
 	l := &peerLoans{shares: shares, peers: peers, uncovered: map[bbunit.AccountID]uncoveredLoan{}, lastAskedAt: map[bbunit.AccountID]time.Time{}, pauses: map[bbunit.AccountID]time.Duration{}, gatherLoggedAt: map[bbunit.AccountID]time.Time{}, gathers: metrics.NilCounter{}, gathered: metrics.NilCounter{}, words: map[bbunit.AccountID]homeWord{}}
 	peers.Handle(&bbwire.Envelope{Body: &bbwire.Envelope_Loanask{}}, l.handleLoanAsk)
@@ -238,11 +246,18 @@
 // logFields returns where the account's tokens are borrowed and what the home last
 // said, as far as it was asked. The caller holds shares.mu.
 func (l *peerLoans) logFields(id bbunit.AccountID) logrus.Fields {
+	fields := logrus.Fields{}
+	if v, ok := l.rounds.Load(id); ok {
+		round := v.(loanRound)
+		fields["loan"] = logrus.Fields{
+			"age": l.shares.now().Sub(round.at).Milliseconds(), "lenders": round.lenders, "unresponsive": round.unresponsive, "asked": round.asked, "lent": round.lent,
+		}
+	}
 	home, ok := l.home(id)
 	if !ok {
-		return logrus.Fields{}
+		return fields
 	}
-	fields := logrus.Fields{"home": home.ID, "responsive": !l.unresponsive(home.ID)}
+	fields["home"], fields["responsive"] = home.ID, !l.unresponsive(home.ID)
 	_, fields["asking"] = l.pendingAsks.Load(id)
 	if word, ok := l.words[id]; ok {
 		fields["word"] = logrus.Fields{
@@ -290,10 +305,14 @@
 		return share.Balance.Available() >= n
 	}
 	got := bbunit.Tokens(0)
+	round := loanRound{at: now, lenders: len(lenders), asked: missing}
 	for _, lender := range lenders {
 		if missing <= 0 {
 			break
 		}
+		if l.unresponsive(lender.Address) {
+			round.unresponsive++
+		}
 		ask := &bbwire.LoanAsk{Account: string(account.ID), Tokens: int64(missing)}
 		if byDemand {
 			ask.Rate, ask.Held = self.Rate, int64(max(share.Balance.Available(), 0))
@@ -310,6 +329,8 @@
 			shares.mu.Unlock()
 		}
 	}
+	round.lent = got
+	l.rounds.Store(account.ID, round)
 	if byDemand {
 		l.setPause(account.ID, got > 0)
 		l.recordGather(account.ID, len(lenders), got)
--- a/bluebellport/proxy/money_play_test.go
+++ b/bluebellport/proxy/money_play_test.go
@@ -253,7 +253,7 @@
 	p.used[a.ID] += used
 	p.mu.Unlock()
 	if !killed {
-		life.shares.settle(a, balance, n, used)
+		life.shares.settle(a, balance, n, used, bbshare.DeliveredWhole)
 	}
 }
 
--- a/bluebellport/proxy/reserve.go
+++ b/bluebellport/proxy/reserve.go
@@ -148,7 +148,8 @@
 
 // settle ends a reservation of an account's tokens. A large part that was not used is
 // given back at once.
-func (c *shareController) settle(account *bbplan.Account, balance *bbshare.Balance, reserved, used bbunit.Tokens) {
+func (c *shareController) settle(account *bbplan.Account, balance *bbshare.Balance, reserved, used bbunit.Tokens, delivery bbshare.Delivery) {
+	balance.RecordDelivery(used, delivery)
 	balance.Commit(reserved, used)
 	if reserved-used > account.Paid/largeReturnDivisor {
 		c.wake()
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -228,6 +228,12 @@
 	Borrowed bbunit.Tokens `json:"borrowed,omitempty"`
 	// Lost is what killed holders may have had left.
 	Lost bbunit.Tokens `json:"lost,omitempty"`
+	// Unheard and BrokenOff are the parts of Spent by requests of whose answer nothing was
+	// delivered, and by those whose answer broke off.
+	Unheard   bbunit.Tokens `json:"unheard,omitempty"`
+	BrokenOff bbunit.Tokens `json:"broken-off,omitempty"`
+	// Reserved is what requests in flight have set aside here.
+	Reserved bbunit.Tokens `json:"reserved,omitempty"`
 }
 
 // Status returns the state of all accounts, sorted by account id.
@@ -239,6 +245,8 @@
 			Spent: bbunit.Tokens(s.Balance.spent.Load()), Rate: bbunit.Tokens(s.demand),
 			Lent: s.lent, Granted: s.granted, Closed: s.row.Closed, Lost: s.row.Lost,
 			Served: bbunit.Tokens(s.borrowers.rate()), Borrowed: bbunit.Tokens(s.borrowers.held()),
+			Unheard: bbunit.Tokens(s.Balance.unheard.Load()), BrokenOff: bbunit.Tokens(s.Balance.brokenOff.Load()),
+			Reserved: max(s.granted-s.Balance.Available()-bbunit.Tokens(s.Balance.spent.Load()), 0),
 		})
 	}
 	slices.SortFunc(out, func(x, y Status) int { return cmp.Compare(x.Account, y.Account) })
--- a/shared/bbshare/balance.go
+++ b/shared/bbshare/balance.go
@@ -22,6 +22,9 @@
 	requested      atomic.Int64 // total of reservations, of requests refused for want of a share, and of granted loans
 	largestRequest atomic.Int64 // largest successful reservation since the last Tick
 	unmet          unmetRequests
+	// unheard is the part of spent by requests of whose answer nothing was delivered,
+	// brokenOff that by requests whose answer broke off.
+	unheard, brokenOff atomic.Int64
 }
 
 // Reserve reserves n and returns true, or returns false if less than n is available.
@@ -45,6 +48,16 @@
 // waits.
 func (b *Balance) Await(n bbunit.Tokens) (end func()) { return b.unmet.add(int64(n)) }
 
+// RecordDelivery notes for how much of an answer tokens were spent. It changes no amount.
+func (b *Balance) RecordDelivery(used bbunit.Tokens, delivery Delivery) {
+	switch delivery {
+	case DeliveredPart:
+		b.brokenOff.Add(int64(used))
+	case DeliveredNone:
+		b.unheard.Add(int64(used))
+	}
+}
+
 // Commit ends a reservation: used counts as spent, the rest is available again.
 func (b *Balance) Commit(reserved, used bbunit.Tokens) {
 	used = min(max(used, 0), reserved)
