--- a/bluebellport/proxy/followplan.go
+++ b/bluebellport/proxy/followplan.go
@@ -185,8 +185,8 @@
 // hearLooked is planLooked for what a peer tells, together with when the store answered
 // that. It is no news if more is known here.
 func (f *follower) hearLooked(tell *bbwire.NewsTell) {
-	if tell.LookedAge != nil && tell.Looked >= f.planCurrent.Load() {
-		f.confirmed.Confirm(f.now().Add(-time.Duration(tell.GetLookedAge()) * time.Millisecond))
+	if tell.LookedAge > 0 && tell.Looked >= f.planCurrent.Load() {
+		f.confirmed.Confirm(f.now().Add(-time.Duration(tell.LookedAge-1) * time.Millisecond))
 	}
 	f.planLooked(max(bbstore.Revision(tell.Looked), f.seenRevision()))
 }
@@ -196,8 +196,7 @@
 func (f *follower) addLooked(tell *bbwire.NewsTell) {
 	tell.Looked = f.planCurrent.Load()
 	if age, ok := f.confirmed.Age(f.now()); ok {
-		ms := uint32(min(max(age.Milliseconds(), 0), math.MaxUint32))
-		tell.LookedAge = &ms
+		tell.LookedAge = uint32(min(max(age.Milliseconds(), 0)+1, math.MaxUint32))
 	}
 }
 
