Ask those for tokens that have said they have some

Cause: a round asks the four holders that the row takes for the richest. The row is old: two of them had spent what it names, two were cut off. The next round, 100 ms later, asked the same four, so the fifth was never asked. Class: who has just said "nothing", or nothing at all, is asked again in place of the next. The log of the rounds shows it: lenders 4, unresponsive 2, lent 0, round after round.

The mend: LoanTell tells already what the lender has left. That word counts in place of the row for up to two seconds, unless the row has granted the lender more since; peers that don't answer are left out before the four are taken. No message more is sent and no call to the store is made; grants and sums are untouched, so nothing can be overspent.

--- a/bluebellport/proxy/gather.go
+++ b/bluebellport/proxy/gather.go
@@ -89,7 +89,7 @@
 // most maxLoanPeers, and if tokens move by demand also the homes of the other failure
 // domains and borrowers of this one. The caller holds shares.mu.
 func (l *peerLoans) lenders(share *bbshare.AccountShare, byDemand bool) []bbshare.Lender {
-	lenders := share.Lenders(l.shares.allocator.Holder)
+	lenders := slices.DeleteFunc(share.Lenders(l.shares.allocator.Holder), func(x bbshare.Lender) bool { return l.unresponsive(x.Address) })
 	lenders = lenders[:min(len(lenders), maxLoanPeers)]
 	if !byDemand {
 		return lenders
--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -80,9 +80,9 @@
 	asker := askerOf(ask)
 	if !ask.Home {
 		if asker.Rate > 0 {
-			return loanTell(share, share.LendForDemand(need, bbunit.Tokens(max(ask.Ahead, 0)), asker), 0)
+			return l.tell(share, share.LendForDemand(need, bbunit.Tokens(max(ask.Ahead, 0)), asker), 0)
 		}
-		return loanTell(share, share.LendUpTo(need), 0)
+		return l.tell(share, share.LendUpTo(need), 0)
 	}
 	if ask.Ahead >= 0 && !share.UsesRemoteHome() {
 		share.RecordBorrower(from, asker)
@@ -91,18 +91,18 @@
 		if state == writeOverdue {
 			l.gather(share, need, true)
 		}
-		return loanTell(share, 0, state)
+		return l.tell(share, 0, state)
 	}
 	if ask.Ahead < 0 {
 		go l.collect(from, share.ID, bbunit.Tokens(-ask.Ahead))
-		return loanTell(share, 0, 0)
+		return l.tell(share, 0, 0)
 	}
 	n := share.GrantLoan(bbshare.LoanRequest{Need: need, Prefetch: bbunit.Tokens(max(ask.Ahead, 0)), Asker: asker}, l.shares.allocator.Holder)
 	if !share.UsesRemoteHome() {
 		share.RecordBorrower(from, bbshare.Demand{Rate: asker.Rate, Held: asker.Held + n})
 	}
 	l.shares.wake()
-	tell := loanTell(share, n, 0)
+	tell := l.tell(share, n, 0)
 	if n < need {
 		tell.GetLoantell().Covered = l.mayCover(share, need, n)
 	}
@@ -163,9 +163,9 @@
 	writeOverdue = -2
 )
 
-// loanTell returns the reply of an instance that has lent n tokens of an account. State is
+// tell returns the reply of an instance that has lent n tokens of an account. State is
 // 0 or the value of LoanTell.Free that says why it can't serve.
-func loanTell(share *bbshare.AccountShare, n bbunit.Tokens, state int64) *bbwire.Envelope {
+func (l *peerLoans) tell(share *bbshare.AccountShare, n bbunit.Tokens, state int64) *bbwire.Envelope {
 	tell := &bbwire.LoanTell{
 		Account: string(share.ID), Tokens: int64(n), Free: int64(max(share.Remaining(), 0)), Covered: true, Held: int64(max(share.Balance.Available(), 0)),
 	}
@@ -321,13 +321,9 @@
 				ask.Tokens = 0
 			}
 		}
-		if lent := l.borrowFrom(lender.Address, ask); lent > 0 {
-			missing -= lent
-			got += lent
-			shares.mu.Lock()
-			share.AddLoan(lent)
-			shares.mu.Unlock()
-		}
+		lent := l.borrowFrom(share, lender.Address, ask)
+		missing -= lent
+		got += lent
 	}
 	round.lent = got
 	l.rounds.Store(account.ID, round)
@@ -350,9 +346,9 @@
 	l.pauses[id] = min(max(2*l.pauses[id], loanInterval), maxLoanPause)
 }
 
-// borrowFrom asks one peer for a loan, unless it is unresponsive, and returns
-// what it lent.
-func (l *peerLoans) borrowFrom(peer bbunit.InstanceID, ask *bbwire.LoanAsk) bbunit.Tokens {
+// borrowFrom asks one peer for a loan, unless it is unresponsive. It adds what the peer
+// lent to a share, and returns it.
+func (l *peerLoans) borrowFrom(share *bbshare.AccountShare, peer bbunit.InstanceID, ask *bbwire.LoanAsk) bbunit.Tokens {
 	if l.unresponsive(peer) {
 		return 0
 	}
@@ -360,7 +356,12 @@
 	if reply == nil || reply.Tokens < 0 || reply.Tokens > ask.Tokens+max(ask.Ahead, 0) {
 		return 0
 	}
-	return bbunit.Tokens(reply.Tokens)
+	lent := bbunit.Tokens(reply.Tokens)
+	l.shares.mu.Lock()
+	defer l.shares.mu.Unlock()
+	share.AddLoan(lent)
+	share.RecordLender(peer, bbunit.Tokens(reply.Held))
+	return lent
 }
 
 // call asks a peer for a loan and returns the reply, nil if none came within
--- a/bluebellport/proxy/offer.go
+++ b/bluebellport/proxy/offer.go
@@ -38,10 +38,7 @@
 	if !isHome {
 		return
 	}
-	if n := l.borrowFrom(peer, &bbwire.LoanAsk{Account: string(id), Tokens: int64(offered)}); n > 0 {
-		l.shares.mu.Lock()
-		share.AddLoan(n)
-		l.shares.mu.Unlock()
+	if l.borrowFrom(share, peer, &bbwire.LoanAsk{Account: string(id), Tokens: int64(offered)}) > 0 {
 		l.shares.notifyWaiters()
 	}
 }
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -59,8 +59,10 @@
 	homeUnreachable bool
 	// lent is the sum of the loans made by this incarnation.
 	lent bbunit.Tokens
-	// borrowers is what the instances that borrow here have reported.
+	// borrowers is what the instances that borrow here have reported, lenders the same of
+	// those that were asked for loans.
 	borrowers borrowers
+	lenders   lenderWords
 	// prefetchLimit is the available amount up to which the home last lent for future
 	// requests, 0 if it did not limit the loan. It holds for prefetchTicks.
 	prefetchLimit bbunit.Tokens
@@ -108,7 +110,7 @@
 // tokens, those available here, and those that other holders may give back add up
 // to at least n.
 func (s *AccountShare) Covers(n bbunit.Tokens, holder bbunit.HolderID) bool {
-	return s.Remaining()+s.Balance.Available()+s.row.UnspentByOthers(holder) >= n
+	return s.Remaining()+s.Balance.Available()+s.UnspentByOthers(holder) >= n
 }
 
 // UnspentByOthers returns what holders other than the given one may still have,
@@ -194,6 +196,7 @@
 	for _, s := range a.shares {
 		s.measureDemand(now)
 		s.borrowers.tick()
+		s.lenders.tick()
 		if s.prefetchTicks--; s.prefetchTicks <= 0 {
 			s.prefetchLimit = 0
 		}
--- /dev/null
+++ b/shared/bbshare/lender_test.go
@@ -0,0 +1,39 @@
+package bbshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bluebellport.example/shared/bbstore"
+	"bluebellport.example/shared/bbunit"
+)
+
+// newLentShare returns an allocator that knows a row with these grants, and the account's
+// share.
+func newLentShare(t *testing.T, rev bbstore.Revision, grants map[bbunit.HolderID]Grant) (*Allocator, *AccountShare) {
+	a := NewAllocator("x@x/1", "", DefaultPolicy())
+	a.SetPaid("a", 1000)
+	is.New(t).Equal(len(a.ApplyRows([]bbstore.Entry{{Key: "a", Value: Row{Holders: grants}.Encode(), Rev: rev}})), 0)
+	return a, a.Account("a")
+}
+
+// TestLenderWithoutTokensComesLast guards against lenders that are ranked by a row that is
+// older than their own word.
+func TestLenderWithoutTokensComesLast(t *testing.T) {
+	is := is.New(t)
+	a, s := newLentShare(t, 1, map[bbunit.HolderID]Grant{"p@p/1": {Granted: 90}, "q@q/1": {Granted: 80}, "r@r/1": {Granted: 70, Spent: 30}})
+	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 90}, {"q", 80}, {"r", 40}})
+	s.RecordLender("p", 0)
+	s.RecordLender("q", 10)
+	is.Equal(s.Lenders(a.Holder), []Lender{{"r", 40}, {"q", 10}})
+	is.Equal(s.UnspentByOthers(a.Holder), bbunit.Tokens(210)) // requests there may give it back
+
+	a.ApplyRows([]bbstore.Entry{{Key: "a", Value: Row{Holders: map[bbunit.HolderID]Grant{"p@p/1": {Granted: 95}, "q@q/1": {Granted: 80}}}.Encode(), Rev: 2}})
+	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 95}, {"q", 10}}) // p was granted more since
+	for range lenderWordTicks {
+		a.Tick(time.Unix(1, 0))
+	}
+	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 95}, {"q", 80}})
+}
--- a/shared/bbshare/loan.go
+++ b/shared/bbshare/loan.go
@@ -1,11 +1,6 @@
 package bbshare
 
-import (
-	"cmp"
-	"slices"
-
-	"bluebellport.example/shared/bbunit"
-)
+import "bluebellport.example/shared/bbunit"
 
 // A loan moves tokens from one holder's balance to another's without a write to the
 // store. The lender counts the loan as spent, so that it cannot be spent twice. The
@@ -27,28 +22,6 @@
 	s.Balance.available.Add(int64(n))
 }
 
-// Lender is another holder that may have unspent tokens. Unspent is the most that it
-// can have, as far as the last known row tells: what it borrowed is not counted.
-type Lender struct {
-	Address bbunit.InstanceID
-	Unspent bbunit.Tokens
-}
-
-// Lenders returns the other holders that may have unspent tokens, in descending order
-// of the amount.
-func (s *AccountShare) Lenders(holder bbunit.HolderID) []Lender {
-	var lenders []Lender
-	for id, g := range s.row.Holders {
-		if unspent := g.unspent(); id != holder && unspent > 0 && addressOf(id) != "" {
-			lenders = append(lenders, Lender{addressOf(id), unspent})
-		}
-	}
-	slices.SortFunc(lenders, func(x, y Lender) int {
-		return cmp.Or(cmp.Compare(y.Unspent, x.Unspent), cmp.Compare(x.Address, y.Address))
-	})
-	return lenders
-}
-
 // ToBorrow returns how many tokens to borrow from lenders so that a request of n can
 // be reserved here, 0 if loans do not help: with the rest drawn from the free tokens,
 // or with loans alone if the store is not reached. What the row tells is then old, so
