Do not send callers away to come back for tokens of the dead

Cause: a row's entry of a killed holder goes only when its successor writes that row, and a successor without callers of the account never does. Until then all others take it for one that may lend. Class: money held by the dead, taken for money of the living.

The mend: a lender tells in its answer which holder it is (LoanTell.holder). Who hears of a later life of an instance no longer counts what the row has for a former one: it is neither asked for nor awaited, and the refusal is 402 if nothing else covers the request. That is what the row will say once the successor writes it; the tokens count as spent already, as nobody can prove that they were not. An instance that does not answer, also one that never comes back, counts as before: it may be cut off and have them. Builds before tell no holder and change nothing.

--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -168,6 +168,7 @@
 func (l *peerLoans) tell(share *bbshare.AccountShare, n bbunit.Tokens, state int64) *bbwire.Envelope {
 	tell := &bbwire.LoanTell{
 		Account: string(share.ID), Tokens: int64(n), Free: int64(max(share.Remaining(), 0)), Covered: true, Held: int64(max(share.Balance.Available(), 0)),
+		Holder: string(l.shares.allocator.Holder),
 	}
 	if state != 0 {
 		tell.Free = state
@@ -360,7 +361,7 @@
 	l.shares.mu.Lock()
 	defer l.shares.mu.Unlock()
 	share.AddLoan(lent)
-	share.RecordLender(peer, bbunit.Tokens(reply.Held))
+	share.RecordLender(peer, bbunit.HolderID(reply.Holder), bbunit.Tokens(reply.Held))
 	return lent
 }
 
--- a/shared/bbshare/allocator.go
+++ b/shared/bbshare/allocator.go
@@ -113,12 +113,6 @@
 	return s.Remaining()+s.Balance.Available()+s.UnspentByOthers(holder) >= n
 }
 
-// UnspentByOthers returns what holders other than the given one may still have,
-// according to the last known row.
-func (s *AccountShare) UnspentByOthers(holder bbunit.HolderID) bbunit.Tokens {
-	return s.row.UnspentByOthers(holder)
-}
-
 // ApplyRows updates the shares from rows read from the store. It skips malformed
 // rows; rowErrs has an error for each, annotated with the row's key.
 func (a *Allocator) ApplyRows(entries []bbstore.Entry) (rowErrs []error) {
@@ -196,7 +190,7 @@
 	for _, s := range a.shares {
 		s.measureDemand(now)
 		s.borrowers.tick()
-		s.lenders.tick()
+		s.lenders.tick(s.row)
 		if s.prefetchTicks--; s.prefetchTicks <= 0 {
 			s.prefetchLimit = 0
 		}
--- a/shared/bbshare/lender.go
+++ b/shared/bbshare/lender.go
@@ -29,29 +29,40 @@
 // lenderWords are the words of the lenders of an account. The zero value is none.
 type lenderWords struct {
 	byAddress map[bbunit.InstanceID]lenderWord
+	// dead are the holders in the row that have ended: a later life of the same instance
+	// has answered.
+	dead map[bbunit.HolderID]bool
 }
 
-// RecordLender records that a lender has so much left after it was asked.
-func (s *AccountShare) RecordLender(address bbunit.InstanceID, left bbunit.Tokens) {
+// RecordLender records that a lender has so much left after it was asked. Life is its
+// holder now, empty if it did not tell.
+func (s *AccountShare) RecordLender(address bbunit.InstanceID, life bbunit.HolderID, left bbunit.Tokens) {
 	if s.lenders.byAddress == nil {
-		s.lenders = lenderWords{byAddress: map[bbunit.InstanceID]lenderWord{}}
+		s.lenders = lenderWords{byAddress: map[bbunit.InstanceID]lenderWord{}, dead: map[bbunit.HolderID]bool{}}
+	}
+	if life != "" {
+		for id := range s.row.Holders {
+			if id != life && instanceOf(id) == instanceOf(life) {
+				s.lenders.dead[id] = true
+			}
+		}
 	}
 	s.lenders.byAddress[address] = lenderWord{left: max(left, 0), granted: s.grantedAt(address), ticks: lenderWordTicks}
 }
 
-// grantedAt returns what the row grants the holders at an address.
+// grantedAt returns what the row grants the living holder at an address.
 func (s *AccountShare) grantedAt(address bbunit.InstanceID) bbunit.Tokens {
 	var sum bbunit.Tokens
 	for id, g := range s.row.Holders {
-		if addressOf(id) == address {
+		if addressOf(id) == address && !s.lenders.dead[id] {
 			sum += g.Granted
 		}
 	}
 	return sum
 }
 
-// tick lets words grow old.
-func (w *lenderWords) tick() {
+// tick lets words grow old, and forgets dead holders that have left the row.
+func (w *lenderWords) tick(row Row) {
 	for address, word := range w.byAddress {
 		if word.ticks--; word.ticks <= 0 {
 			delete(w.byAddress, address)
@@ -59,6 +70,11 @@
 		}
 		w.byAddress[address] = word
 	}
+	for id := range w.dead {
+		if _, ok := row.Holders[id]; !ok {
+			delete(w.dead, id)
+		}
+	}
 }
 
 // Lenders returns the other holders that may have unspent tokens, in descending order of
@@ -68,7 +84,7 @@
 	var lenders []Lender
 	for id, g := range s.row.Holders {
 		address := addressOf(id)
-		if id == holder || address == "" {
+		if id == holder || address == "" || s.lenders.dead[id] {
 			continue
 		}
 		unspent := g.unspent()
@@ -84,3 +100,15 @@
 	})
 	return lenders
 }
+
+// UnspentByOthers returns what holders other than the given one may still have, according
+// to the last known row. Those known to have ended have nothing.
+func (s *AccountShare) UnspentByOthers(holder bbunit.HolderID) bbunit.Tokens {
+	sum := s.row.UnspentByOthers(holder)
+	for id := range s.lenders.dead {
+		if g, ok := s.row.Holders[id]; ok && id != holder {
+			sum -= g.unspent()
+		}
+	}
+	return sum
+}
--- a/shared/bbshare/lender_test.go
+++ b/shared/bbshare/lender_test.go
@@ -25,8 +25,8 @@
 	is := is.New(t)
 	a, s := newLentShare(t, 1, map[bbunit.HolderID]Grant{"p@p/1": {Granted: 90}, "q@q/1": {Granted: 80}, "r@r/1": {Granted: 70, Spent: 30}})
 	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 90}, {"q", 80}, {"r", 40}})
-	s.RecordLender("p", 0)
-	s.RecordLender("q", 10)
+	s.RecordLender("p", "p@p/1", 0)
+	s.RecordLender("q", "q@q/1", 10)
 	is.Equal(s.Lenders(a.Holder), []Lender{{"r", 40}, {"q", 10}})
 	is.Equal(s.UnspentByOthers(a.Holder), bbunit.Tokens(210)) // requests there may give it back
 
@@ -37,3 +37,21 @@
 	}
 	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 95}, {"q", 80}})
 }
+
+// TestFormerLifeOfALenderHasNothing guards against waiting for tokens of a holder whose
+// instance has started again, and against taking the new one for it.
+func TestFormerLifeOfALenderHasNothing(t *testing.T) {
+	is := is.New(t)
+	a, s := newLentShare(t, 1, map[bbunit.HolderID]Grant{"p@p/1": {Granted: 90}, "q@q/1": {Granted: 80}})
+	s.RecordLender("q", "", 80) // of the build before
+	is.Equal(s.UnspentByOthers(a.Holder), bbunit.Tokens(170))
+	s.RecordLender("p", "p@p/2", 0)
+	is.Equal(s.UnspentByOthers(a.Holder), bbunit.Tokens(80))
+	is.True(!s.Covers(950, a.Holder)) // of 1000, 830 are free
+	is.True(s.Covers(900, a.Holder))
+
+	a.ApplyRows([]bbstore.Entry{{Key: "a", Value: Row{Closed: 90, Holders: map[bbunit.HolderID]Grant{"p@p/2": {Granted: 60}, "q@q/1": {Granted: 80}}}.Encode(), Rev: 2}})
+	a.Tick(time.Unix(1, 0))
+	is.Equal(s.UnspentByOthers(a.Holder), bbunit.Tokens(140))
+	is.Equal(s.Lenders(a.Holder), []Lender{{"q", 80}, {"p", 60}})
+}
