Look for plans over connections of their own

They were to be ended once no answer of theirs began to arrive, but a watch client's connections were asked whether any carries an answer, and the whole answer to the look, on a connection of the same client, counted as one. So the dead polls went on and the next changes waited for the next look.

Looks and polls now have clients of their own, so a poll's answer is looked for among the polls' connections, and giving up looks closes none of a poll.

--- a/bluebellport/proxy/lookbeside.go
+++ b/bluebellport/proxy/lookbeside.go
@@ -41,7 +41,7 @@
 			bbclock.Wait(ctx, due)
 			continue
 		}
-		if _, _, behind := f.board.PlanLag.behind(f.now()); behind || isArriving(f.store, bbplatform.PrefixOperator, poll.began) {
+		if _, _, behind := f.board.PlanLag.behind(f.now()); behind || isArriving(f.store, bbplatform.PrefixOperator, true, poll.began) {
 			bbclock.Wait(ctx, watcherCheckInterval)
 			continue
 		}
@@ -75,7 +75,7 @@
 // way, begins to arrive within overtakenGrace.
 func (f *follower) expectAnswer(poll *planPoll) {
 	time.AfterFunc(overtakenGrace, func() {
-		if f.poll.Load() != poll || isArriving(f.store, bbplatform.PrefixOperator, poll.began) {
+		if f.poll.Load() != poll || isArriving(f.store, bbplatform.PrefixOperator, true, poll.began) {
 			return
 		}
 		f.overtaken.Add(1)
--- a/bluebellport/proxy/lookplan.go
+++ b/bluebellport/proxy/lookplan.go
@@ -35,7 +35,7 @@
 	f.stopPoll.Store(&cancel)
 	defer func() {
 		f.stopPoll.Store(nil)
-		go func() { // not before they have ended, as that would close connections of the next poll
+		go func() { // not before they have ended, as that would close the connections of later looks
 			looks.running.Wait()
 			cancel(nil)
 		}()
@@ -59,7 +59,7 @@
 func (l *planLooks) untilAnswered(ctx context.Context, f *follower, goOn func() bool, missed func()) (planLook, bool) {
 	answers := make(chan planLook, 1)
 	for began := time.Now(); ctx.Err() == nil && goOn(); {
-		if !isArriving(f.store, bbplatform.PrefixOperator, began) {
+		if !isArriving(f.store, bbplatform.PrefixOperator, false, began) {
 			l.running.Go(func() { f.look(ctx, answers) })
 		}
 		next := time.NewTimer(bbpath.LookInterval(f.watchRank()))
--- a/bluebellport/proxy/silent_polls_test.go
+++ b/bluebellport/proxy/silent_polls_test.go
@@ -187,6 +187,19 @@
 	return strings.HasPrefix(query, strings.ReplaceAll(prefix, "/", "%2F")) || prefix == "/"
 }
 
+// TestSilentPollEndsOnceALookHasItsNews guards against the whole answer to a look that is
+// taken for the answer to the poll beside it, which then stays silent.
+func TestSilentPollEndsOnceALookHasItsNews(t *testing.T) {
+	p := silentPlay{instances: 1, domains: 1, waiting: bbplatform.PrefixOperator}
+	g, _, paths := newSilentFleet(t, p)
+	g.awaitVersion(1, time.Now(), 10*time.Second)
+	await(t, "the poll is silent", time.Second, func() bool { return p.silence(paths) > 0 })
+	g.grow(1)
+	g.awaitVersion(2, time.Now(), silentInForceTime)
+	await(t, "the poll is ended", 2*overtakenGrace, func() bool { return g.followers[0].overtaken.Load() > 0 })
+	await(t, "the next one waits", time.Second, func() bool { return p.silence(paths) > 0 })
+}
+
 // TestOldNewsConfirmNothing guards against looks that are left out since a peer tells, late
 // or without its time, that the store has answered it.
 func TestOldNewsConfirmNothing(t *testing.T) {
--- a/bluebellport/proxy/storepoll.go
+++ b/bluebellport/proxy/storepoll.go
@@ -27,7 +27,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	began := time.Now()
-	waiting := path.BeginWait(func() { cancel(errPollLost) }, func() bool { return isArriving(store, prefix, began) })
+	waiting := path.BeginWait(func() { cancel(errPollLost) }, func() bool { return isArriving(store, prefix, true, began) })
 	defer path.EndWait(waiting)
 	events, rev, err := store.Poll(ctx, prefix, after, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errPollLost) {
@@ -36,11 +36,11 @@
 	return events, rev, err
 }
 
-// isArriving reports whether the answer to a poll that began at or after a time has begun
-// to arrive, as far as the store can tell.
-func isArriving(store WatchStore, prefix string, since time.Time) bool {
+// isArriving reports whether the answer to a poll, that waits or does not, and that began
+// at or after a time, has begun to arrive, as far as the store can tell.
+func isArriving(store WatchStore, prefix string, waits bool, since time.Time) bool {
 	s, ok := store.(interface {
-		IsArriving(prefix string, since time.Time) bool
+		IsArriving(prefix string, waits bool, since time.Time) bool
 	})
-	return ok && s.IsArriving(prefix, since)
+	return ok && s.IsArriving(prefix, waits, since)
 }
