Look beside polls although a plan that peers told of does not come

The log of a round of loans counts who did not answer in it. Comments of the new tests are cut to a line.

--- a/bluebellport/confirm/fleet_test.go
+++ b/bluebellport/confirm/fleet_test.go
@@ -86,8 +86,7 @@
 	})
 }
 
-// TestServiceIsAskedByOneInstanceAtATime guards against a fleet none of whose instances
-// asks while all polls are silent, and against one whose instances all ask.
+// Some instance asks while all polls are silent, and not all instances do.
 func TestServiceIsAskedByOneInstanceAtATime(t *testing.T) {
 	for _, play := range []struct {
 		name   string
--- a/bluebellport/proxy/follower_test.go
+++ b/bluebellport/proxy/follower_test.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// TestStopIsNoOutage guards against a planned stop that is logged as a loss of the store.
+// A planned stop ends the poll that waits.
 func TestStopIsNoOutage(t *testing.T) {
 	is := is.New(t)
 	logs := &logBuffer{}
--- a/bluebellport/proxy/loan.go
+++ b/bluebellport/proxy/loan.go
@@ -59,9 +59,9 @@
 
 // loanRound is a round of asking peers for tokens of an account.
 type loanRound struct {
-	at                    time.Time
-	lenders, unresponsive int
-	asked, lent           bbunit.Tokens
+	at                  time.Time
+	lenders, unanswered int
+	asked, lent         bbunit.Tokens
 }
 
 func newPeerLoans(shares *shareController, peers PeerNetwork) *peerLoans {
@@ -251,7 +251,7 @@
 	if v, ok := l.rounds.Load(id); ok {
 		round := v.(loanRound)
 		fields["loan"] = logrus.Fields{
-			"age": l.shares.now().Sub(round.at).Milliseconds(), "lenders": round.lenders, "unresponsive": round.unresponsive, "asked": round.asked, "lent": round.lent,
+			"age": l.shares.now().Sub(round.at).Milliseconds(), "lenders": round.lenders, "unanswered": round.unanswered, "asked": round.asked, "lent": round.lent,
 		}
 	}
 	home, ok := l.home(id)
@@ -311,9 +311,6 @@
 		if missing <= 0 {
 			break
 		}
-		if l.unresponsive(lender.Address) {
-			round.unresponsive++
-		}
 		ask := &bbwire.LoanAsk{Account: string(account.ID), Tokens: int64(missing)}
 		if byDemand {
 			ask.Rate, ask.Held = self.Rate, int64(max(share.Balance.Available(), 0))
@@ -325,6 +322,9 @@
 		lent := l.borrowFrom(share, lender.Address, ask)
 		missing -= lent
 		got += lent
+		if l.unresponsive(lender.Address) {
+			round.unanswered++
+		}
 	}
 	round.lent = got
 	l.rounds.Store(account.ID, round)
--- a/bluebellport/proxy/loan_test.go
+++ b/bluebellport/proxy/loan_test.go
@@ -85,8 +85,7 @@
 	return refusal
 }
 
-// TestTokensOfEachHolderAreReached guards against asking, again and again, those that the
-// row takes for rich and that have nothing or don't answer, and never the next.
+// Those that the row takes for the richest have nothing or don't answer.
 func TestTokensOfEachHolderAreReached(t *testing.T) {
 	is := is.New(t)
 	f := newLoanFleet(t, []bbunit.Tokens{90_000, 80_000, 70_000, 60_000, 50_000, 40_000}, []bbunit.Tokens{0, -1, 0, -1, 0, 40_000}, "1")
@@ -94,8 +93,7 @@
 	is.True(f.asked["lender0"] <= 2)
 }
 
-// TestTokensOfTheDeadAreNotAwaited guards against callers that are told to come back for
-// tokens that only former lives of instances held.
+// Only former lives of instances held what the row has for others.
 func TestTokensOfTheDeadAreNotAwaited(t *testing.T) {
 	is := is.New(t)
 	f := newLoanFleet(t, []bbunit.Tokens{90_000, 80_000}, []bbunit.Tokens{0, 0}, "2")
--- a/bluebellport/proxy/lookbeside.go
+++ b/bluebellport/proxy/lookbeside.go
@@ -41,7 +41,7 @@
 			bbclock.Wait(ctx, due)
 			continue
 		}
-		if _, _, behind := f.board.PlanLag.behind(f.now()); behind || isArriving(f.store, bbplatform.PrefixOperator, true, poll.began) {
+		if f.isPlanComing(poll) {
 			bbclock.Wait(ctx, watcherCheckInterval)
 			continue
 		}
@@ -49,6 +49,13 @@
 	}
 }
 
+// isPlanComing reports whether a newer plan is arriving, as the answer to a poll or, as far
+// as peers have told lately, from them.
+func (f *follower) isPlanComing(poll *planPoll) bool {
+	_, known, behind := f.board.PlanLag.behind(f.now())
+	return behind && known < planTransferTime || isArriving(f.store, bbplatform.PrefixOperator, true, poll.began)
+}
+
 // lookOnceBeside looks beside a poll until a look is answered or the poll has ended.
 func (f *follower) lookOnceBeside(ctx context.Context, poll *planPoll) {
 	f.looksBeside.Add(1)
--- a/bluebellport/proxy/share_test.go
+++ b/bluebellport/proxy/share_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// TestReplyAgeBeforeTheFirstReply guards against a logged age of centuries.
+// The difference to a zero time is an age of centuries.
 func TestReplyAgeBeforeTheFirstReply(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/bluebellport/proxy/silent_polls_test.go
+++ b/bluebellport/proxy/silent_polls_test.go
@@ -78,8 +78,7 @@
 	return n
 }
 
-// TestPlanIsInForceThoughAllPollsFallSilent guards against a fleet that waits for the time
-// of polls whose connections alone have fallen silent at one moment.
+// All polls of a fleet are silent at one moment, while new connections work.
 func TestPlanIsInForceThoughAllPollsFallSilent(t *testing.T) {
 	for _, p := range []silentPlay{
 		{name: "polls for plans", instances: 4, domains: 4, waiting: bbplatform.PrefixOperator, at: 100 * time.Millisecond, times: 1},
@@ -123,8 +122,7 @@
 	}
 }
 
-// TestPollIsNotSilentForLong guards against polls that stay silent, each on its own, until
-// all are.
+// Polls fall silent one after the other.
 func TestPollIsNotSilentForLong(t *testing.T) {
 	is := is.New(t)
 	p := silentPlay{instances: 4, domains: 4, waiting: bbplatform.PrefixOperator}
@@ -138,8 +136,6 @@
 	}
 }
 
-// TestLeavingTargetIsKnownThoughItsPollsFallSilent guards against targets that are used
-// for the time of polls whose connections alone have fallen silent.
 func TestLeavingTargetIsKnownThoughItsPollsFallSilent(t *testing.T) {
 	for _, times := range []int{1, 4} {
 		t.Run(fmt.Sprint(times), func(t *testing.T) {
@@ -187,8 +183,7 @@
 	return strings.HasPrefix(query, strings.ReplaceAll(prefix, "/", "%2F")) || prefix == "/"
 }
 
-// TestSilentPollEndsOnceALookHasItsNews guards against the whole answer to a look that is
-// taken for the answer to the poll beside it, which then stays silent.
+// The whole answer to a look is not the answer to the poll beside it.
 func TestSilentPollEndsOnceALookHasItsNews(t *testing.T) {
 	p := silentPlay{instances: 1, domains: 1, waiting: bbplatform.PrefixOperator}
 	g, _, paths := newSilentFleet(t, p)
@@ -200,8 +195,7 @@
 	await(t, "the next one waits", time.Second, func() bool { return p.silence(paths) > 0 })
 }
 
-// TestOldNewsConfirmNothing guards against looks that are left out since a peer tells, late
-// or without its time, that the store has answered it.
+// A peer tells late, or without the time, that the store has answered it.
 func TestOldNewsConfirmNothing(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/shared/bbshare/delivery.go
+++ b/shared/bbshare/delivery.go
@@ -6,9 +6,10 @@
 type Delivery int
 
 const (
-	// DeliveredWhole means all of it, DeliveredPart that it broke off, DeliveredNone that
-	// nothing came.
+	// DeliveredWhole means all of it.
 	DeliveredWhole Delivery = iota
+	// DeliveredPart means that it broke off.
 	DeliveredPart
+	// DeliveredNone means that nothing came.
 	DeliveredNone
 )
--- a/shared/bbshare/lender_test.go
+++ b/shared/bbshare/lender_test.go
@@ -19,8 +19,7 @@
 	return a, a.Account("a")
 }
 
-// TestLenderWithoutTokensComesLast guards against lenders that are ranked by a row that is
-// older than their own word.
+// The row is older than the lenders' own words.
 func TestLenderWithoutTokensComesLast(t *testing.T) {
 	is := is.New(t)
 	a, s := newLentShare(t, 1, map[bbunit.HolderID]Grant{"p@p/1": {Granted: 90}, "q@q/1": {Granted: 80}, "r@r/1": {Granted: 70, Spent: 30}})
@@ -38,8 +37,7 @@
 	is.Equal(s.Lenders(a.Holder), []Lender{{"p", 95}, {"q", 80}})
 }
 
-// TestFormerLifeOfALenderHasNothing guards against waiting for tokens of a holder whose
-// instance has started again, and against taking the new one for it.
+// The new life is not taken for the former one either.
 func TestFormerLifeOfALenderHasNothing(t *testing.T) {
 	is := is.New(t)
 	a, s := newLentShare(t, 1, map[bbunit.HolderID]Grant{"p@p/1": {Granted: 90}, "q@q/1": {Granted: 80}})
